--- a/api/hoist/v1/generate.go
+++ b/api/hoist/v1/generate.go
@@ -3,4 +3,4 @@
 // needs no generator.
 package hoistv1
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative hoist.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative hoist.proto fleet.proto
--- /dev/null
+++ b/cmd/hoist-edge/main.go
@@ -0,0 +1,78 @@
+// Command hoist-edge serves callers on one VM of the operators' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/edge"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/platform"
+)
+
+// memoryPart is the part of the VM's memory at which the collector works harder. The rest
+// is for stacks, buffers of the kernel and the program itself.
+const memoryPart = 0.7
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name: "hoist-edge", Usage: "serve callers on one VM of the operators' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the platform (JSON)", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
+			&cli.StringFlag{Name: "log-level", Usage: "lowest log level that is written: debug, info, warn or error", Value: obs.DefaultLevel},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "hoist-edge:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	settings, err := platform.LoadSettings(command.String("settings"))
+	if err != nil || command.Bool("check") {
+		return err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
+	}
+	registry := obs.NewRegistry()
+	logger, err := obs.NewLogger("hoist-edge", settings.VM, obs.WithZone(settings.Zone), obs.WithLevel(command.String("log-level")),
+		obs.WithOutput(os.Stdout), obs.WithDropCounter(obs.NewDropCounter(registry)))
+	if err != nil {
+		return err
+	}
+	client := outbound.NewClient(settings.IP)
+	server, err := edge.New(edge.Options{
+		Settings: settings, Source: platform.NewStore(settings.Store, client), Decode: platform.Decode, Dialect: platform.Dialect{},
+		Client: client, Now: bootclock.Now, Logger: logger, Failures: logger, Registry: registry,
+	})
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go watchReload(reload, command.String("settings"), logger)
+	return server.Run(ctx)
+}
+
+// watchReload checks the settings file on SIGHUP. All settings take effect at a start.
+func watchReload(reload <-chan os.Signal, path string, logger *zap.Logger) {
+	for range reload {
+		_, err := platform.LoadSettings(path)
+		logger.Info("settings file changed; it takes effect at the next start", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,265 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
+)
+
+const (
+	// watchWait is how long the store holds a watch without changes. Each return proves
+	// that the tables are current, which requests with keys depend on.
+	watchWait = 1500 * time.Millisecond
+	// readPause is the pause after a failed read.
+	readPause = 250 * time.Millisecond
+	// staleAge is the age of the tables from which peers are asked for theirs. It is above
+	// what a watch without changes takes.
+	staleAge = 2 * time.Second
+	// pullInterval is the time between two rounds of asking peers.
+	pullInterval = 400 * time.Millisecond
+	// pullPeers is the number of peers asked in a round.
+	pullPeers = 2
+	// outageErrors is the number of failed reads in a row that count as an outage.
+	outageErrors = 2
+)
+
+// follower keeps the published items and the view made from them.
+type follower struct {
+	source Source
+	decode Decoder
+	now    func() clock.Instant
+	logger *zap.Logger
+	// changed is called with each new view, not concurrently.
+	changed func(*View)
+
+	mu       sync.Mutex
+	replica  *replica.Replica
+	registry *registry.Registry
+	catalog  *catalog.Catalog
+	zonesOut map[string]bool
+	failures int
+	// reported is set while the log says that the store is lost.
+	reported bool
+}
+
+func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, changed func(*View)) *follower {
+	return &follower{
+		source: source, decode: decode, now: now, logger: logger, changed: changed,
+		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{},
+	}
+}
+
+// run reads the store until the context ends.
+func (f *follower) run(ctx context.Context) {
+	list := true
+	for ctx.Err() == nil {
+		var err error
+		if list || !f.complete() {
+			err = f.list(ctx)
+			list = err != nil
+		} else {
+			err = f.watch(ctx)
+			list = errors.Is(err, ErrHistoryGone)
+		}
+		f.note(err)
+		if err == nil || errors.Is(err, ErrHistoryGone) {
+			continue
+		}
+		pause(ctx, readPause+rand.N(readPause))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (f *follower) complete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Complete()
+}
+
+func (f *follower) list(ctx context.Context) error {
+	sent := f.now()
+	items, revision, err := f.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.recovered()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(f.replica.Replace(items, revision, sent))
+	return nil
+}
+
+func (f *follower) watch(ctx context.Context) error {
+	f.mu.Lock()
+	after := f.replica.Revision()
+	f.mu.Unlock()
+	sent := f.now()
+	items, revision, err := f.source.Watch(ctx, after, watchWait)
+	if err != nil {
+		return err
+	}
+	f.recovered()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(f.replica.Apply(items, revision, sent))
+	return nil
+}
+
+// recovered tells the registry of the store's return before the entries that lapsed are
+// taken over.
+func (f *follower) recovered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.Outage(f.now(), false)
+}
+
+// note counts failed reads, and logs the loss and the return of the store.
+func (f *follower) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		if err != nil {
+			f.logger.Info("store history gone; listing again", zap.Uint64("revision", f.replica.Revision()))
+		}
+		if f.reported {
+			f.logger.Info("store regained", zap.Uint64("revision", f.replica.Revision()))
+		}
+		f.failures, f.reported = 0, false
+		return
+	}
+	f.failures++
+	if f.failures >= outageErrors {
+		f.registry.Outage(f.now(), true)
+	}
+	if !f.reported {
+		f.reported = true
+		f.logger.Warn("store lost", zap.Error(err), zap.Duration("age", f.now().Sub(f.replica.FreshAt())))
+	}
+}
+
+// take decodes changed items and publishes a new view. The caller holds the lock.
+func (f *follower) take(changed []replica.Item) {
+	if len(changed) == 0 {
+		return
+	}
+	now := f.now()
+	for _, item := range changed {
+		f.takeItem(now, item)
+	}
+	f.publish()
+}
+
+func (f *follower) takeItem(now clock.Instant, item replica.Item) {
+	value, err := f.decode(item.Key, item.Value)
+	if item.Deleted {
+		f.remove(now, item)
+		return
+	}
+	if err != nil {
+		// A malformed item names no upstream to use; the others hold.
+		f.logger.Warn("published item ignored", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), zap.Error(err))
+		return
+	}
+	switch value := value.(type) {
+	case *catalog.Catalog:
+		if f.catalog != nil && value.Version <= f.catalog.Version {
+			f.logger.Warn("configuration ignored; its version is not newer",
+				zap.Int64("version", value.Version), zap.Int64("in_force", f.catalog.Version), zap.Uint64("revision", item.Revision))
+			return
+		}
+		f.catalog = value
+		f.logger.Info("configuration in force", zap.Int64("version", value.Version), zap.Uint64("revision", item.Revision),
+			zap.Int("routes", len(value.Routes)))
+	case *catalog.Upstream:
+		f.registry.Put(now, *value)
+		f.logger.Info("upstream registered", zap.String("upstream", value.ID), zap.String("pool", value.Pool),
+			zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdLeft),
+			zap.Uint64("revision", item.Revision))
+	case ZoneOut:
+		f.zonesOut[string(value)] = true
+		f.logger.Info("zone out of service", zap.String("zone", string(value)), zap.Uint64("revision", item.Revision))
+	}
+}
+
+func (f *follower) remove(now clock.Instant, item replica.Item) {
+	// The key alone tells what the item was; its value is gone.
+	value, _ := f.decode(item.Key, nil)
+	if zone, ok := value.(ZoneOut); ok {
+		delete(f.zonesOut, string(zone))
+		f.logger.Info("zone back in service", zap.String("zone", string(zone)), zap.Uint64("revision", item.Revision))
+		return
+	}
+	if id := upstreamOf(f.registry, item.Key); id != "" {
+		f.registry.Remove(now, id)
+		f.logger.Info("upstream entry removed", zap.String("upstream", id), zap.Uint64("revision", item.Revision))
+	}
+}
+
+// upstreamOf returns the registered upstream whose ID ends the key, or "".
+func upstreamOf(r *registry.Registry, key string) string {
+	for _, entry := range r.Entries() {
+		if len(key) > len(entry.ID) && key[len(key)-len(entry.ID)-1:] == "/"+entry.ID {
+			return entry.ID
+		}
+	}
+	return ""
+}
+
+func (f *follower) publish() {
+	zones := make(map[string]bool, len(f.zonesOut))
+	for zone := range f.zonesOut {
+		zones[zone] = true
+	}
+	f.changed(newView(f.replica.Revision(), f.catalog, f.registry.Entries(), zones))
+}
+
+// tick removes upstreams whose entries did not come back.
+func (f *follower) tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registry.Tick(f.now()) {
+		f.publish()
+	}
+}
+
+// age returns the time since the tables were known to be current, and whether there are any.
+func (f *follower) age() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.replica.FreshAt()), f.replica.Complete()
+}
+
+// share returns what a peer needs that is complete up to the revision.
+func (f *follower) share(revision uint64) (changed []replica.Item, keys []string, own uint64, age time.Duration, complete bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own, age, complete = f.replica.Revision(), f.now().Sub(f.replica.FreshAt()), f.replica.Complete()
+	if complete && own > revision {
+		changed, keys = f.replica.Since(revision)
+	}
+	return changed, keys, own, age, complete
+}
+
+// merge takes over the state of a peer.
+func (f *follower) merge(changed []replica.Item, keys []string, revision uint64, fresh clock.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(f.replica.Merge(changed, keys, revision, fresh))
+}
--- /dev/null
+++ b/internal/edge/owner.go
@@ -0,0 +1,220 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+)
+
+const (
+	// maxStageAnswer bounds the answer of a stage call in bytes.
+	maxStageAnswer = 1 << 20
+	// releaseDelay is how long releases of one upstream are collected into one call.
+	releaseDelay = 15 * time.Millisecond
+	// releaseTimeout bounds a release; a lost one costs only memory until it expires.
+	releaseTimeout = time.Second
+)
+
+// stageResult is the end of a stage at its pool's owner.
+type stageResult struct {
+	handles []string
+	refusal stagepool.Refusal
+	// retryAfter is when an overloaded pool expects to have a place.
+	retryAfter time.Duration
+}
+
+// owner drives one pool of stages on this VM.
+type owner struct {
+	pool    string
+	dialect Dialect
+	client  *outbound.Client
+	now     func() clock.Instant
+	logger  *zap.Logger
+	metrics *metrics
+
+	mu       sync.Mutex
+	core     *stagepool.Pool
+	waiters  map[stagepool.JobID]chan stageResult
+	address  map[string]string
+	releases map[string][]string
+	wake     *time.Timer
+}
+
+func newOwner(pool string, s *Server) *owner {
+	o := &owner{
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics,
+		core: stagepool.New(s.now()), waiters: map[stagepool.JobID]chan stageResult{},
+		address: map[string]string{}, releases: map[string][]string{},
+	}
+	o.wake = time.AfterFunc(time.Hour, o.advance)
+	return o
+}
+
+// configure takes over a new view.
+func (o *owner) configure(batch catalog.Batch, entries []registry.Entry) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	upstreams := make([]stagepool.Upstream, 0, len(entries))
+	for _, entry := range entries {
+		upstreams = append(upstreams, stagepool.Upstream{ID: entry.ID, Zone: entry.Zone})
+		o.address[entry.ID] = entry.Address
+	}
+	o.core.Configure(o.now(), batch, upstreams)
+	o.drive()
+}
+
+// run runs a job to its end. If the context ends first, the job is cancelled.
+func (o *owner) run(ctx context.Context, job stagepool.Job) stageResult {
+	o.mu.Lock()
+	now := o.now()
+	id, end, refusal := o.core.Submit(now, job)
+	if refusal != stagepool.None {
+		waiting := o.core.Waiting()
+		o.mu.Unlock()
+		o.metrics.stageRefused.WithLabelValues(o.pool).Inc()
+		o.logger.Info("stage refused", zap.String("request", job.Request), zap.String("pool", o.pool), zap.Int("stage", job.Stage),
+			zap.Int("pieces", job.Pieces), zap.Int("waiting", waiting), zap.Duration("expected", end.Sub(now)),
+			zap.Duration("limit", job.Limit.Sub(now)))
+		return stageResult{refusal: refusal, retryAfter: end.Sub(job.Limit)}
+	}
+	done := make(chan stageResult, 1)
+	o.waiters[id] = done
+	o.drive()
+	o.mu.Unlock()
+	select {
+	case result := <-done:
+		return result
+	case <-ctx.Done():
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiters, id)
+	o.core.Cancel(id)
+	o.drive()
+	select {
+	case result := <-done:
+		// The job ended meanwhile, so nobody else will release its results.
+		o.core.Release(result.handles)
+		o.drive()
+	default:
+	}
+	return stageResult{refusal: stagepool.Overloaded}
+}
+
+// release frees results.
+func (o *owner) release(handles []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Release(handles)
+	o.drive()
+}
+
+func (o *owner) advance() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drive()
+}
+
+// drive carries out what the core decided. The caller holds the lock.
+func (o *owner) drive() {
+	now := o.now()
+	for _, call := range o.core.Dispatch(now) {
+		go o.call(call, o.address[call.Upstream])
+	}
+	for _, outcome := range o.core.Outcomes() {
+		if done := o.waiters[outcome.Job]; done != nil {
+			delete(o.waiters, outcome.Job)
+			done <- stageResult{handles: outcome.Handles, refusal: outcome.Refusal}
+		}
+	}
+	for _, free := range o.core.Frees() {
+		if len(o.releases[free.Upstream]) == 0 {
+			upstream := free.Upstream
+			time.AfterFunc(releaseDelay, func() { o.sendRelease(upstream) })
+		}
+		o.releases[free.Upstream] = append(o.releases[free.Upstream], free.Handles...)
+	}
+	if at, ok := o.core.Wake(now); ok {
+		o.wake.Reset(at.Sub(now))
+	}
+}
+
+// call sends one batch.
+func (o *owner) call(call stagepool.Call, address string) {
+	started := o.now()
+	end, results, err := o.send(call, address)
+	now := o.now()
+	o.metrics.stageCalls.WithLabelValues(o.pool, callEnds[end]).Inc()
+	o.metrics.stagePieces.WithLabelValues(o.pool).Observe(float64(len(call.Pieces)))
+	if end != stagepool.Answered {
+		o.logger.Warn("stage call failed", zap.String("pool", o.pool), zap.String("upstream", call.Upstream),
+			zap.String("address", address), zap.Int("pieces", len(call.Pieces)), zap.String("first_request", call.Pieces[0].Request),
+			zap.String("end", callEnds[end]), zap.Duration("elapsed", now.Sub(started)), zap.Error(err))
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Done(now, call.Upstream, call.ID, end, results)
+	o.drive()
+}
+
+var callEnds = [...]string{
+	stagepool.Answered: "answered", stagepool.Rejected: "rejected",
+	stagepool.Misdirected: "misdirected", stagepool.Broken: "broken",
+}
+
+func (o *owner) send(call stagepool.Call, address string) (stagepool.CallEnd, []stagepool.PieceResult, error) {
+	request, err := o.dialect.StageCall(address, call)
+	if err != nil {
+		return stagepool.Broken, nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+	defer cancel()
+	answer, err := o.client.Whole(ctx, address, request, maxStageAnswer)
+	if err != nil {
+		return stagepool.Broken, nil, err
+	}
+	verdict := o.dialect.Judge(answer.Status, answer.Header)
+	switch {
+	case verdict.Misdirected:
+		return stagepool.Misdirected, nil, nil
+	case verdict.NotRun:
+		return stagepool.Rejected, nil, nil
+	case answer.Status != http.StatusOK:
+		return stagepool.Broken, nil, errors.Newf("status %d", answer.Status)
+	}
+	results, err := o.dialect.StageResults(answer.Body)
+	if err != nil {
+		return stagepool.Broken, nil, err
+	}
+	if len(results) != len(call.Pieces) {
+		return stagepool.Broken, nil, errors.Newf("%d results for %d pieces", len(results), len(call.Pieces))
+	}
+	return stagepool.Answered, results, nil
+}
+
+func (o *owner) sendRelease(upstream string) {
+	o.mu.Lock()
+	handles, address := o.releases[upstream], o.address[upstream]
+	delete(o.releases, upstream)
+	o.mu.Unlock()
+	request, err := o.dialect.StageRelease(address, handles)
+	if err != nil {
+		o.logger.Error("release not encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if _, err := o.client.Whole(ctx, address, request, maxStageAnswer); err != nil {
+		o.logger.Info("release failed; the results expire", zap.String("upstream", upstream), zap.Int("results", len(handles)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/edge/serve.go
@@ -0,0 +1,207 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
+)
+
+const (
+	// defaultPatience bounds requests of callers that do not say how long they wait.
+	defaultPatience = 60 * time.Second
+	// defaultBodyBytes bounds bodies if the tables name no limit.
+	defaultBodyBytes = 8 << 20
+	// keyAgePart is the part of the bound for removed keys at whose age requests with keys
+	// are refused. The rest covers the way of the request to its upstream.
+	keyAgePart = 0.85
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// ServeHTTP serves callers.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	t := &transfer{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
+	if s.stopping.Load() {
+		// The caller opens its next connection elsewhere.
+		w.Header().Set("Connection", "close")
+	}
+	failure := t.prepare()
+	if failure == nil {
+		var cancel context.CancelFunc
+		t.ctx, cancel = context.WithTimeout(r.Context(), t.left())
+		defer cancel()
+		failure = t.serve()
+	}
+	t.finish(failure)
+}
+
+// prepare finds out what the request is and whether it may be served.
+func (t *transfer) prepare() *errkind.Error {
+	call, err := t.s.dialect.Read(t.r.Header)
+	t.call = call
+	if err != nil {
+		return errkind.New(errkind.BadRequest, err.Error())
+	}
+	if t.view == nil || t.view.Catalog == nil {
+		return errkind.New(errkind.NotConfigured, "no configuration is known yet")
+	}
+	tables := t.view.Catalog
+	t.route = tables.Match(t.r.Host, t.r.URL.Path)
+	if t.route == nil {
+		return errkind.New(errkind.UnknownRoute, strconv.Quote(t.r.Host+t.r.URL.Path))
+	}
+	if failure := t.authenticate(tables); failure != nil {
+		return failure
+	}
+	t.setTimes()
+	t.pool = t.route.PoolFor(float64(xxhash.Sum64String(call.ID)>>11) / (1 << 53))
+	return t.readBody(tables)
+}
+
+func (t *transfer) authenticate(tables *catalog.Catalog) *errkind.Error {
+	if t.call.Key != "" {
+		t.workspace = tables.WorkspaceOf(t.call.Key)
+	}
+	if !tables.NeedsKey(t.route) {
+		return nil
+	}
+	if age, _ := t.s.follower.age(); t.s.keysOutdated(age) {
+		return errkind.New(errkind.TablesOutdated, "the tables were last known to be current "+age.String()+" ago")
+	}
+	if t.workspace == nil {
+		return errkind.New(errkind.Unauthenticated, "")
+	}
+	return nil
+}
+
+// keysOutdated reports whether a key may have been taken away longer ago than allowed.
+func (s *Server) keysOutdated(age time.Duration) bool {
+	bound := s.settings.KeyBound
+	return bound > 0 && float64(age) > keyAgePart*float64(bound)
+}
+
+func (t *transfer) setTimes() {
+	patience := defaultPatience
+	if t.call.Patience > 0 {
+		patience = t.call.Patience
+	}
+	if t.route.Timeout > 0 {
+		patience = min(patience, t.route.Timeout)
+	}
+	t.deadline = t.arrived.Add(patience)
+	t.due = t.deadline
+	if t.route.Objective > 0 {
+		t.due = min(t.due, t.arrived.Add(t.route.Objective))
+	}
+}
+
+func (t *transfer) readBody(tables *catalog.Catalog) *errkind.Error {
+	limit := tables.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if t.r.ContentLength > limit {
+		return errkind.New(errkind.BodyTooLarge, strconv.FormatInt(t.r.ContentLength, 10)+" bytes")
+	}
+	body, err := io.ReadAll(io.LimitReader(t.r.Body, limit+1))
+	if err != nil {
+		return errkind.New(errkind.BadRequest, "the body did not arrive: "+err.Error())
+	}
+	if int64(len(body)) > limit {
+		return errkind.New(errkind.BodyTooLarge, "over "+strconv.FormatInt(limit, 10)+" bytes")
+	}
+	t.body = body
+	t.fingerprint = fingerprintOf(t)
+	return nil
+}
+
+// finish writes the failure, if any, and the log line of the request.
+func (t *transfer) finish(failure *errkind.Error) {
+	elapsed := t.s.now().Sub(t.arrived)
+	if failure == nil {
+		t.s.metrics.answered(t, "ok", elapsed)
+		t.s.logger.Info("request answered", append(t.fields(), zap.String("upstream", t.upstream), zap.Int("sends", len(t.tried)),
+			zap.Duration("stages", t.stageTime), zap.Int("events", t.events))...)
+		return
+	}
+	kind := failure.Kind.String()
+	if t.r.Context().Err() != nil {
+		kind = "caller_gone"
+	}
+	t.s.metrics.answered(t, kind, elapsed)
+	age, _ := t.s.follower.age()
+	t.s.failures.Info("request failed", append(t.fields(), zap.String("kind", kind), zap.String("run", failure.Run.String()),
+		zap.String("detail", failure.Detail), zap.String("upstream", t.upstream), zap.Int("sends", len(t.tried)),
+		zap.Duration("stages", t.stageTime), zap.Int("events", t.events), zap.Duration("tables_age", age),
+		zap.Duration("retry_after", t.retryHint))...)
+	if t.begun || kind == "caller_gone" {
+		// The end of the connection tells that the answer is not complete.
+		panic(http.ErrAbortHandler)
+	}
+	t.writeFailure(failure)
+}
+
+// writeFailure writes an answer of this system.
+func (t *transfer) writeFailure(failure *errkind.Error) {
+	answer := failure.Kind.Answer()
+	header := t.w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	if answer.RetryAfter > 0 {
+		after := answer.RetryAfter
+		if t.retryHint > 0 {
+			after = min(max(t.retryHint, minRetryAfter), maxRetryAfter)
+		}
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	body := `{"type":"about:blank","title":` + strconv.Quote(answer.Title) + `,"status":` + strconv.Itoa(answer.Status) +
+		`,"kind":"` + answer.Name + `","run":"` + failure.Run.String() + `"}` + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	t.w.WriteHeader(answer.Status)
+	if _, err := io.WriteString(t.w, body); err != nil {
+		t.s.logger.Debug("refusal not delivered", zap.String("request", t.call.ID), zap.Error(err))
+	}
+}
+
+// serve runs the stages and the request.
+func (t *transfer) serve() *errkind.Error {
+	if t.s.poisonous(t) {
+		return t.refusalOfPoison()
+	}
+	if t.route.Kind != catalog.Idempotent && len(t.view.InService[t.pool]) == 0 {
+		return t.refusal(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
+	}
+	if failure := t.makeInputs(); failure != nil {
+		return failure
+	}
+	defer t.releaseInputs()
+	return t.forward()
+}
+
+func (t *transfer) refusalOfPoison() *errkind.Error {
+	failure := errkind.New(errkind.UpstreamFailed, "upstreams died while they ran this request")
+	return failure.Raise(errkind.Ran)
+}
+
+// timedOut returns the failure of a request whose time is over or whose caller left.
+func (t *transfer) timedOut() *errkind.Error {
+	failure := errkind.New(errkind.DeadlineExceeded, "no answer in time")
+	if errors.Is(t.r.Context().Err(), context.Canceled) {
+		failure.Detail = "the caller has left"
+	}
+	if t.mayHaveRun {
+		failure = failure.Raise(errkind.Unknown)
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/edge/stages.go
@@ -0,0 +1,327 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+)
+
+const (
+	// maxOwners bounds the VMs that are tried as owner of a pool for one stage.
+	maxOwners = 3
+	// doubtTime is how long a VM that did not answer is not taken for an owner.
+	doubtTime = 2 * time.Second
+	// lateAllowance is how far beyond its objective a request may be expected to end before
+	// it is refused. Later answers are worth little and delay those that can be on time.
+	lateAllowance = time.Second
+	// finalTime is the time kept for the request itself after its last stage.
+	finalTime = 150 * time.Millisecond
+	// remakes bounds how often the results of the stages are made for one request.
+	remakes = 2
+)
+
+// inputSet is the results that a request holds.
+type inputSet struct {
+	// byStage holds the handles of each stage.
+	byStage [][]string
+	// final are the handles of the stages that no other stage follows.
+	final []string
+	pools []string
+}
+
+// makeInputs runs the stages of the request.
+func (t *transfer) makeInputs() *errkind.Error {
+	if len(t.route.Stages) == 0 {
+		return nil
+	}
+	started := t.s.now()
+	defer func() { t.stageTime += t.s.now().Sub(started) }()
+	for try := 1; ; try++ {
+		refusal := t.runStages()
+		switch refusal.refusal {
+		case stagepool.None:
+			return nil
+		case stagepool.InputsGone:
+			if try < remakes {
+				continue
+			}
+		case stagepool.NoUpstream:
+			return t.refusal(errkind.NoUpstream, "a stage has no upstream in service")
+		}
+		if t.ctx.Err() != nil {
+			return t.timedOut()
+		}
+		t.retryHint = refusal.retryAfter
+		return t.refusal(errkind.Overloaded, "stages: "+refusalNames[refusal.refusal])
+	}
+}
+
+// stageRun is the progress of the stages of a request.
+type stageRun struct {
+	t        *transfer
+	ctx      context.Context
+	levels   []int
+	started  []bool
+	done     []bool
+	results  chan stageDone
+	inputs   *inputSet
+	pending  int
+	released []bool
+}
+
+type stageDone struct {
+	stage  int
+	result stageResult
+}
+
+// runStages runs the graph. A stage begins once the stages before it are done, and not
+// before its turn by the number of stages that follow it: a result that waits for others
+// occupies memory that the pool needs for its batches.
+func (t *transfer) runStages() stageResult {
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	n := len(t.route.Stages)
+	run := &stageRun{
+		t: t, ctx: ctx, levels: t.route.Levels(), started: make([]bool, n), done: make([]bool, n), released: make([]bool, n),
+		results: make(chan stageDone, n), inputs: &inputSet{byStage: make([][]string, n)},
+	}
+	for i := range t.route.Stages {
+		if t.pieces(i) == 0 {
+			run.started[i], run.done[i] = true, true
+		}
+	}
+	for {
+		run.start()
+		if run.pending == 0 {
+			break
+		}
+		end := <-run.results
+		run.pending--
+		if end.result.refusal != stagepool.None {
+			cancel()
+			run.abandon()
+			return end.result
+		}
+		run.done[end.stage] = true
+		run.inputs.byStage[end.stage] = end.result.handles
+		run.releaseUsed()
+	}
+	run.collect()
+	t.inputs = run.inputs
+	return stageResult{}
+}
+
+// pieces returns the number of pieces of a stage; a stage that the caller does not name
+// has one.
+func (t *transfer) pieces(stage int) int {
+	if stage >= len(t.call.Pieces) {
+		return 1
+	}
+	return t.call.Pieces[stage]
+}
+
+// start begins the stages whose turn it is.
+func (run *stageRun) start() {
+	for i := range run.started {
+		if run.started[i] || !run.isReady(i) {
+			continue
+		}
+		run.started[i] = true
+		run.pending++
+		go func() { run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], run.inputsOf(i))} }()
+	}
+}
+
+func (run *stageRun) isReady(stage int) bool {
+	for _, before := range run.t.route.Stages[stage].After {
+		if !run.done[before] {
+			return false
+		}
+	}
+	for other := range run.done {
+		if !run.done[other] && run.levels[other] > run.levels[stage] {
+			return false
+		}
+	}
+	return true
+}
+
+func (run *stageRun) inputsOf(stage int) []string {
+	var inputs []string
+	for _, before := range run.t.route.Stages[stage].After {
+		inputs = append(inputs, run.inputs.byStage[before]...)
+	}
+	return inputs
+}
+
+// releaseUsed releases the results that only stages needed that are done.
+func (run *stageRun) releaseUsed() {
+	for i := range run.done {
+		if run.released[i] || !run.done[i] || !run.isUsed(i) {
+			continue
+		}
+		run.released[i] = true
+		run.t.s.release(run.t.route.Stages[i].Pool, run.inputs.byStage[i])
+		run.inputs.byStage[i] = nil
+	}
+}
+
+// isUsed reports whether other stages follow and all of them are done.
+func (run *stageRun) isUsed(stage int) bool {
+	followed := false
+	for other, s := range run.t.route.Stages {
+		for _, before := range s.After {
+			if before != stage || run.t.pieces(other) == 0 {
+				continue
+			}
+			followed = true
+			if !run.done[other] {
+				return false
+			}
+		}
+	}
+	return followed
+}
+
+// collect gathers the handles that the request itself needs.
+func (run *stageRun) collect() {
+	for i, handles := range run.inputs.byStage {
+		run.inputs.final = append(run.inputs.final, handles...)
+		run.inputs.pools = append(run.inputs.pools, run.t.route.Stages[i].Pool)
+	}
+}
+
+// abandon releases everything, also what calls under way still bring.
+func (run *stageRun) abandon() {
+	for i, handles := range run.inputs.byStage {
+		run.t.s.release(run.t.route.Stages[i].Pool, handles)
+	}
+	pending := run.pending
+	if pending == 0 {
+		return
+	}
+	go func() {
+		for range pending {
+			end := <-run.results
+			run.t.s.release(run.t.route.Stages[end.stage].Pool, end.result.handles)
+		}
+	}()
+}
+
+// releaseInputs releases the results that the request held.
+func (t *transfer) releaseInputs() {
+	if t.inputs == nil {
+		return
+	}
+	for i, handles := range t.inputs.byStage {
+		t.s.release(t.inputs.pools[i], handles)
+	}
+	t.inputs = nil
+}
+
+// runStage runs one stage at the owner of its pool, or at the next VM in the ranking if
+// the owner does not answer.
+func (t *transfer) runStage(ctx context.Context, stage, level int, inputs []string) stageResult {
+	s := t.s
+	definition := t.route.Stages[stage]
+	due := t.due.Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
+	limit := min(t.due.Add(lateAllowance), t.deadline).Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
+	owners := s.gossip.owners(definition.Pool)
+	for i, entry := range owners[:min(maxOwners, len(owners))] {
+		now := s.now()
+		job := stagepool.Job{
+			Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: definition.ResultBytes,
+			Zone: s.settings.Zone, Due: due, Limit: limit,
+		}
+		if len(definition.After) == 0 {
+			job.Key = t.call.ContentKey
+		}
+		result, err := s.runAt(ctx, entry, definition.Pool, job)
+		if err == nil {
+			return result
+		}
+		if ctx.Err() != nil {
+			return stageResult{refusal: stagepool.Overloaded}
+		}
+		s.gossip.doubt(entry.Name, doubtTime)
+		s.logger.Warn("owner of a pool lost", zap.String("request", t.call.ID), zap.String("pool", definition.Pool),
+			zap.String("owner", entry.Name), zap.Int("rank", i), zap.Duration("waited", s.now().Sub(now)), zap.Error(err))
+	}
+	return stageResult{refusal: stagepool.Failed}
+}
+
+// stageCallTime returns the typical time of one stage of the request.
+func (t *transfer) stageCallTime() time.Duration {
+	longest := time.Duration(0)
+	for _, stage := range t.route.Stages {
+		if pool := t.view.Catalog.Pools[stage.Pool]; pool != nil && pool.Batch != nil {
+			longest = max(longest, pool.Batch.CallTime+time.Duration(pool.Batch.MaxPieces)*pool.Batch.PieceTime)
+		}
+	}
+	return longest
+}
+
+// runAt runs a job at a VM. An error means that the VM could not be asked.
+func (s *Server) runAt(ctx context.Context, entry fleet.Entry, pool string, job stagepool.Job) (stageResult, error) {
+	if entry.Name == s.settings.VM {
+		return s.owner(pool).run(ctx, job), nil
+	}
+	now := s.now()
+	request := &hoistv1.RunStageRequest{
+		Request: job.Request, Pool: pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
+		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Limit.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
+		Zone: job.Zone,
+	}
+	var result stageResult
+	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
+		response, err := client.RunStage(ctx, request)
+		if err != nil {
+			return err
+		}
+		result = stageResult{
+			handles: response.GetHandles(), refusal: refusalOf(response.GetRefusal()),
+			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
+		}
+		return nil
+	})
+	return result, err
+}
+
+// release frees results at the owner of their pool, without waiting.
+func (s *Server) release(pool string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	owners := s.gossip.owners(pool)
+	if len(owners) == 0 || owners[0].Name == s.settings.VM {
+		s.owner(pool).release(handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		err := s.peers.call(ctx, owners[0], func(ctx context.Context, client hoistv1.FleetClient) error {
+			_, err := client.Release(ctx, &hoistv1.ReleaseRequest{Pool: pool, Handles: handles})
+			return err
+		})
+		if err != nil && !errors.Is(err, context.Canceled) {
+			s.logger.Info("release not delivered; the results expire", zap.String("pool", pool), zap.String("owner", owners[0].Name), zap.Error(err))
+		}
+	}()
+}
+
+// stagePool returns the definition of a pool of stages.
+func (v *View) stagePool(pool string) (catalog.Batch, bool) {
+	if v == nil || v.Catalog == nil || v.Catalog.Pools[pool] == nil || v.Catalog.Pools[pool].Batch == nil {
+		return catalog.Batch{}, false
+	}
+	return *v.Catalog.Pools[pool].Batch, true
+}
--- /dev/null
+++ b/internal/edge/transfer.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
+)
+
+// transfer is one caller's request on its way.
+type transfer struct {
+	s    *Server
+	w    http.ResponseWriter
+	r    *http.Request
+	ctx  context.Context
+	view *View
+
+	call        Call
+	route       *catalog.Route
+	workspace   *catalog.Workspace
+	pool        string
+	body        []byte
+	fingerprint poison.Fingerprint
+
+	arrived  clock.Instant
+	due      clock.Instant
+	deadline clock.Instant
+
+	// tried lists the upstreams to which the request was sent.
+	tried map[string]bool
+	// mayHaveRun is set once an upstream may have begun to run the request.
+	mayHaveRun bool
+	inputs     *inputSet
+	// stageTime is the time spent on stages.
+	stageTime time.Duration
+	// begun is set once part of the answer was written.
+	begun     bool
+	lastEvent string
+	events    int
+	upstream  string
+	retryHint time.Duration
+}
+
+// left returns the time until the deadline.
+func (t *transfer) left() time.Duration { return t.deadline.Sub(t.s.now()) }
+
+// priority returns the rank of the request.
+func (t *transfer) priority() int {
+	if t.workspace != nil && t.workspace.HasPriority {
+		return t.workspace.Priority
+	}
+	return t.route.Priority
+}
+
+// fields describes the request in a log line.
+func (t *transfer) fields() []zap.Field {
+	fields := []zap.Field{zap.String("request", t.call.ID)}
+	if t.route != nil {
+		fields = append(fields, zap.String("route", t.route.Name), zap.String("pool", t.pool))
+	}
+	if t.workspace != nil {
+		fields = append(fields, zap.String("workspace", t.workspace.Name))
+	}
+	if t.view != nil && t.view.Catalog != nil {
+		fields = append(fields, zap.Int64("version", t.view.Catalog.Version), zap.Uint64("revision", t.view.Revision))
+	}
+	return append(fields, zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
+}
+
+// mayRepeat reports whether the request may be sent again although it may have run.
+func (t *transfer) mayRepeat() bool {
+	return t.route.Kind == catalog.Idempotent || (t.route.Kind == catalog.Stream && t.route.Resumable)
+}
+
+// refusal returns an error of the kind that says truly whether the request ran.
+func (t *transfer) refusal(kind errkind.Kind, detail string) *errkind.Error {
+	failure := errkind.New(kind, detail)
+	if t.mayHaveRun && failure.Kind.Answer().Status == http.StatusServiceUnavailable {
+		failure.Kind = errkind.UpstreamFailed
+		failure = failure.Raise(errkind.Unknown)
+	}
+	return failure
+}
--- /dev/null
+++ b/internal/edge/upstreams.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/retry"
+)
+
+// coldMargin is the part of the rate of a cold upstream that is handed out, so that two
+// parts of a split fleet that count different VMs stay within the bound together.
+const coldMargin = 0.6
+
+// upstreams is what this VM knows of upstreams from its own requests.
+type upstreams struct {
+	now func() clock.Instant
+
+	mu      sync.Mutex
+	states  map[string]*upstreamState
+	budgets map[string]*retry.Budget
+	granted clock.Instant
+	// grant is the number of repeats per second and pool that need no requests.
+	grant float64
+}
+
+type upstreamState struct {
+	placement.Upstream
+	entry registry.Entry
+}
+
+func newUpstreams(now func() clock.Instant) *upstreams {
+	return &upstreams{now: now, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{}, granted: now()}
+}
+
+// apply takes over a view and the names of the VMs that may be running.
+func (u *upstreams) apply(view *View, s *Settings, names []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.grant = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(len(names)) / 2
+	for id, entry := range view.ByID {
+		state := u.states[id]
+		if state == nil || state.entry.Started != entry.Started {
+			state = &upstreamState{Upstream: placement.Upstream{ID: id, Zone: entry.Zone}}
+			u.states[id] = state
+		}
+		state.entry = entry
+		state.ColdUntil = max(state.ColdUntil, entry.ColdUntil)
+		if view.Catalog != nil {
+			state.ColdShare = coldShare(view.Catalog.Pools[entry.Pool], s, id, names)
+		}
+	}
+	for id, state := range u.states {
+		if _, ok := view.ByID[id]; !ok && state.InFlight == 0 {
+			delete(u.states, id)
+		}
+	}
+}
+
+// coldShare returns this VM's part of the requests per second to a cold upstream. With
+// more VMs than requests the first VMs in the ranking of the upstream may send one each.
+func coldShare(pool *catalog.Pool, s *Settings, id string, names []string) int {
+	if pool == nil || pool.ColdPerSecond <= 0 {
+		return int(^uint(0) >> 1)
+	}
+	total := int((pool.ColdPerSecond*max(s.ColdFactor, 1) + s.ColdBurst) * coldMargin)
+	if share := total / len(names); share > 0 {
+		return share
+	}
+	if slices.Index(rendezvous.Rank(id, names), s.VM) < total {
+		return 1
+	}
+	return 0
+}
+
+// lease is a request that occupies an upstream.
+type lease struct {
+	owner   *upstreams
+	state   *upstreamState
+	entry   registry.Entry
+	prompt  int
+	started clock.Instant
+	gotByte bool
+}
+
+// take chooses an upstream in service for a request.
+func (u *upstreams) take(view *View, pool string, q *placement.Query, prompt int) (*lease, placement.Exclusion) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var candidates []*placement.Upstream
+	for _, entry := range view.InService[pool] {
+		if state := u.states[entry.ID]; state != nil {
+			candidates = append(candidates, &state.Upstream)
+		}
+	}
+	now := u.now()
+	chosen, exclusion := placement.Pick(now, q, candidates)
+	if chosen == nil {
+		return nil, exclusion
+	}
+	state := u.states[chosen.ID]
+	state.Began(now, prompt)
+	return &lease{owner: u, state: state, entry: state.entry, prompt: prompt, started: now}, placement.Found
+}
+
+// with changes the state of the leased upstream.
+func (l *lease) with(change func(now clock.Instant, u *placement.Upstream)) {
+	l.owner.mu.Lock()
+	defer l.owner.mu.Unlock()
+	change(l.owner.now(), &l.state.Upstream)
+}
+
+// firstByte records that the answer has begun.
+func (l *lease) firstByte() {
+	if l.gotByte {
+		return
+	}
+	l.gotByte = true
+	l.with(func(_ clock.Instant, u *placement.Upstream) { u.FirstByte(l.prompt) })
+}
+
+// end gives the place back.
+func (l *lease) end() {
+	l.firstByte()
+	l.with(func(_ clock.Instant, u *placement.Upstream) { u.Ended() })
+}
+
+// deposit records a first attempt at a pool.
+func (u *upstreams) deposit(pool string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.budget(pool).Deposit()
+}
+
+// repeat reports whether the budget of the pool allows another attempt, and takes it.
+func (u *upstreams) repeat(pool string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.budget(pool).Take()
+}
+
+func (u *upstreams) budget(pool string) *retry.Budget {
+	now := u.now()
+	if elapsed := now.Sub(u.granted).Seconds(); elapsed > 0 {
+		for _, b := range u.budgets {
+			b.Grant(u.grant * elapsed)
+		}
+		u.granted = now
+	}
+	b := u.budgets[pool]
+	if b == nil {
+		b = &retry.Budget{}
+		b.Grant(1)
+		u.budgets[pool] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/edge/view.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+)
+
+// View is what a request sees of the published items. It does not change.
+type View struct {
+	// Revision is the revision of the items.
+	Revision uint64
+	// Catalog is nil until a configuration is known.
+	Catalog *catalog.Catalog
+	// InService holds the upstreams that may receive new work, by pool.
+	InService map[string][]registry.Entry
+	// ByID holds all registered upstreams.
+	ByID map[string]registry.Entry
+	// ZonesOut are the zones out of service.
+	ZonesOut map[string]bool
+}
+
+// newView joins the items.
+func newView(revision uint64, c *catalog.Catalog, entries []registry.Entry, zonesOut map[string]bool) *View {
+	view := &View{
+		Revision: revision, Catalog: c, ZonesOut: zonesOut,
+		InService: map[string][]registry.Entry{}, ByID: map[string]registry.Entry{},
+	}
+	for _, entry := range entries {
+		view.ByID[entry.ID] = entry
+		if c == nil || c.Pools[entry.Pool] == nil || entry.Draining || zonesOut[entry.Zone] {
+			continue
+		}
+		view.InService[entry.Pool] = append(view.InService[entry.Pool], entry)
+	}
+	return view
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -47,6 +47,9 @@
 	// Source is the address from which connections are made, so that the other end and
 	// the network between see the VM's own address; nil leaves the choice to the system.
 	Source net.IP
+	// PrivateNetwork accepts peers on other addresses than loopback without a key. It is
+	// set where the network carries the system's own VMs alone.
+	PrivateNetwork bool
 }
 
 // SourceOf returns the source address that goes with a listening IP:port: its IP, or
@@ -172,7 +175,7 @@
 }
 
 func (t Transport) accepts(address net.Addr) bool {
-	if t.Key != nil {
+	if t.Key != nil || t.PrivateNetwork {
 		return true
 	}
 	tcp, ok := address.(*net.TCPAddr)
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -27,6 +27,8 @@
 	Draining
 	NotConfigured
 	Internal
+	Unauthenticated
+	TablesOutdated
 
 	kindCount
 )
@@ -64,6 +66,8 @@
 	Draining:            {"draining", "The VM is shutting down", 503, NotRun, time.Second},
 	NotConfigured:       {"not_configured", "No configuration is in force", 503, NotRun, 2 * time.Second},
 	Internal:            {"internal", "Internal error", 500, Unknown, 0},
+	Unauthenticated:     {"unauthenticated", "The key is missing or unknown", 401, NotRun, 0},
+	TablesOutdated:      {"tables_outdated", "It is not known whether the key is still valid", 503, NotRun, time.Second},
 }
 
 // Answer returns the table entry of k; an unknown kind is answered as Internal.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -33,3 +33,7 @@
 	b.tokens--
 	return true
 }
+
+// Grant adds tokens that do not depend on attempts, such as a share of what operators
+// allow a pool per second.
+func (b *Budget) Grant(tokens float64) { b.tokens = min(b.tokens+tokens, maxTokens) }
--- /dev/null
+++ b/pkg/stagepool/done.go
@@ -0,0 +1,108 @@
+package stagepool
+
+import (
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+// Done takes over the end of a call. Results has an entry for each piece of an answered
+// call.
+func (p *Pool) Done(now clock.Instant, upstreamID string, id CallID, end CallEnd, results []PieceResult) {
+	u := p.upstreams[upstreamID]
+	if u == nil || u.calls[id] == nil {
+		return
+	}
+	running := u.calls[id]
+	delete(u.calls, id)
+	u.used -= running.reserved
+	u.freeAt = now
+	p.judge(now, u, running, end)
+	made := 0
+	for i, item := range running.call.Pieces {
+		result := PieceResult{End: PieceFailed}
+		if end == Answered && i < len(results) {
+			result = results[i]
+		}
+		if result.End == PieceMade {
+			made++
+		}
+		p.pieceDone(now, u, item, end, result)
+	}
+	if end == Answered && made == 0 && len(running.call.Pieces) > 0 {
+		u.pausedUntil = max(u.pausedUntil, now.Add(rejectedBackoff))
+	}
+}
+
+// judge updates what is known of the upstream.
+func (p *Pool) judge(now clock.Instant, u *upstream, running *runningCall, end CallEnd) {
+	switch end {
+	case Answered:
+		u.failures = 0
+		u.measure(now, float64(now.Sub(running.started))/float64(max(running.expected, time.Millisecond)))
+	case Rejected:
+		u.pausedUntil = max(u.pausedUntil, now.Add(rejectedBackoff))
+	case Misdirected, Broken:
+		u.failed(now)
+	}
+}
+
+func (p *Pool) pieceDone(now clock.Instant, u *upstream, item CallPiece, end CallEnd, result PieceResult) {
+	j := p.jobs[item.Job]
+	if result.End == PieceMade {
+		p.hold(now, u, result.Handle, j)
+	}
+	if j == nil {
+		if result.End == PieceMade {
+			p.Release([]string{result.Handle})
+		}
+		return
+	}
+	state := &j.pieces[item.Piece]
+	state.state = pieceWaiting
+	if result.End == PieceMade {
+		state.state, state.handle = pieceDone, result.Handle
+		j.done++
+	}
+	if j.ended {
+		if result.End == PieceMade {
+			p.Release([]string{result.Handle})
+		}
+		if !j.running() {
+			delete(p.jobs, j.id)
+		}
+		return
+	}
+	switch {
+	case j.done == len(j.pieces):
+		p.end(j, None, true)
+	case result.End == PieceMade:
+	case result.End == PieceInputGone:
+		p.end(j, InputsGone, true)
+	case result.End == PieceLate:
+		p.end(j, Overloaded, true)
+	case end == Answered && result.End == PieceNoRoom:
+		p.repeat(j, state, maxRoomAttempts)
+	default:
+		p.repeat(j, state, maxAttempts)
+	}
+}
+
+// maxRoomAttempts bounds how often a piece that finds no room is sent.
+const maxRoomAttempts = 5
+
+// repeat leaves the piece in the queue if it may be sent again.
+func (p *Pool) repeat(j *job, state *piece, limit int) {
+	if state.attempts >= limit || !p.budget.Take() {
+		p.end(j, Failed, true)
+	}
+}
+
+func (p *Pool) hold(now clock.Instant, u *upstream, handle string, j *job) {
+	var bytes int64
+	if j != nil {
+		bytes = j.ResultBytes
+	}
+	u.used += bytes
+	p.held[handle] = held{upstream: u.ID, bytes: bytes, expires: now.Add(p.batch.ResultTTL + releaseSlack)}
+}
--- /dev/null
+++ b/pkg/stagepool/job.go
@@ -0,0 +1,83 @@
+package stagepool
+
+import "github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+
+// Job is one stage of one request.
+type Job struct {
+	Request string
+	Stage   int
+	Pieces  int
+	// Key identifies the request's content for a stage without inputs.
+	Key string
+	// Inputs are the handles of all results that the stage needs.
+	Inputs []string
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+	// Zone is where the results are wanted.
+	Zone string
+	// Due is when the stage should be done so that the request is on time.
+	Due clock.Instant
+	// Limit is when the stage's results are of no use any more.
+	Limit clock.Instant
+}
+
+// JobID identifies a job of one Pool.
+type JobID uint64
+
+// Refusal says why a job ended without results.
+type Refusal uint8
+
+const (
+	// None means that all results are there.
+	None Refusal = iota
+	// Overloaded means that the pool cannot run the job before its limit.
+	Overloaded
+	// InputsGone means that a result that the job needs does not exist any more.
+	InputsGone
+	// Failed means that the upstreams failed the job too often.
+	Failed
+	// NoUpstream means that the pool has no upstream in service.
+	NoUpstream
+)
+
+// Outcome is the end of a job.
+type Outcome struct {
+	Job     JobID
+	Handles []string
+	Refusal Refusal
+}
+
+// pieceState is where a piece of a job stands.
+type pieceState uint8
+
+const (
+	pieceWaiting pieceState = iota
+	pieceRunning
+	pieceDone
+)
+
+// piece is one piece of a job.
+type piece struct {
+	state    pieceState
+	handle   string
+	attempts int
+}
+
+// job is a job that has not ended.
+type job struct {
+	Job
+	id     JobID
+	pieces []piece
+	done   int
+	// ended jobs wait only for pieces that are running, whose results are released at once.
+	ended bool
+}
+
+func (j *job) running() bool {
+	for i := range j.pieces {
+		if j.pieces[i].state == pieceRunning {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/stagepool/pool.go
@@ -0,0 +1,225 @@
+// Package stagepool decides, at the one VM that owns a pool, which pieces of stages are
+// sent to which upstream and when.
+//
+// A call takes most of its time whatever it holds, so full batches decide what a pool can
+// do at the worst load. Pieces of all requests wait in one queue in the order in which
+// they are due. Each batch goes to the upstream that would end it first, which leaves out
+// upstreams that have become slow. A job that cannot end before its limit is refused when
+// it arrives, and dropped before its pieces cost anything.
+//
+// A Pool is deterministic and not safe for concurrent use. Invariants:
+//   - a piece is in at most one running call;
+//   - results of jobs that ended are released;
+//   - an upstream has at most the configured number of calls.
+package stagepool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/retry"
+)
+
+const (
+	// maxAttempts bounds how often one piece is sent.
+	maxAttempts = 3
+	// grantPerSecond is the part of the budget for repeated pieces that does not depend on
+	// load. Together with a tenth of the pieces it stays below what operators allow, also
+	// if two VMs take themselves for the owner.
+	grantPerSecond = 2.0
+	// releaseSlack is added to the lifetime of results whose release got lost.
+	releaseSlack = 200 * time.Millisecond
+)
+
+// Free is a set of results that one upstream may forget.
+type Free struct {
+	Upstream string
+	Handles  []string
+}
+
+// held is a result that occupies memory.
+type held struct {
+	upstream string
+	bytes    int64
+	expires  clock.Instant
+}
+
+// Pool is the state of one pool at its owner.
+type Pool struct {
+	batch     catalog.Batch
+	upstreams map[string]*upstream
+	// names is the sorted list of upstreams, so that iteration is deterministic.
+	names    []string
+	jobs     map[JobID]*job
+	queue    []*job
+	held     map[string]held
+	budget   retry.Budget
+	granted  clock.Instant
+	nextJob  JobID
+	nextCall CallID
+	outcomes []Outcome
+	frees    []Free
+}
+
+// New returns a pool without upstreams.
+func New(now clock.Instant) *Pool {
+	p := &Pool{upstreams: map[string]*upstream{}, jobs: map[JobID]*job{}, held: map[string]held{}, granted: now}
+	p.budget.Grant(10 * grantPerSecond)
+	return p
+}
+
+// Configure sets the limits and the upstreams in service. Calls to others go on.
+func (p *Pool) Configure(now clock.Instant, batch catalog.Batch, inService []Upstream) {
+	batch.Concurrency, batch.MaxPieces = max(batch.Concurrency, 1), max(batch.MaxPieces, 1)
+	p.batch = batch
+	for _, u := range p.upstreams {
+		u.inService = false
+	}
+	for _, entry := range inService {
+		known := p.upstreams[entry.ID]
+		if known == nil {
+			known = &upstream{Upstream: entry, calls: map[CallID]*runningCall{}, slowness: 1, measuredAt: now}
+			p.upstreams[entry.ID] = known
+		}
+		known.inService = true
+	}
+	p.names = p.names[:0]
+	for name, u := range p.upstreams {
+		if !u.inService && len(u.calls) == 0 {
+			delete(p.upstreams, name)
+			continue
+		}
+		p.names = append(p.names, name)
+	}
+	slices.Sort(p.names)
+}
+
+// Submit adds a job, or refuses it at once if it cannot end before its limit. The second
+// result is the expected end of the job.
+func (p *Pool) Submit(now clock.Instant, submitted Job) (JobID, clock.Instant, Refusal) {
+	if !p.hasUpstream() {
+		return 0, now, NoUpstream
+	}
+	end := p.estimate(now, submitted)
+	if end.After(submitted.Limit) {
+		return 0, end, Overloaded
+	}
+	p.nextJob++
+	j := &job{Job: submitted, id: p.nextJob, pieces: make([]piece, submitted.Pieces)}
+	p.jobs[j.id] = j
+	at, _ := slices.BinarySearchFunc(p.queue, j, compareJobs)
+	p.queue = slices.Insert(p.queue, at, j)
+	for range j.pieces {
+		p.budget.Deposit()
+	}
+	return j.id, end, None
+}
+
+func compareJobs(a, b *job) int {
+	if c := cmp.Compare(a.Due, b.Due); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func (p *Pool) hasUpstream() bool {
+	for _, u := range p.upstreams {
+		if u.inService {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel ends a job whose request has ended. Its results are released.
+func (p *Pool) Cancel(id JobID) {
+	if j := p.jobs[id]; j != nil && !j.ended {
+		p.end(j, None, false)
+	}
+}
+
+// Release frees results that are not needed any more.
+func (p *Pool) Release(handles []string) {
+	byUpstream := map[string][]string{}
+	for _, handle := range handles {
+		h, ok := p.held[handle]
+		if !ok {
+			continue
+		}
+		p.forget(handle)
+		byUpstream[h.upstream] = append(byUpstream[h.upstream], handle)
+	}
+	for _, name := range p.names {
+		if freed := byUpstream[name]; len(freed) > 0 {
+			p.frees = append(p.frees, Free{Upstream: name, Handles: freed})
+		}
+	}
+}
+
+func (p *Pool) forget(handle string) {
+	h, ok := p.held[handle]
+	if !ok {
+		return
+	}
+	delete(p.held, handle)
+	if u := p.upstreams[h.upstream]; u != nil {
+		u.used -= h.bytes
+	}
+}
+
+// Outcomes returns the jobs that ended since the last call.
+func (p *Pool) Outcomes() []Outcome {
+	out := p.outcomes
+	p.outcomes = nil
+	return out
+}
+
+// Frees returns the results to release since the last call.
+func (p *Pool) Frees() []Free {
+	out := p.frees
+	p.frees = nil
+	return out
+}
+
+// Waiting returns the number of pieces that wait.
+func (p *Pool) Waiting() int {
+	waiting := 0
+	for _, j := range p.queue {
+		for i := range j.pieces {
+			if j.pieces[i].state == pieceWaiting {
+				waiting++
+			}
+		}
+	}
+	return waiting
+}
+
+// end finishes a job. Results are released unless they are handed to the request.
+func (p *Pool) end(j *job, refusal Refusal, report bool) {
+	j.ended = true
+	if at := slices.Index(p.queue, j); at >= 0 {
+		p.queue = slices.Delete(p.queue, at, at+1)
+	}
+	var handles []string
+	for i := range j.pieces {
+		if j.pieces[i].state == pieceDone {
+			handles = append(handles, j.pieces[i].handle)
+		}
+	}
+	if report {
+		outcome := Outcome{Job: j.id, Refusal: refusal}
+		if refusal == None {
+			outcome.Handles = handles
+		}
+		p.outcomes = append(p.outcomes, outcome)
+	}
+	if !report || refusal != None {
+		p.Release(handles)
+	}
+	if !j.running() {
+		delete(p.jobs, j.id)
+	}
+}
