--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -136,7 +136,9 @@
 		}
 		run.started[i] = true
 		run.pending++
-		go func() { run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], run.inputsOf(i))} }()
+		go func() {
+			run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], run.inputsOf(i))}
+		}()
 	}
 }
 
