Release the inputs of a stage once its upstream has read them

Ruled out: too few calls (all upstreams were busy all the time). Change: the owner of the consuming pool has the inputs released a third of the fixed call time after the last piece was sent; the upstream fetches them at the beginning.

--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -39,7 +39,7 @@
 		ResultBytes: int64(r.GetResultBytes()), Zone: r.GetZone(),
 		Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond), Limit: now.Add(time.Duration(r.GetLimitMs()) * time.Millisecond),
 	}
-	result := f.s.owner(r.GetPool()).run(ctx, job)
+	result := f.s.owner(r.GetPool()).run(ctx, job, f.s.releaseRead(job.Inputs, r.GetInputPools()))
 	return &hoistv1.RunStageResponse{
 		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(),
 	}, nil
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -33,6 +33,13 @@
 	retryAfter time.Duration
 }
 
+// stageWaiter waits for the end of a job.
+type stageWaiter struct {
+	done chan stageResult
+	// inputsRead is called once the upstreams have read the inputs; it may be nil.
+	inputsRead func()
+}
+
 // owner drives one pool of stages on this VM.
 type owner struct {
 	pool    string
@@ -44,7 +51,7 @@
 
 	mu       sync.Mutex
 	core     *stagepool.Pool
-	waiters  map[stagepool.JobID]chan stageResult
+	waiters  map[stagepool.JobID]*stageWaiter
 	address  map[string]string
 	releases map[string][]string
 	wake     *time.Timer
@@ -53,7 +60,7 @@
 func newOwner(pool string, s *Server) *owner {
 	o := &owner{
 		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics,
-		core: stagepool.New(s.now()), waiters: map[stagepool.JobID]chan stageResult{},
+		core: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		address: map[string]string{}, releases: map[string][]string{},
 	}
 	o.wake = time.AfterFunc(time.Hour, o.advance)
@@ -74,7 +81,8 @@
 }
 
 // run runs a job to its end. If the context ends first, the job is cancelled.
-func (o *owner) run(ctx context.Context, job stagepool.Job) stageResult {
+// InputsRead, if not nil, is called once the upstreams have read the inputs.
+func (o *owner) run(ctx context.Context, job stagepool.Job, inputsRead func()) stageResult {
 	o.mu.Lock()
 	now := o.now()
 	id, end, refusal := o.core.Submit(now, job)
@@ -88,7 +96,7 @@
 		return stageResult{refusal: refusal, retryAfter: end.Sub(job.Limit)}
 	}
 	done := make(chan stageResult, 1)
-	o.waiters[id] = done
+	o.waiters[id] = &stageWaiter{done: done, inputsRead: inputsRead}
 	o.drive()
 	o.mu.Unlock()
 	select {
@@ -131,10 +139,15 @@
 	for _, call := range o.core.Dispatch(now) {
 		go o.call(call, o.address[call.Upstream])
 	}
+	for _, id := range o.core.Read() {
+		if waiter := o.waiters[id]; waiter != nil && waiter.inputsRead != nil {
+			go waiter.inputsRead()
+		}
+	}
 	for _, outcome := range o.core.Outcomes() {
-		if done := o.waiters[outcome.Job]; done != nil {
+		if waiter := o.waiters[outcome.Job]; waiter != nil {
 			delete(o.waiters, outcome.Job)
-			done <- stageResult{handles: outcome.Handles, refusal: outcome.Refusal}
+			waiter.done <- stageResult{handles: outcome.Handles, refusal: outcome.Refusal}
 		}
 	}
 	for _, free := range o.core.Frees() {
@@ -156,7 +169,11 @@
 	now := o.now()
 	o.metrics.stageCalls.WithLabelValues(o.pool, callEnds[end]).Inc()
 	o.metrics.stagePieces.WithLabelValues(o.pool).Observe(float64(len(call.Pieces)))
-	if end != stagepool.Answered {
+	if end == stagepool.Answered {
+		o.logger.Info("stage call ended", zap.String("pool", o.pool), zap.String("upstream", call.Upstream),
+			zap.Int("pieces", len(call.Pieces)), zap.Int("made", made(results)), zap.String("first_request", call.Pieces[0].Request),
+			zap.Duration("elapsed", now.Sub(started)))
+	} else {
 		o.logger.Warn("stage call failed", zap.String("pool", o.pool), zap.String("upstream", call.Upstream),
 			zap.String("address", address), zap.Int("pieces", len(call.Pieces)), zap.String("first_request", call.Pieces[0].Request),
 			zap.String("end", callEnds[end]), zap.Duration("elapsed", now.Sub(started)), zap.Error(err))
@@ -167,6 +184,17 @@
 	o.drive()
 }
 
+// made returns the number of pieces with a result.
+func made(results []stagepool.PieceResult) int {
+	n := 0
+	for _, result := range results {
+		if result.End == stagepool.PieceMade {
+			n++
+		}
+	}
+	return n
+}
+
 var callEnds = [...]string{
 	stagepool.Answered: "answered", stagepool.Rejected: "rejected",
 	stagepool.Misdirected: "misdirected", stagepool.Broken: "broken",
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -136,8 +137,9 @@
 		}
 		run.started[i] = true
 		run.pending++
+		inputs, pools := run.inputsOf(i)
 		go func() {
-			run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], run.inputsOf(i))}
+			run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], inputs, pools)}
 		}()
 	}
 }
@@ -156,12 +158,32 @@
 	return true
 }
 
-func (run *stageRun) inputsOf(stage int) []string {
-	var inputs []string
+// inputsOf returns the handles that a stage needs, and their pools if no other stage
+// needs them.
+func (run *stageRun) inputsOf(stage int) (inputs, pools []string) {
+	alone := true
 	for _, before := range run.t.route.Stages[stage].After {
 		inputs = append(inputs, run.inputs.byStage[before]...)
+		for range run.inputs.byStage[before] {
+			pools = append(pools, run.t.route.Stages[before].Pool)
+		}
+		alone = alone && run.t.followers(before) == 1
+	}
+	if !alone {
+		return inputs, nil
 	}
-	return inputs
+	return inputs, pools
+}
+
+// followers returns the number of stages that need the results of a stage.
+func (t *transfer) followers(stage int) int {
+	n := 0
+	for other, s := range t.route.Stages {
+		if t.pieces(other) > 0 && slices.Contains(s.After, stage) {
+			n++
+		}
+	}
+	return n
 }
 
 // releaseUsed releases the results that only stages needed that are done.
@@ -178,19 +200,12 @@
 
 // isUsed reports whether other stages follow and all of them are done.
 func (run *stageRun) isUsed(stage int) bool {
-	followed := false
 	for other, s := range run.t.route.Stages {
-		for _, before := range s.After {
-			if before != stage || run.t.pieces(other) == 0 {
-				continue
-			}
-			followed = true
-			if !run.done[other] {
-				return false
-			}
+		if slices.Contains(s.After, stage) && !run.done[other] {
+			return false
 		}
 	}
-	return followed
+	return run.t.followers(stage) > 0
 }
 
 // collect gathers the handles that the request itself needs.
@@ -231,7 +246,7 @@
 
 // runStage runs one stage at the owner of its pool, or at the next VM in the ranking if
 // the owner does not answer.
-func (t *transfer) runStage(ctx context.Context, stage, level int, inputs []string) stageResult {
+func (t *transfer) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
 	s := t.s
 	definition := t.route.Stages[stage]
 	due := t.due.Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
@@ -246,8 +261,11 @@
 		if len(definition.After) == 0 {
 			job.Key = t.call.ContentKey
 		}
-		result, err := s.runAt(ctx, entry, definition.Pool, job)
+		result, err := s.runAt(ctx, entry, definition.Pool, job, inputPools)
 		if err == nil {
+			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", definition.Pool),
+				zap.String("owner", entry.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
+				zap.Duration("took", s.now().Sub(now)), zap.Duration("due", due.Sub(now)), zap.Duration("limit", limit.Sub(now)))
 			return result
 		}
 		if ctx.Err() != nil {
@@ -272,15 +290,15 @@
 }
 
 // runAt runs a job at a VM. An error means that the VM could not be asked.
-func (s *Server) runAt(ctx context.Context, entry fleet.Entry, pool string, job stagepool.Job) (stageResult, error) {
+func (s *Server) runAt(ctx context.Context, entry fleet.Entry, pool string, job stagepool.Job, inputPools []string) (stageResult, error) {
 	if entry.Name == s.settings.VM {
-		return s.owner(pool).run(ctx, job), nil
+		return s.owner(pool).run(ctx, job, s.releaseRead(job.Inputs, inputPools)), nil
 	}
 	now := s.now()
 	request := &hoistv1.RunStageRequest{
 		Request: job.Request, Pool: pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
 		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Limit.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
-		Zone: job.Zone,
+		Zone: job.Zone, InputPools: inputPools,
 	}
 	var result stageResult
 	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
@@ -297,6 +315,23 @@
 	return result, err
 }
 
+// releaseRead returns what releases the inputs of a job once they have been read, or nil
+// if their pools are not known.
+func (s *Server) releaseRead(inputs, pools []string) func() {
+	if len(inputs) == 0 || len(pools) != len(inputs) {
+		return nil
+	}
+	return func() {
+		byPool := map[string][]string{}
+		for i, handle := range inputs {
+			byPool[pools[i]] = append(byPool[pools[i]], handle)
+		}
+		for pool, handles := range byPool {
+			s.release(pool, handles)
+		}
+	}
+}
+
 // release frees results at the owner of their pool, without waiting.
 func (s *Server) release(pool string, handles []string) {
 	if len(handles) == 0 {
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -69,10 +69,23 @@
 	id     JobID
 	pieces []piece
 	done   int
+	// readAt is when the upstreams have read the inputs; 0 while a piece waits.
+	readAt   clock.Instant
+	reported bool
 	// ended jobs wait only for pieces that are running, whose results are released at once.
 	ended bool
 }
 
+// waiting reports whether a piece has not been sent.
+func (j *job) waiting() bool {
+	for i := range j.pieces {
+		if j.pieces[i].state == pieceWaiting {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *job) running() bool {
 	for i := range j.pieces {
 		if j.pieces[i].state == pieceRunning {
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -30,6 +30,9 @@
 	// load. Together with a tenth of the pieces it stays below what operators allow, also
 	// if two VMs take themselves for the owner.
 	grantPerSecond = 2.0
+	// readPart is the part of a call's fixed time after which its inputs have been read; the
+	// upstream fetches them before it begins.
+	readPart = 3
 	// releaseSlack is added to the lifetime of results whose release got lost.
 	releaseSlack = 200 * time.Millisecond
 )
@@ -62,6 +65,7 @@
 	nextCall CallID
 	outcomes []Outcome
 	frees    []Free
+	read     []JobID
 }
 
 // New returns a pool without upstreams.
@@ -177,6 +181,15 @@
 	return out
 }
 
+// Read returns the jobs whose inputs the upstreams have read since the last call. The
+// inputs can be released, though the job has not ended; if a call is lost afterwards, the
+// job ends with InputsGone.
+func (p *Pool) Read() []JobID {
+	out := p.read
+	p.read = nil
+	return out
+}
+
 // Frees returns the results to release since the last call.
 func (p *Pool) Frees() []Free {
 	out := p.frees
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -99,6 +99,7 @@
 	p.granted = now
 	p.expire(now)
 	p.dropLate(now)
+	p.noteRead(now)
 	var queue []waiting
 	for _, j := range p.queue {
 		for i := range j.pieces {
@@ -163,6 +164,7 @@
 	running := &runningCall{started: now, expected: p.callTime(len(pieces))}
 	call := Call{ID: p.nextCall, Upstream: u.ID}
 	for _, w := range pieces {
+		w.j.readAt = now.Add(p.batch.CallTime / readPart)
 		item := &w.j.pieces[w.index]
 		item.state = pieceRunning
 		item.attempts++
@@ -181,6 +183,16 @@
 	return call
 }
 
+// noteRead finds the jobs whose inputs have been read.
+func (p *Pool) noteRead(now clock.Instant) {
+	for _, j := range p.queue {
+		if !j.reported && j.readAt != 0 && now >= j.readAt && !j.waiting() {
+			j.reported = true
+			p.read = append(p.read, j.id)
+		}
+	}
+}
+
 // dropLate ends jobs that cannot end before their limit any more.
 func (p *Pool) dropLate(now clock.Instant) {
 	for i := 0; i < len(p.queue); {
@@ -209,6 +221,11 @@
 		return 0, false
 	}
 	wake := now.Add(wakeInterval)
+	for _, j := range p.queue {
+		if !j.reported && j.readAt > now {
+			wake = min(wake, j.readAt)
+		}
+	}
 	for _, name := range p.names {
 		if u := p.upstreams[name]; u.inService && u.pausedUntil > now {
 			wake = min(wake, u.pausedUntil)
