--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -20,7 +20,7 @@
 	// maxStageAnswer bounds the answer of a stage call in bytes.
 	maxStageAnswer = 1 << 20
 	// releaseDelay is how long releases of one upstream are collected into one call.
-	releaseDelay = 15 * time.Millisecond
+	releaseDelay = 5 * time.Millisecond
 	// releaseTimeout bounds a release; a lost one costs only memory until it expires.
 	releaseTimeout = time.Second
 )
@@ -244,5 +244,10 @@
 	defer cancel()
 	if _, err := o.client.Whole(ctx, address, request, maxStageAnswer); err != nil {
 		o.logger.Info("release failed; the results expire", zap.String("upstream", upstream), zap.Int("results", len(handles)), zap.Error(err))
+		return
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Freed(handles)
+	o.drive()
 }
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -48,6 +48,8 @@
 	upstream string
 	bytes    int64
 	expires  clock.Instant
+	// releasing is set while the upstream has not confirmed the release.
+	releasing bool
 }
 
 // Pool is the state of one pool at its owner.
@@ -150,10 +152,11 @@
 	byUpstream := map[string][]string{}
 	for _, handle := range handles {
 		h, ok := p.held[handle]
-		if !ok {
+		if !ok || h.releasing {
 			continue
 		}
-		p.forget(handle)
+		h.releasing = true
+		p.held[handle] = h
 		byUpstream[h.upstream] = append(byUpstream[h.upstream], handle)
 	}
 	for _, name := range p.names {
@@ -163,6 +166,13 @@
 	}
 }
 
+// Freed takes over that an upstream has released results, whose memory can be used again.
+func (p *Pool) Freed(handles []string) {
+	for _, handle := range handles {
+		p.forget(handle)
+	}
+}
+
 func (p *Pool) forget(handle string) {
 	h, ok := p.held[handle]
 	if !ok {
