Put late jobs behind those that can be on time, and keep jobs and zones whole

Cause: in a burst the queue in order of due time makes each job late by as much as the one before, and jobs split over two calls hold the room of the first part until the second is done. Change: a job that cannot be on time goes behind all that can; a job is taken whole if it fits a call; upstreams of the job's zone are preferred unless they cannot end it in time; a slow upstream gets work only if the others could not end it sooner.

--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -13,7 +13,7 @@
 	Inputs []string
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
-	// Zone is where the results are wanted.
+	// Zone is where the inputs are or the results are wanted; empty if it does not matter.
 	Zone string
 	// Due is when the stage should be done so that the request is on time.
 	Due clock.Instant
@@ -69,6 +69,8 @@
 	id     JobID
 	pieces []piece
 	done   int
+	// late jobs cannot be on time and come after all others.
+	late bool
 	// readAt is when the upstreams have read the inputs; 0 while a piece waits.
 	readAt   clock.Instant
 	reported bool
@@ -77,13 +79,17 @@
 }
 
 // waiting reports whether a piece has not been sent.
-func (j *job) waiting() bool {
+func (j *job) waiting() bool { return j.waitingPieces() > 0 }
+
+// waitingPieces returns the number of pieces that have not been sent.
+func (j *job) waitingPieces() int {
+	n := 0
 	for i := range j.pieces {
 		if j.pieces[i].state == pieceWaiting {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 func (j *job) running() bool {
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -109,12 +109,17 @@
 	if !p.hasUpstream() {
 		return 0, now, NoUpstream
 	}
-	end := p.estimate(now, submitted)
+	late := false
+	end := p.estimate(now, p.ahead(submitted.Due, false), submitted.Pieces)
+	if end.After(submitted.Due) {
+		late = true
+		end = p.estimate(now, p.ahead(submitted.Due, true), submitted.Pieces)
+	}
 	if end.After(submitted.Limit) {
 		return 0, end, Overloaded
 	}
 	p.nextJob++
-	j := &job{Job: submitted, id: p.nextJob, pieces: make([]piece, submitted.Pieces)}
+	j := &job{Job: submitted, id: p.nextJob, pieces: make([]piece, submitted.Pieces), late: late}
 	p.jobs[j.id] = j
 	at, _ := slices.BinarySearchFunc(p.queue, j, compareJobs)
 	p.queue = slices.Insert(p.queue, at, j)
@@ -125,6 +130,12 @@
 }
 
 func compareJobs(a, b *job) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
 	if c := cmp.Compare(a.Due, b.Due); c != 0 {
 		return c
 	}
@@ -211,11 +222,7 @@
 func (p *Pool) Waiting() int {
 	waiting := 0
 	for _, j := range p.queue {
-		for i := range j.pieces {
-			if j.pieces[i].state == pieceWaiting {
-				waiting++
-			}
-		}
+		waiting += j.waitingPieces()
 	}
 	return waiting
 }
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -1,11 +1,16 @@
 package stagepool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 )
 
+// slowFactor is the slowness above which an upstream gets work only if the others could
+// not end it sooner.
+const slowFactor = 1.4
+
 // slot is when an upstream can begin its next call, and how fast it is.
 type slot struct {
 	u      *upstream
@@ -14,7 +19,7 @@
 	room   int64
 }
 
-// slots returns one entry for each upstream in service.
+// slots returns one entry for each upstream in service, the fastest first.
 func (p *Pool) slots(now clock.Instant) []slot {
 	var out []slot
 	for _, name := range p.names {
@@ -23,10 +28,19 @@
 			continue
 		}
 		out = append(out, slot{
-			u: u, free: u.availableAt(now, p.batch.Concurrency), factor: u.factor(now),
+			u: u, free: u.availableAt(now, p.batch.Concurrency), factor: max(1, u.factor(now)),
 			room: p.batch.ResultBytes - u.used,
 		})
 	}
+	slices.SortStableFunc(out, func(a, b slot) int {
+		switch {
+		case a.factor > slowFactor && a.factor > b.factor:
+			return 1
+		case b.factor > slowFactor && b.factor > a.factor:
+			return -1
+		}
+		return int(b.room - a.room)
+	})
 	return out
 }
 
@@ -34,63 +48,44 @@
 	return p.batch.CallTime + time.Duration(pieces)*p.batch.PieceTime
 }
 
-// first returns the slot that would end a call of so many pieces first. Among equals the
-// one with the preferred zone, then the one with most room is taken.
-func (p *Pool) first(slots []slot, pieces int, bytes int64, zone string) (int, clock.Instant) {
-	best, bestEnd := -1, clock.Instant(0)
-	for i := range slots {
-		s := &slots[i]
-		end := s.free.Add(time.Duration(float64(p.callTime(pieces)) * s.factor))
-		if p.batch.ResultBytes > 0 && s.room < bytes {
-			// Room is freed when results are used, about one call later.
-			end = end.Add(p.callTime(pieces))
-		}
-		if best < 0 || end.Before(bestEnd) || (end == bestEnd && better(s, &slots[best], zone)) {
-			best, bestEnd = i, end
-		}
-	}
-	return best, bestEnd
-}
-
-func better(a, b *slot, zone string) bool {
-	if (a.u.Zone == zone) != (b.u.Zone == zone) {
-		return a.u.Zone == zone
-	}
-	return a.room > b.room
+// duration returns the expected time of a call at a slot.
+func (p *Pool) duration(s *slot, pieces int) time.Duration {
+	return time.Duration(float64(p.callTime(pieces)) * s.factor)
 }
 
-// estimate returns when a new job would end if the pieces that are due before it run in
-// full batches first.
-func (p *Pool) estimate(now clock.Instant, submitted Job) clock.Instant {
-	ahead := 0
-	for _, j := range p.queue {
-		if j.Due.After(submitted.Due) {
-			break
-		}
-		for i := range j.pieces {
-			if j.pieces[i].state == pieceWaiting {
-				ahead++
-			}
-		}
-	}
+// estimate returns when pieces would end that run in full batches after a number of
+// others.
+func (p *Pool) estimate(now clock.Instant, ahead, pieces int) clock.Instant {
 	slots := p.slots(now)
+	if len(slots) == 0 {
+		return now.Add(time.Hour)
+	}
 	end := now
-	for left := ahead + submitted.Pieces; left > 0; left -= p.batch.MaxPieces {
+	for left := ahead + pieces; left > 0; left -= p.batch.MaxPieces {
 		n := min(left, p.batch.MaxPieces)
-		i, finish := p.first(slots, n, 0, submitted.Zone)
-		if i < 0 {
-			return submitted.Limit.Add(time.Second)
+		best := 0
+		for i := range slots {
+			if slots[i].free.Add(p.duration(&slots[i], n)).Before(slots[best].free.Add(p.duration(&slots[best], n))) {
+				best = i
+			}
 		}
-		slots[i].free = finish
-		end = max(end, finish)
+		slots[best].free = slots[best].free.Add(p.duration(&slots[best], n))
+		end = max(end, slots[best].free)
 	}
 	return end
 }
 
-// waiting is one piece that waits.
-type waiting struct {
-	j     *job
-	index int
+// ahead returns the number of pieces that wait in front of a job that is due at the
+// instant; a job that will be late comes after all others that are due before it.
+func (p *Pool) ahead(due clock.Instant, late bool) int {
+	ahead := 0
+	for _, j := range p.queue {
+		if j.late && !late || j.late == late && j.Due.After(due) {
+			break
+		}
+		ahead += j.waitingPieces()
+	}
+	return ahead
 }
 
 // Dispatch returns the calls to begin now. Call it after each change and when Wake says.
@@ -99,64 +94,116 @@
 	p.granted = now
 	p.expire(now)
 	p.dropLate(now)
+	p.demote(now)
 	p.noteRead(now)
-	var queue []waiting
-	for _, j := range p.queue {
-		for i := range j.pieces {
-			if j.pieces[i].state == pieceWaiting {
-				queue = append(queue, waiting{j, i})
-			}
-		}
-	}
 	var calls []Call
 	slots := p.slots(now)
-	for len(queue) > 0 && anyFree(slots, now) {
-		n := min(len(queue), p.batch.MaxPieces)
-		i, end := p.first(slots, n, queue[0].j.ResultBytes, queue[0].j.Zone)
-		if i < 0 {
-			break
-		}
+	for i := range slots {
 		s := &slots[i]
-		if s.free > now {
-			// An upstream that is busy now would still end these pieces first.
-			s.free, queue = end, queue[n:]
+		if s.free > now || len(p.queue) == 0 || !p.isWorthwhile(now, s, slots) {
 			continue
 		}
-		taken, rest := p.fill(queue, s.room)
-		if len(taken) == 0 {
-			// Nothing fits into the room of this upstream until results are released.
-			s.free = now.Add(time.Millisecond)
-			continue
+		if taken := p.fill(now, s, slots); len(taken) > 0 {
+			calls = append(calls, p.begin(now, s.u, taken))
+			s.free = now.Add(p.duration(s, len(taken)))
 		}
-		call := p.begin(now, s.u, taken)
-		calls = append(calls, call)
-		s.free = end
-		queue = rest
 	}
 	return calls
 }
 
-func anyFree(slots []slot, now clock.Instant) bool {
+// isWorthwhile reports whether a slow upstream may get work: the others could not end all
+// that waits before it would end its part.
+func (p *Pool) isWorthwhile(now clock.Instant, s *slot, slots []slot) bool {
+	if s.factor <= slowFactor {
+		return true
+	}
+	waiting := p.Waiting()
+	end := now.Add(p.duration(s, min(waiting, p.batch.MaxPieces)))
 	for i := range slots {
-		if slots[i].free <= now {
-			return true
+		other := &slots[i]
+		if other.u == s.u || other.factor >= s.factor {
+			continue
+		}
+		rounds := int(end.Sub(other.free) / p.duration(other, p.batch.MaxPieces))
+		waiting -= max(rounds, 0) * p.batch.MaxPieces
+		if rounds == 0 && other.free.Add(p.duration(other, 1)).Before(end) {
+			waiting -= p.batch.MaxPieces
 		}
 	}
-	return false
+	return waiting > 0
 }
 
-// fill takes pieces in order as far as a call and the room allow.
-func (p *Pool) fill(queue []waiting, room int64) (taken, rest []waiting) {
-	limited := p.batch.ResultBytes > 0
-	for _, w := range queue {
-		if len(taken) < p.batch.MaxPieces && (!limited || w.j.ResultBytes <= room) {
-			taken = append(taken, w)
-			room -= w.j.ResultBytes
-			continue
+// waiting is one piece that waits.
+type waiting struct {
+	j     *job
+	index int
+}
+
+// fill takes jobs in order as far as a call and the room of the upstream allow. Jobs whose
+// inputs or results belong to the upstream's zone go first, since each piece fetches all
+// inputs of its job; others are taken if their own zone cannot end them in time. A job is
+// taken whole if it fits into a call at all: results that wait for their siblings occupy
+// the memory that the next batch needs.
+func (p *Pool) fill(now clock.Instant, s *slot, slots []slot) []waiting {
+	var taken []waiting
+	room := s.room
+	for _, isHome := range [...]bool{true, false} {
+		for _, j := range p.queue {
+			home := j.Zone == "" || j.Zone == s.u.Zone
+			if home != isHome || (!isHome && !p.mayLeaveHome(now, j, slots)) {
+				continue
+			}
+			taken, room = p.takeJob(j, taken, room)
+			if len(taken) >= p.batch.MaxPieces {
+				return taken
+			}
 		}
-		rest = append(rest, w)
 	}
-	return taken, rest
+	return taken
+}
+
+// takeJob adds the waiting pieces of a job if they fit.
+func (p *Pool) takeJob(j *job, taken []waiting, room int64) ([]waiting, int64) {
+	n := j.waitingPieces()
+	fits := p.batch.MaxPieces - len(taken)
+	if p.batch.ResultBytes > 0 && j.ResultBytes > 0 {
+		fits = min(fits, int(room/j.ResultBytes))
+	}
+	if n > fits && (len(taken) > 0 || !p.isLarge(j, n)) {
+		return taken, room
+	}
+	for i := range j.pieces {
+		if fits == 0 {
+			break
+		}
+		if j.pieces[i].state == pieceWaiting {
+			taken = append(taken, waiting{j, i})
+			room -= j.ResultBytes
+			fits--
+		}
+	}
+	return taken, room
+}
+
+// isLarge reports whether the pieces would not even fit into an empty call with most of
+// the room free.
+func (p *Pool) isLarge(j *job, pieces int) bool {
+	return pieces > p.batch.MaxPieces || (p.batch.ResultBytes > 0 && 2*int64(pieces)*j.ResultBytes > p.batch.ResultBytes)
+}
+
+// mayLeaveHome reports whether the upstreams of a job's zone cannot end it in time.
+func (p *Pool) mayLeaveHome(now clock.Instant, j *job, slots []slot) bool {
+	limit := j.Due
+	if j.late {
+		limit = now.Add(2 * p.callTime(p.batch.MaxPieces))
+	}
+	for i := range slots {
+		s := &slots[i]
+		if s.u.Zone == j.Zone && !s.free.Add(p.duration(s, p.batch.MaxPieces)).After(limit) {
+			return false
+		}
+	}
+	return true
 }
 
 func (p *Pool) begin(now clock.Instant, u *upstream, pieces []waiting) Call {
@@ -183,6 +230,20 @@
 	return call
 }
 
+// demote puts jobs that cannot be on time any more behind those that can. Without it one
+// burst makes all jobs late, each by as much as the one before.
+func (p *Pool) demote(now clock.Instant) {
+	changed := false
+	for _, j := range p.queue {
+		if !j.late && j.waiting() && now.Add(p.callTime(1)).After(j.Due) {
+			j.late, changed = true, true
+		}
+	}
+	if changed {
+		slices.SortFunc(p.queue, compareJobs)
+	}
+}
+
 // noteRead finds the jobs whose inputs have been read.
 func (p *Pool) noteRead(now clock.Instant) {
 	for _, j := range p.queue {
