Run each stage in the zone of its inputs or of the request's upstream

Change: a stage runs where most of its inputs are; a stage without inputs whose results the request reads runs in the zone of the upstream that the prompt prefers.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -94,6 +94,8 @@
 	StageCall(address string, call stagepool.Call) (*outbound.Request, error)
 	// StageResults decodes the results of a batch.
 	StageResults(body []byte) ([]stagepool.PieceResult, error)
+	// HandleAddress returns the IP:port of the upstream that holds a result.
+	HandleAddress(handle string) string
 	// StageRelease encodes the release of results.
 	StageRelease(address string, handles []string) (*outbound.Request, error)
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -148,9 +148,7 @@
 // takeUpstream chooses an upstream. If all are at a limit it waits for a short part of the
 // objective, since places come back all the time.
 func (t *transfer) takeUpstream() (*lease, *errkind.Error) {
-	query := &placement.Query{
-		Prefix: t.sharedPrefix(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
-	}
+	query := t.query()
 	until := t.s.now().Add(min(t.route.Objective/busyPart, t.left()))
 	for {
 		view := t.s.view.Load()
@@ -171,6 +169,13 @@
 	}
 }
 
+// query describes the request for the choice of its upstream.
+func (t *transfer) query() *placement.Query {
+	return &placement.Query{
+		Prefix: t.sharedPrefix(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
+	}
+}
+
 // maxInFlight returns this VM's part of the connections to one upstream.
 func (s *Server) maxInFlight(view *View, pool string) int {
 	if view.Catalog == nil || view.Catalog.Pools[pool] == nil || view.Catalog.Pools[pool].MaxConnections == 0 {
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -25,6 +25,8 @@
 	lateAllowance = time.Second
 	// finalTime is the time kept for the request itself after its last stage.
 	finalTime = 150 * time.Millisecond
+	// movedBytes is the size of what a stage moves from which its zone matters.
+	movedBytes = 256 << 10
 	// remakes bounds how often the results of the stages are made for one request.
 	remakes = 2
 )
@@ -251,12 +253,13 @@
 	definition := t.route.Stages[stage]
 	due := t.due.Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
 	limit := min(t.due.Add(lateAllowance), t.deadline).Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
+	zone := t.stageZone(stage, inputs)
 	owners := s.gossip.owners(definition.Pool)
 	for i, entry := range owners[:min(maxOwners, len(owners))] {
 		now := s.now()
 		job := stagepool.Job{
 			Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: definition.ResultBytes,
-			Zone: s.settings.Zone, Due: due, Limit: limit,
+			Zone: zone, Due: due, Limit: limit,
 		}
 		if len(definition.After) == 0 {
 			job.Key = t.call.ContentKey
@@ -278,6 +281,40 @@
 	return stageResult{refusal: stagepool.Failed}
 }
 
+// stageZone returns the zone in which a stage should run: where its inputs are, or where
+// its results will be read; empty if too little is moved for it to matter.
+func (t *transfer) stageZone(stage int, inputs []string) string {
+	definition := t.route.Stages[stage]
+	if len(definition.After) > 0 {
+		var moved int64
+		for _, before := range definition.After {
+			moved += t.route.Stages[before].ResultBytes * int64(t.pieces(before)*t.pieces(stage))
+		}
+		if moved < movedBytes {
+			return ""
+		}
+		return t.view.zoneOfMost(inputs, t.s.dialect)
+	}
+	if t.followers(stage) > 0 || definition.ResultBytes*int64(t.pieces(stage)) < movedBytes {
+		return ""
+	}
+	return t.s.upstreams.zoneFor(t.view, t.pool, t.query())
+}
+
+// zoneOfMost returns the zone that holds most of the results.
+func (v *View) zoneOfMost(handles []string, dialect Dialect) string {
+	counts := map[string]int{}
+	best := ""
+	for _, handle := range handles {
+		zone := v.ZoneOf[dialect.HandleAddress(handle)]
+		counts[zone]++
+		if best == "" || counts[zone] > counts[best] {
+			best = zone
+		}
+	}
+	return best
+}
+
 // stageCallTime returns the typical time of one stage of the request.
 func (t *transfer) stageCallTime() time.Duration {
 	longest := time.Duration(0)
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -91,14 +91,8 @@
 func (u *upstreams) take(view *View, pool string, q *placement.Query, prompt int) (*lease, placement.Exclusion) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var candidates []*placement.Upstream
-	for _, entry := range view.InService[pool] {
-		if state := u.states[entry.ID]; state != nil {
-			candidates = append(candidates, &state.Upstream)
-		}
-	}
 	now := u.now()
-	chosen, exclusion := placement.Pick(now, q, candidates)
+	chosen, exclusion := placement.Pick(now, q, u.candidates(view, pool))
 	if chosen == nil {
 		return nil, exclusion
 	}
@@ -107,6 +101,28 @@
 	return &lease{owner: u, state: state, entry: state.entry, prompt: prompt, started: now}, placement.Found
 }
 
+// candidates returns the upstreams of a pool in service. The caller holds the lock.
+func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
+	var out []*placement.Upstream
+	for _, entry := range view.InService[pool] {
+		if state := u.states[entry.ID]; state != nil {
+			out = append(out, &state.Upstream)
+		}
+	}
+	return out
+}
+
+// zoneFor returns the zone of the upstream that a request would get now, or "".
+func (u *upstreams) zoneFor(view *View, pool string, q *placement.Query) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	chosen, _ := placement.Pick(u.now(), q, u.candidates(view, pool))
+	if chosen == nil {
+		return ""
+	}
+	return chosen.Zone
+}
+
 // with changes the state of the leased upstream.
 func (l *lease) with(change func(now clock.Instant, u *placement.Upstream)) {
 	l.owner.mu.Lock()
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -15,6 +15,8 @@
 	InService map[string][]registry.Entry
 	// ByID holds all registered upstreams.
 	ByID map[string]registry.Entry
+	// ZoneOf holds the zone of each upstream's address.
+	ZoneOf map[string]string
 	// ZonesOut are the zones out of service.
 	ZonesOut map[string]bool
 }
@@ -23,10 +25,11 @@
 func newView(revision uint64, c *catalog.Catalog, entries []registry.Entry, zonesOut map[string]bool) *View {
 	view := &View{
 		Revision: revision, Catalog: c, ZonesOut: zonesOut,
-		InService: map[string][]registry.Entry{}, ByID: map[string]registry.Entry{},
+		InService: map[string][]registry.Entry{}, ByID: map[string]registry.Entry{}, ZoneOf: map[string]string{},
 	}
 	for _, entry := range entries {
 		view.ByID[entry.ID] = entry
+		view.ZoneOf[entry.Address] = entry.Zone
 		if c == nil || c.Pools[entry.Pool] == nil || entry.Draining || zonesOut[entry.Zone] {
 			continue
 		}
