--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -69,6 +69,8 @@
 	peers     *peers
 	upstreams *upstreams
 	begun     clock.Instant
+	// balancerDelay is how long new requests are taken after a stop signal.
+	balancerDelay time.Duration
 	// turnOffset spreads the VMs over the readers of the store.
 	turnOffset int
 	view       atomic.Pointer[View]
@@ -87,7 +89,7 @@
 func New(o Options) (*Server, error) {
 	s := &Server{
 		settings: o.Settings, dialect: o.Dialect, client: o.Client, now: o.Now, logger: o.Logger, failures: o.Failures,
-		registry: o.Registry, metrics: newMetrics(o.Registry), owners: map[string]*owner{}, poison: poison.New(),
+		registry: o.Registry, metrics: newMetrics(o.Registry), owners: map[string]*owner{}, poison: poison.New(), balancerDelay: balancerDelay,
 		upstreams: newUpstreams(o.Now), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		peers: newPeers(peer.Transport{Source: net.ParseIP(o.Settings.IP), PrivateNetwork: true}),
 	}
@@ -247,7 +249,7 @@
 	s.stopping.Store(true)
 	s.gossip.leave()
 	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
-	pause(context.Background(), min(balancerDelay, s.settings.GracePeriod/2))
+	pause(context.Background(), min(s.balancerDelay, s.settings.GracePeriod/2))
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.GracePeriod-stopMargin-s.now().Sub(begun))
 	defer cancel()
 	err := callers.Shutdown(ctx)
--- /dev/null
+++ b/internal/edge/standin_test.go
@@ -0,0 +1,366 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+)
+
+// testDialect speaks a plain form of the product's own terms.
+type testDialect struct{}
+
+func (testDialect) Read(header http.Header) (Call, error) {
+	call := Call{ID: header.Get("Request"), Key: header.Get("Key"), LastEvent: header.Get("Last-Event"), ContentKey: header.Get("Content-Key")}
+	if ms, err := strconv.Atoi(header.Get("Patience")); err == nil {
+		call.Patience = time.Duration(ms) * time.Millisecond
+	}
+	for part := range strings.SplitSeq(header.Get("Pieces"), ",") {
+		if n, err := strconv.Atoi(part); err == nil {
+			call.Pieces = append(call.Pieces, n)
+		}
+	}
+	return call, nil
+}
+
+func (testDialect) Deliver(from http.Header, d Delivery) http.Header {
+	header := RequestHeader(from)
+	header.Del("Key")
+	header.Set("Upstream", d.Upstream)
+	header.Set("Workspace", d.Workspace)
+	header.Set("Inputs", strings.Join(d.Inputs, ","))
+	header.Set("Left", strconv.FormatInt(d.Left.Milliseconds(), 10))
+	if d.Resumed {
+		header.Set("Last-Event", d.LastEvent)
+	}
+	return header
+}
+
+func (testDialect) Judge(status int, header http.Header) Verdict {
+	return Verdict{
+		ID: header.Get("Request"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != "",
+		Misdirected: status == http.StatusMisdirectedRequest, InputsGone: status == http.StatusConflict,
+	}
+}
+
+func (testDialect) Unseal(header http.Header) { header.Del("Seal") }
+
+func (testDialect) StageCall(address string, call stagepool.Call) (*outbound.Request, error) {
+	body, err := json.Marshal(call)
+	return &outbound.Request{Method: http.MethodPost, Target: "/stage", Host: address, Header: http.Header{}, Body: body}, err
+}
+
+func (testDialect) StageResults(body []byte) ([]stagepool.PieceResult, error) {
+	var results []stagepool.PieceResult
+	return results, json.Unmarshal(body, &results)
+}
+
+func (testDialect) HandleAddress(handle string) string {
+	address, _, _ := strings.Cut(handle, "/")
+	return address
+}
+
+func (testDialect) StageRelease(address string, handles []string) (*outbound.Request, error) {
+	body, err := json.Marshal(handles)
+	return &outbound.Request{Method: http.MethodPost, Target: "/release", Host: address, Header: http.Header{}, Body: body}, err
+}
+
+// testStore is a store of typed values.
+type testStore struct {
+	mu       sync.Mutex
+	items    map[string]replica.Item
+	values   map[string]any
+	revision uint64
+	down     bool
+	changed  chan struct{}
+}
+
+func newTestStore() *testStore {
+	return &testStore{items: map[string]replica.Item{}, values: map[string]any{}, changed: make(chan struct{})}
+}
+
+func (s *testStore) put(key string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	id := fmt.Sprint(key, "@", s.revision)
+	s.values[id] = value
+	s.items[key] = replica.Item{Key: key, Value: []byte(id), Revision: s.revision, Deleted: value == nil}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *testStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *testStore) decode(key string, value []byte) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if value == nil && strings.HasPrefix(key, "out/") {
+		return ZoneOut(strings.TrimPrefix(key, "out/")), nil
+	}
+	return s.values[string(value)], nil
+}
+
+func (s *testStore) since(revision uint64) ([]replica.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, io.ErrUnexpectedEOF
+	}
+	var items []replica.Item
+	for _, item := range s.items {
+		if item.Revision > revision {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, nil
+}
+
+// List implements Source.
+func (s *testStore) List(context.Context) ([]replica.Item, uint64, error) { return s.since(0) }
+
+// Watch implements Source.
+func (s *testStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+	s.mu.Lock()
+	changed, news := s.changed, s.revision > after || s.down
+	s.mu.Unlock()
+	if !news {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	return s.since(after)
+}
+
+// testUpstream is an upstream for requests and stages.
+type testUpstream struct {
+	id     string
+	server *httptest.Server
+	// answer serves requests that are no stages.
+	answer http.HandlerFunc
+
+	mu       sync.Mutex
+	runs     map[string]int
+	inputs   map[string]string
+	released []string
+	calls    []stagepool.Call
+	made     int
+}
+
+func newTestUpstream(t *testing.T, id string, answer http.HandlerFunc) *testUpstream {
+	u := &testUpstream{id: id, answer: answer, runs: map[string]int{}, inputs: map[string]string{}}
+	u.server = httptest.NewServer(u)
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+func (u *testUpstream) address() string { return u.server.Listener.Addr().String() }
+
+// ServeHTTP implements http.Handler.
+func (u *testUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body) // A cut body fails to decode below.
+	switch r.URL.Path {
+	case "/stage":
+		u.stage(w, body)
+		return
+	case "/release":
+		var handles []string
+		_ = json.Unmarshal(body, &handles) // An empty list shows in the test.
+		u.mu.Lock()
+		u.released = append(u.released, handles...)
+		u.mu.Unlock()
+		return
+	}
+	u.mu.Lock()
+	u.runs[r.Header.Get("Request")]++
+	u.inputs[r.Header.Get("Request")] = r.Header.Get("Inputs")
+	u.mu.Unlock()
+	w.Header().Set("Request", r.Header.Get("Request"))
+	if u.answer != nil {
+		u.answer(w, r)
+		return
+	}
+	sealed(w, "from "+u.id)
+}
+
+func sealed(w http.ResponseWriter, body string) {
+	w.Header().Set("Seal", "s")
+	_, _ = io.WriteString(w, body) // The caller's side reports a cut answer.
+}
+
+func (u *testUpstream) stage(w http.ResponseWriter, body []byte) {
+	var call stagepool.Call
+	if err := json.Unmarshal(body, &call); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	u.mu.Lock()
+	u.calls = append(u.calls, call)
+	var results []stagepool.PieceResult
+	for range call.Pieces {
+		u.made++
+		results = append(results, stagepool.PieceResult{End: stagepool.PieceMade, Handle: fmt.Sprint(u.address(), "/", u.made)})
+	}
+	u.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(results) // The owner's side reports a cut answer.
+}
+
+func (u *testUpstream) ran(request string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[request]
+}
+
+// testFleet is some VMs with their callers' addresses.
+type testFleet struct {
+	t       *testing.T
+	store   *testStore
+	servers []*Server
+	stops   []context.CancelFunc
+	done    []chan struct{}
+}
+
+func freePort(t *testing.T, network string) int {
+	t.Helper()
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		return conn.LocalAddr().(*net.UDPAddr).Port
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// startFleet starts VMs with the addresses 127.0.0.2, 127.0.0.3 and so on.
+func startFleet(t *testing.T, n int, change func(*Settings)) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: newTestStore()}
+	gossipPort, peerPort := freePort(t, "udp"), freePort(t, "tcp")
+	for i := range n {
+		ip := fmt.Sprint("127.0.0.", i+2)
+		settings := Settings{
+			VM: fmt.Sprint("vm-", i), Zone: "zone-a", IP: ip, GossipPort: gossipPort, PeerListen: portOf(ip, peerPort),
+			Listen: portOf(ip, freePort(t, "tcp")), ReadyListen: portOf(ip, freePort(t, "tcp")),
+			Seeds: []string{portOf("127.0.0.2", peerPort)}, Store: portOf(ip, peerPort), GracePeriod: 8 * time.Second,
+			KeyBound: time.Minute, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second,
+		}
+		if change != nil {
+			change(&settings)
+		}
+		f.start(settings)
+	}
+	t.Cleanup(func() {
+		for i := range f.servers {
+			f.stops[i]()
+		}
+		for _, done := range f.done {
+			<-done
+		}
+	})
+	return f
+}
+
+func (f *testFleet) start(settings Settings) {
+	server, err := New(Options{
+		Settings: settings, Source: f.store, Decode: f.store.decode, Dialect: testDialect{}, Client: outbound.NewClient(settings.IP),
+		Now: bootclock.Now, Logger: zap.NewNop(), Failures: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server.balancerDelay = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	f.servers, f.stops, f.done = append(f.servers, server), append(f.stops, cancel), append(f.done, done)
+	go func() {
+		defer close(done)
+		if err := server.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+}
+
+// await polls until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out: %s", what)
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
+
+// publish puts tables and upstreams into the store and waits until all VMs have them and
+// know each other.
+func (f *testFleet) publish(c *catalog.Catalog, upstreams ...catalog.Upstream) {
+	f.t.Helper()
+	c.Index()
+	for _, u := range upstreams {
+		f.store.put("u/"+u.ID, &u)
+	}
+	f.store.put("tables", c)
+	await(f.t, "tables in force on all VMs", func() bool {
+		for _, s := range f.servers {
+			view := s.view.Load()
+			if view == nil || view.Catalog != c || len(view.ByID) < len(upstreams) || len(s.gossip.reachable()) != len(f.servers)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// send sends a request to a VM and returns the answer with its body.
+func (f *testFleet) send(vm int, id, path string, header map[string]string) (*http.Response, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.servers[vm].settings.Listen+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = "a.example"
+	request.Header.Set("Request", id)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -55,7 +55,6 @@
 	names   []string
 	// rotation is the position of the entries that go into the next message.
 	rotation int
-	changed  bool
 	begun    clock.Instant
 }
 
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -43,7 +43,6 @@
 	records   map[string]*record
 	outageEnd clock.Instant
 	down      bool
-	loaded    bool
 }
 
 // New returns an empty registry.
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,103 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+func item(key string, revision uint64) Item {
+	return Item{Key: key, Value: []byte(key), Revision: revision}
+}
+
+func keysOf(r *Replica) []string {
+	_, keys := r.Since(0)
+	return keys
+}
+
+// TestListingRemovesWhatIsMissing guards against upstreams that stay in use although they
+// left while the history was gone, and against a listing that takes back newer changes.
+func TestListingRemovesWhatIsMissing(t *testing.T) {
+	r := New()
+	r.Replace([]Item{item("a", 1), item("b", 2)}, 5, 10)
+	r.Apply([]Item{item("c", 7)}, 7, 20)
+	changed := r.Replace([]Item{item("b", 2)}, 6, 30)
+	if len(changed) != 0 {
+		t.Errorf("an older listing changed %v", changed)
+	}
+	changed = r.Replace([]Item{item("b", 2)}, 8, 40)
+	if len(changed) != 2 || !changed[0].Deleted || !changed[1].Deleted {
+		t.Errorf("the listing changed %v, expected the removal of a and c", changed)
+	}
+	if diff := cmp.Diff([]string{"b"}, keysOf(r)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestLatePageDoesNotRevive guards against a page that was read before a removal and
+// brings the item back.
+func TestLatePageDoesNotRevive(t *testing.T) {
+	r := New()
+	r.Replace([]Item{item("a", 1)}, 5, 10)
+	r.Apply([]Item{{Key: "a", Revision: 6, Deleted: true}}, 6, 20)
+	if changed := r.Apply([]Item{item("a", 1)}, 6, 30); len(changed) != 0 {
+		t.Errorf("the item came back: %v", changed)
+	}
+}
+
+// TestConfirmNeedsTheAskedRevision guards against a peer's word about one revision being
+// taken for another, which would let a removed key live on.
+func TestConfirmNeedsTheAskedRevision(t *testing.T) {
+	r := New()
+	r.Replace([]Item{item("a", 1)}, 5, 10)
+	r.Confirm(4, 9, 100)
+	if r.FreshAt() != 10 || r.Revision() != 5 {
+		t.Error("a confirmation for another revision was taken over")
+	}
+	r.Confirm(5, 9, 100)
+	if r.FreshAt() != 100 || r.Revision() != 9 {
+		t.Error("the confirmation was not taken over")
+	}
+}
+
+// TestFollowersConverge checks that a copy which follows another by Since and Merge always
+// equals it, and that neither goes back.
+func TestFollowersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := New(), New()
+		revision := uint64(1)
+		leader.Replace([]Item{item("a", 1)}, 1, 1)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now := clock.Instant(step + 2)
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				revision++
+				leader.Apply([]Item{item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), revision)}, revision, now)
+			case 1:
+				revision++
+				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+				leader.Apply([]Item{{Key: key, Revision: revision, Deleted: true}}, revision, now)
+			case 2:
+				revision++
+				leader.Apply(nil, revision, now)
+			default:
+				before := follower.Revision()
+				if asked := follower.Revision(); leader.ChangedAt() <= asked && follower.Complete() {
+					follower.Confirm(asked, leader.Revision(), leader.FreshAt())
+				} else {
+					changed, keys := leader.Since(asked)
+					follower.Merge(changed, keys, leader.Revision(), leader.FreshAt())
+				}
+				if diff := cmp.Diff(leader.Items(), follower.Items()); diff != "" {
+					t.Fatal(diff)
+				}
+				if follower.Revision() < before {
+					t.Fatal("the revision went back")
+				}
+			}
+		}
+	})
+}
--- a/pkg/stagepool/sim_test.go
+++ b/pkg/stagepool/sim_test.go
@@ -26,18 +26,17 @@
 	holdTime time.Duration
 	zones    map[string]string
 
-	memory   map[string]int64
-	calls    map[string]int
-	running  map[string]bool
-	ends     map[JobID]clock.Instant
-	refused  map[JobID]bool
-	crossed  int
-	pieces   int
-	handles  int
-	sizes    map[string]int64
-	homes    map[string]string
-	wakeAt   clock.Instant
-	callSize int
+	memory  map[string]int64
+	calls   map[string]int
+	running map[string]bool
+	ends    map[JobID]clock.Instant
+	refused map[JobID]bool
+	crossed int
+	pieces  int
+	handles int
+	sizes   map[string]int64
+	homes   map[string]string
+	wakeAt  clock.Instant
 }
 
 type event struct {
