--- a/cmd/hoist-edge/main.go
+++ b/cmd/hoist-edge/main.go
@@ -50,15 +50,24 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
 	registry := obs.NewRegistry()
-	logger, err := obs.NewLogger("hoist-edge", settings.VM, obs.WithZone(settings.Zone), obs.WithLevel(command.String("log-level")),
-		obs.WithOutput(os.Stdout), obs.WithDropCounter(obs.NewDropCounter(registry)))
+	dropped := obs.NewDropCounter(registry)
+	out := obs.NewAsyncWriter(os.Stdout, dropped)
+	options := []obs.LogOption{
+		obs.WithZone(settings.Zone), obs.WithLevel(command.String("log-level")), obs.WithOutput(out), obs.WithDropCounter(dropped),
+	}
+	logger, err := obs.NewLogger("hoist-edge", settings.VM, options...)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Sync() }() // It never fails.
+	failures, err := obs.NewLogger("hoist-edge", settings.VM, append(options, obs.WithoutSampling())...)
 	if err != nil {
 		return err
 	}
 	client := outbound.NewClient(settings.IP)
 	server, err := edge.New(edge.Options{
 		Settings: settings, Source: platform.NewStore(settings.Store, client), Decode: platform.Decode, Dialect: platform.Dialect{},
-		Client: client, Now: bootclock.Now, Logger: logger, Failures: logger, Registry: registry,
+		Client: client, Now: bootclock.Now, Logger: logger, Failures: failures, Registry: registry,
 	})
 	if err != nil {
 		return err
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -24,6 +24,7 @@
 }
 
 // Decoder turns a published item into *catalog.Catalog, *catalog.Upstream, ZoneOut or nil.
+// Of a removed item, whose value is nil, it returns the identity alone.
 type Decoder func(key string, value []byte) (any, error)
 
 // PrefixPart is a part of a prompt.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -179,11 +179,11 @@
 }
 
 func (f *follower) takeItem(now clock.Instant, item replica.Item) {
-	value, err := f.decode(item.Key, item.Value)
 	if item.Deleted {
 		f.remove(now, item)
 		return
 	}
+	value, err := f.decode(item.Key, item.Value)
 	if err != nil {
 		// A malformed item names no upstream to use; the others hold.
 		f.logger.Warn("published item ignored", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), obs.Reason(err))
@@ -211,27 +211,19 @@
 }
 
 func (f *follower) remove(now clock.Instant, item replica.Item) {
-	// The key alone tells what the item was; its value is gone.
-	value, _ := f.decode(item.Key, nil)
-	if zone, ok := value.(ZoneOut); ok {
-		delete(f.zonesOut, string(zone))
-		f.logger.Info("zone back in service", zap.String("zone", string(zone)), zap.Uint64("revision", item.Revision))
+	value, err := f.decode(item.Key, nil)
+	if err != nil {
+		f.logger.Warn("removed item ignored", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), obs.Reason(err))
 		return
 	}
-	if id := upstreamOf(f.registry, item.Key); id != "" {
-		f.registry.Remove(now, id)
-		f.logger.Info("upstream entry removed", zap.String("upstream", id), zap.Uint64("revision", item.Revision))
-	}
-}
-
-// upstreamOf returns the registered upstream whose ID ends the key, or "".
-func upstreamOf(r *registry.Registry, key string) string {
-	for _, entry := range r.Entries() {
-		if len(key) > len(entry.ID) && key[len(key)-len(entry.ID)-1:] == "/"+entry.ID {
-			return entry.ID
-		}
+	switch value := value.(type) {
+	case ZoneOut:
+		delete(f.zonesOut, string(value))
+		f.logger.Info("zone back in service", zap.String("zone", string(value)), zap.Uint64("revision", item.Revision))
+	case *catalog.Upstream:
+		f.registry.Remove(now, value.ID)
+		f.logger.Info("upstream entry removed", zap.String("upstream", value.ID), zap.Uint64("revision", item.Revision))
 	}
-	return ""
 }
 
 func (f *follower) publish() {
--- a/internal/edge/standin_test.go
+++ b/internal/edge/standin_test.go
@@ -116,8 +116,11 @@
 func (s *testStore) decode(key string, value []byte) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if value == nil && strings.HasPrefix(key, "out/") {
-		return ZoneOut(strings.TrimPrefix(key, "out/")), nil
+	if zone, ok := strings.CutPrefix(key, "out/"); ok {
+		return ZoneOut(zone), nil
+	}
+	if id, ok := strings.CutPrefix(key, "u/"); ok && value == nil {
+		return &catalog.Upstream{ID: id}, nil
 	}
 	return s.values[string(value)], nil
 }
--- a/internal/obs/logger.go
+++ b/internal/obs/logger.go
@@ -29,6 +29,7 @@
 	out     io.Writer
 	dropped prometheus.Counter
 	clock   zapcore.Clock
+	whole   bool
 }
 
 // LogOption changes a logger.
@@ -43,6 +44,9 @@
 // WithOutput writes to out instead of the standard error output.
 func WithOutput(out io.Writer) LogOption { return func(o *logOptions) { o.out = out } }
 
+// WithoutSampling writes every line. The caller bounds their number.
+func WithoutSampling() LogOption { return func(o *logOptions) { o.whole = true } }
+
 // WithDropCounter counts the lines that sampling drops.
 func WithDropCounter(counter prometheus.Counter) LogOption {
 	return func(o *logOptions) { o.dropped = counter }
@@ -71,7 +75,9 @@
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	encoding.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), out, level)
-	core = zapcore.NewSamplerWithOptions(core, sampleInterval, sampleFirst, sampleGroup, zapcore.SamplerHook(o.count))
+	if !o.whole {
+		core = zapcore.NewSamplerWithOptions(core, sampleInterval, sampleFirst, sampleGroup, zapcore.SamplerHook(o.count))
+	}
 	fields := []zap.Field{zap.String("program", program), zap.String("vm", vm)}
 	if o.zone != "" {
 		fields = append(fields, zap.String("zone", o.zone))
