Release results that an earlier owner of their pool made

Releases went to the new owner, which ignored results that it had not made, so their memory stayed taken for four seconds: 200 stages failed for want of room between second 9 and 24. Ruled out: slow upstreams (calls took 250 to 330 ms then). Change: an owner sends releases of unknown results straight to their upstream; a piece without room pauses its upstream for 150 ms. Results that the next stage's owner releases are not released again.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -60,6 +60,9 @@
 			if n := model.ran(id); n != 1 {
 				t.Errorf("%s ran %d times", id, n)
 			}
+			if inputs := model.inputsOf(id); len(inputs) != 3 || !strings.HasPrefix(inputs[0], second.address()) {
+				t.Errorf("%s got the inputs %v, expected three of the last stage", id, inputs)
+			}
 		})
 	}
 	wg.Wait()
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -124,7 +124,14 @@
 func (o *owner) release(handles []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.core.Release(handles)
+	byAddress := map[string][]string{}
+	for _, handle := range o.core.Release(handles) {
+		address := o.dialect.HandleAddress(handle)
+		byAddress[address] = append(byAddress[address], handle)
+	}
+	for address, unknown := range byAddress {
+		go o.sendRelease(address, unknown)
+	}
 	o.drive()
 }
 
@@ -154,7 +161,7 @@
 	for _, free := range o.core.Frees() {
 		if len(o.releases[free.Upstream]) == 0 {
 			upstream := free.Upstream
-			time.AfterFunc(releaseDelay, func() { o.sendRelease(upstream) })
+			time.AfterFunc(releaseDelay, func() { o.releaseGathered(upstream) })
 		}
 		o.releases[free.Upstream] = append(o.releases[free.Upstream], free.Handles...)
 	}
@@ -231,24 +238,33 @@
 	return stagepool.Answered, results, nil
 }
 
-func (o *owner) sendRelease(upstream string) {
+// releaseGathered sends the releases that have gathered for an upstream.
+func (o *owner) releaseGathered(upstream string) {
 	o.mu.Lock()
 	handles, address := o.releases[upstream], o.address[upstream]
 	delete(o.releases, upstream)
 	o.mu.Unlock()
+	if !o.sendRelease(address, handles) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.Freed(handles)
+	o.drive()
+}
+
+// sendRelease tells an upstream to forget results and reports whether it did.
+func (o *owner) sendRelease(address string, handles []string) bool {
 	request, err := o.dialect.StageRelease(address, handles)
 	if err != nil {
 		o.logger.Error("release not encoded", obs.Reason(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if _, err := o.client.Whole(ctx, address, request, maxStageAnswer); err != nil {
-		o.logger.Info("release failed; the results expire", zap.String("upstream", upstream), zap.Int("results", len(handles)), obs.Reason(err))
-		return
+		o.logger.Info("release failed; the results expire", zap.String("address", address), zap.Int("results", len(handles)), obs.Reason(err))
+		return false
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.core.Freed(handles)
-	o.drive()
+	return true
 }
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -70,15 +70,16 @@
 
 // stageRun is the progress of the stages of a request.
 type stageRun struct {
-	t        *transfer
-	ctx      context.Context
-	levels   []int
-	started  []bool
-	done     []bool
-	results  chan stageDone
-	inputs   *inputSet
-	pending  int
-	released []bool
+	t       *transfer
+	ctx     context.Context
+	levels  []int
+	started []bool
+	done    []bool
+	results chan stageDone
+	inputs  *inputSet
+	pending int
+	// handedOver marks the results that the owner of the next stage's pool has released.
+	handedOver []bool
 }
 
 type stageDone struct {
@@ -94,7 +95,7 @@
 	defer cancel()
 	n := len(t.route.Stages)
 	run := &stageRun{
-		t: t, ctx: ctx, levels: t.route.Levels(), started: make([]bool, n), done: make([]bool, n), released: make([]bool, n),
+		t: t, ctx: ctx, levels: t.route.Levels(), started: make([]bool, n), done: make([]bool, n), handedOver: make([]bool, n),
 		results: make(chan stageDone, n), inputs: &inputSet{byStage: make([][]string, n)},
 	}
 	for i := range t.route.Stages {
@@ -141,6 +142,12 @@
 		run.started[i] = true
 		run.pending++
 		inputs, pools := run.inputsOf(i)
+		if pools != nil {
+			// The owner of this stage's pool has the inputs released.
+			for _, before := range run.t.route.Stages[i].After {
+				run.handedOver[before] = true
+			}
+		}
 		go func() {
 			run.results <- stageDone{stage: i, result: run.t.runStage(run.ctx, i, run.levels[i], inputs, pools)}
 		}()
@@ -192,11 +199,12 @@
 // releaseUsed releases the results that only stages needed that are done.
 func (run *stageRun) releaseUsed() {
 	for i := range run.done {
-		if run.released[i] || !run.done[i] || !run.isUsed(i) {
+		if !run.done[i] || !run.isUsed(i) {
 			continue
 		}
-		run.released[i] = true
-		run.t.s.release(run.t.route.Stages[i].Pool, run.inputs.byStage[i])
+		if !run.handedOver[i] {
+			run.t.s.release(run.t.route.Stages[i].Pool, run.inputs.byStage[i])
+		}
 		run.inputs.byStage[i] = nil
 	}
 }
--- a/internal/edge/standin_test.go
+++ b/internal/edge/standin_test.go
@@ -367,3 +367,10 @@
 	body, err := io.ReadAll(response.Body)
 	return response, string(body), err
 }
+
+// inputsOf returns the handles that came with a request.
+func (u *testUpstream) inputsOf(request string) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return strings.Split(u.inputs[request], ",")
+}
--- a/pkg/stagepool/done.go
+++ b/pkg/stagepool/done.go
@@ -24,6 +24,10 @@
 		if end == Answered && i < len(results) {
 			result = results[i]
 		}
+		if result.End == PieceNoRoom {
+			// Results of an earlier owner of the pool occupy the memory.
+			u.pausedUntil = max(u.pausedUntil, now.Add(noRoomPause))
+		}
 		if result.End == PieceMade {
 			made++
 		}
@@ -49,6 +53,9 @@
 	}
 }
 
+// noRoomPause is the pause of an upstream after a piece found no room.
+const noRoomPause = 150 * time.Millisecond
+
 // typicalCalls is the number of calls over which the typical time is averaged.
 const typicalCalls = 8
 
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -163,12 +163,17 @@
 	}
 }
 
-// Release frees results that are not needed any more.
-func (p *Pool) Release(handles []string) {
+// Release frees results that are not needed any more. It returns those that this owner does
+// not know, since another VM owned the pool when they were made.
+func (p *Pool) Release(handles []string) (unknown []string) {
 	byUpstream := map[string][]string{}
 	for _, handle := range handles {
 		h, ok := p.held[handle]
-		if !ok || h.releasing {
+		if !ok {
+			unknown = append(unknown, handle)
+			continue
+		}
+		if h.releasing {
 			continue
 		}
 		h.releasing = true
@@ -180,6 +185,7 @@
 			p.frees = append(p.frees, Free{Upstream: name, Handles: freed})
 		}
 	}
+	return unknown
 }
 
 // Freed takes over that an upstream has released results, whose memory can be used again.
@@ -238,6 +244,10 @@
 	if at := slices.Index(p.queue, j); at >= 0 {
 		p.queue = slices.Delete(p.queue, at, at+1)
 	}
+	if refusal == None && report && !j.reported {
+		j.reported = true
+		p.read = append(p.read, j.id)
+	}
 	var handles []string
 	for i := range j.pieces {
 		if j.pieces[i].state == pieceDone {
