Hand pools over, and make pieces of overdue calls elsewhere

Change: an owner that stops or is overtaken in the ranking passes on what it knows and sends waiting jobs back; pieces of a call that takes 1.5 times its time go back into the queue, and the result that comes first is used; calls are given up after six times their time; an upstream that failed gets one job first; 5% of the room is kept, since sizes are approximate.

--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -11,7 +11,7 @@
 // Names of refusals between VMs.
 var refusalNames = [...]string{
 	stagepool.None: "", stagepool.Overloaded: "overloaded", stagepool.InputsGone: "inputs_gone",
-	stagepool.Failed: "failed", stagepool.NoUpstream: "no_upstream",
+	stagepool.Failed: "failed", stagepool.NoUpstream: "no_upstream", stagepool.Moved: "moved",
 }
 
 // refusalOf returns the refusal with the name; a name of a later version counts as failed.
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -50,7 +50,9 @@
 	logger  *zap.Logger
 	metrics *metrics
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// owning is set while this VM is the first in the ranking of the pool.
+	owning   bool
 	core     *stagepool.Pool
 	waiters  map[stagepool.JobID]*stageWaiter
 	address  map[string]string
@@ -179,7 +181,8 @@
 	o.metrics.stagePieces.WithLabelValues(o.pool).Observe(float64(len(call.Pieces)))
 	if end == stagepool.Answered {
 		o.logger.Info("stage call ended", zap.String("pool", o.pool), zap.String("upstream", call.Upstream),
-			zap.Int("pieces", len(call.Pieces)), zap.Int("made", made(results)), zap.String("first_request", call.Pieces[0].Request),
+			zap.Int("pieces", len(call.Pieces)), zap.Int("made", count(results, stagepool.PieceMade)),
+			zap.Int("no_room", count(results, stagepool.PieceNoRoom)), zap.Int("inputs_gone", count(results, stagepool.PieceInputGone)), zap.String("first_request", call.Pieces[0].Request),
 			zap.Duration("elapsed", now.Sub(started)))
 	} else {
 		o.logger.Warn("stage call failed", zap.String("pool", o.pool), zap.String("upstream", call.Upstream),
@@ -192,11 +195,11 @@
 	o.drive()
 }
 
-// made returns the number of pieces with a result.
-func made(results []stagepool.PieceResult) int {
+// count returns the number of pieces with an end.
+func count(results []stagepool.PieceResult, end stagepool.PieceEnd) int {
 	n := 0
 	for _, result := range results {
-		if result.End == stagepool.PieceMade {
+		if result.End == end {
 			n++
 		}
 	}
@@ -205,7 +208,7 @@
 
 var callEnds = [...]string{
 	stagepool.Answered: "answered", stagepool.Rejected: "rejected",
-	stagepool.Misdirected: "misdirected", stagepool.Broken: "broken",
+	stagepool.Misdirected: "misdirected", stagepool.Broken: "broken", stagepool.Unsent: "unsent",
 }
 
 func (o *owner) send(call stagepool.Call, address string) (stagepool.CallEnd, []stagepool.PieceResult, error) {
@@ -216,6 +219,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
 	defer cancel()
 	answer, err := o.client.Whole(ctx, address, request, maxStageAnswer)
+	if errors.Is(err, outbound.ErrNotSent) {
+		return stagepool.Unsent, nil, err
+	}
 	if err != nil {
 		return stagepool.Broken, nil, err
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -121,6 +121,7 @@
 	if view := s.view.Load(); view != nil {
 		s.upstreams.apply(view, &s.settings, names)
 	}
+	s.handOverPools()
 }
 
 // owner returns this VM's owner of a pool.
@@ -248,6 +249,7 @@
 	begun := s.now()
 	s.stopping.Store(true)
 	s.gossip.leave()
+	s.handOverPools()
 	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
 	pause(context.Background(), min(s.balancerDelay, s.settings.GracePeriod/2))
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.GracePeriod-stopMargin-s.now().Sub(begun))
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -19,6 +19,8 @@
 const (
 	// maxOwners bounds the VMs that are tried as owner of a pool for one stage.
 	maxOwners = 3
+	// maxMoves bounds how often a stage follows its pool to another owner.
+	maxMoves = 3
 	// doubtTime is how long a VM that did not answer is not taken for an owner.
 	doubtTime = 2 * time.Second
 	// lateAllowance is how far beyond its objective a request may be expected to end before
@@ -264,8 +266,9 @@
 	limit := min(t.due.Add(lateAllowance), t.deadline).Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
 	zone := t.stageZone(stage, inputs)
 	owners := s.gossip.owners(definition.Pool)
-	for i, entry := range owners[:min(maxOwners, len(owners))] {
-		now := s.now()
+	moves := 0
+	for i := 0; i < min(maxOwners, len(owners)); i++ {
+		entry, now := owners[i], s.now()
 		job := stagepool.Job{
 			Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: definition.ResultBytes,
 			Zone: zone, Due: due, Limit: limit,
@@ -274,6 +277,12 @@
 			job.Key = t.call.ContentKey
 		}
 		result, err := s.runAt(ctx, entry, definition.Pool, job, inputPools)
+		if err == nil && result.refusal == stagepool.Moved && moves < maxMoves {
+			moves++
+			owners = s.gossip.owners(definition.Pool)
+			i = -1
+			continue
+		}
 		if err == nil {
 			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", definition.Pool),
 				zap.String("owner", entry.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -75,6 +75,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, rescueInterval)
 		s.follower.tick()
+		s.handOverPools()
 		if age, complete := s.follower.age(); complete && age < staleAge {
 			continue
 		}
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -23,7 +23,7 @@
 
 const (
 	// dialTimeout bounds the opening of a connection; the network answers in milliseconds.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout closes a connection whose data the other end does not acknowledge.
 	unackedTimeout = 2 * time.Second
 	// probeIdle, probeInterval and probeCount find connections that went silent while
--- a/pkg/stagepool/call.go
+++ b/pkg/stagepool/call.go
@@ -38,6 +38,8 @@
 	Misdirected
 	// Broken calls may have run, and their results are lost.
 	Broken
+	// Unsent calls reached no upstream.
+	Unsent
 )
 
 // PieceEnd says how one piece of an answered call ended.
--- a/pkg/stagepool/done.go
+++ b/pkg/stagepool/done.go
@@ -31,7 +31,7 @@
 		if result.End == PieceMade {
 			made++
 		}
-		p.pieceDone(now, u, item, end, result)
+		p.pieceDone(now, u, id, item, end, result)
 	}
 	if end == Answered && made == 0 && len(running.call.Pieces) > 0 {
 		u.pausedUntil = max(u.pausedUntil, now.Add(rejectedBackoff))
@@ -48,7 +48,7 @@
 		u.measure(now, float64(now.Sub(running.started))/float64(max(running.expected, time.Millisecond)))
 	case Rejected:
 		u.pausedUntil = max(u.pausedUntil, now.Add(rejectedBackoff))
-	case Misdirected, Broken:
+	case Misdirected, Broken, Unsent:
 		u.failed(now)
 	}
 }
@@ -59,36 +59,32 @@
 // typicalCalls is the number of calls over which the typical time is averaged.
 const typicalCalls = 8
 
-func (p *Pool) pieceDone(now clock.Instant, u *upstream, item CallPiece, end CallEnd, result PieceResult) {
+func (p *Pool) pieceDone(now clock.Instant, u *upstream, id CallID, item CallPiece, end CallEnd, result PieceResult) {
 	j := p.jobs[item.Job]
 	if result.End == PieceMade {
 		p.hold(now, u, result.Handle, j)
 	}
-	if j == nil {
-		if result.End == PieceMade {
-			p.Release([]string{result.Handle})
-		}
+	if j == nil || j.pieces[item.Piece].state == pieceDone || j.ended {
+		p.discard(j, item, id, result)
 		return
 	}
 	state := &j.pieces[item.Piece]
-	state.state = pieceWaiting
 	if result.End == PieceMade {
 		state.state, state.handle = pieceDone, result.Handle
 		j.done++
-	}
-	if j.ended {
-		if result.End == PieceMade {
-			p.Release([]string{result.Handle})
-		}
-		if !j.running() {
-			delete(p.jobs, j.id)
+		if j.done == len(j.pieces) {
+			p.end(j, None, true)
 		}
 		return
 	}
+	if state.call != id || state.state == pieceWaiting {
+		// The piece was put back, and another call decides.
+		return
+	}
+	state.state = pieceWaiting
 	switch {
-	case j.done == len(j.pieces):
-		p.end(j, None, true)
-	case result.End == PieceMade:
+	case end == Unsent:
+		state.attempts--
 	case result.End == PieceInputGone:
 		p.end(j, InputsGone, true)
 	case result.End == PieceLate:
@@ -100,6 +96,23 @@
 	}
 }
 
+// discard releases a result that nobody waits for.
+func (p *Pool) discard(j *job, item CallPiece, id CallID, result PieceResult) {
+	if result.End == PieceMade {
+		p.Release([]string{result.Handle})
+	}
+	if j == nil {
+		return
+	}
+	state := &j.pieces[item.Piece]
+	if state.state == pieceRunning && state.call == id {
+		state.state = pieceWaiting
+	}
+	if j.ended && !j.running() {
+		delete(p.jobs, j.id)
+	}
+}
+
 // maxRoomAttempts bounds how often a piece that finds no room is sent.
 const maxRoomAttempts = 5
 
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -38,6 +38,8 @@
 	Failed
 	// NoUpstream means that the pool has no upstream in service.
 	NoUpstream
+	// Moved means that another VM owns the pool now; no piece of the job was sent.
+	Moved
 )
 
 // Outcome is the end of a job.
@@ -61,6 +63,8 @@
 	state    pieceState
 	handle   string
 	attempts int
+	// call is the latest call that the piece was sent in.
+	call CallID
 }
 
 // job is a job that has not ended.
@@ -92,6 +96,9 @@
 	return n
 }
 
+// begun reports whether a piece was sent.
+func (j *job) begun() bool { return j.readAt != 0 }
+
 func (j *job) running() bool {
 	for i := range j.pieces {
 		if j.pieces[i].state == pieceRunning {
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -73,12 +73,15 @@
 	// roomBoundAt is when an upstream was last idle for want of room.
 	roomBoundAt clock.Instant
 	made        throughput
+	// blindUntil ends the time in which calls of an earlier owner may be under way.
+	blindUntil clock.Instant
 }
 
 // New returns a pool without upstreams.
 func New(now clock.Instant) *Pool {
 	p := &Pool{upstreams: map[string]*upstream{}, jobs: map[JobID]*job{}, held: map[string]held{}, granted: now}
 	p.budget.Grant(10 * grantPerSecond)
+	p.blindUntil = now.Add(blindTime)
 	return p
 }
 
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -11,6 +11,9 @@
 // not end it sooner.
 const slowFactor = 1.4
 
+// roomPart is the part of the room that is used, since the sizes of results are approximate.
+const roomPart = 0.95
+
 // slot is when an upstream can begin its next call, and how fast it is.
 type slot struct {
 	u      *upstream
@@ -27,9 +30,12 @@
 		if !u.inService {
 			continue
 		}
+		room := int64(float64(p.batch.ResultBytes)*roomPart) - u.used
+		if now < u.foreignUntil {
+			room -= u.foreign
+		}
 		out = append(out, slot{
-			u: u, free: u.availableAt(now, p.batch.Concurrency), factor: max(1, u.factor(now)),
-			room: p.batch.ResultBytes - u.used,
+			u: u, free: u.availableAt(now, p.batch.Concurrency), factor: max(1, u.factor(now)), room: room,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b slot) int {
@@ -107,6 +113,7 @@
 	p.dropLate(now)
 	p.demote(now)
 	p.noteRead(now)
+	p.noteOverdue(now)
 	var calls []Call
 	slots := p.slots(now)
 	for i := range slots {
@@ -161,13 +168,17 @@
 	var taken []waiting
 	room := s.room
 	for _, j := range p.queue {
+		if s.u.failures > 0 && len(taken) > 0 {
+			// One job tells whether the upstream works again.
+			return taken
+		}
 		if j.Zone == "" || j.Zone == s.u.Zone {
 			taken, room = p.takeJob(now, j, taken, room)
 		}
 	}
 	backlog := map[string]int{}
 	for _, j := range p.queue {
-		if len(taken) >= p.batch.MaxPieces {
+		if len(taken) >= p.batch.MaxPieces || (s.u.failures > 0 && len(taken) > 0) {
 			break
 		}
 		if j.Zone == "" || j.Zone == s.u.Zone {
@@ -246,8 +257,11 @@
 	call := Call{ID: p.nextCall, Upstream: u.ID}
 	for _, w := range pieces {
 		w.j.readAt = now.Add(p.batch.CallTime / readPart)
+		if now < p.blindUntil {
+			w.j.readAt = now.Add(time.Hour)
+		}
 		item := &w.j.pieces[w.index]
-		item.state = pieceRunning
+		item.state, item.call = pieceRunning, p.nextCall
 		item.attempts++
 		running.reserved += w.j.ResultBytes
 		call.Pieces = append(call.Pieces, CallPiece{
@@ -278,6 +292,40 @@
 	}
 }
 
+// noteOverdue puts the pieces of calls that take far longer than expected back into the
+// queue, so that another upstream may make them. The results that come first are used.
+func (p *Pool) noteOverdue(now clock.Instant) {
+	for _, name := range p.names {
+		u := p.upstreams[name]
+		for _, running := range u.calls {
+			if running.overdue || now < running.overdueAt() {
+				continue
+			}
+			running.overdue = true
+			u.measure(now, float64(now.Sub(running.started))/float64(running.expected))
+			for _, item := range running.call.Pieces {
+				p.putBack(item)
+			}
+		}
+	}
+}
+
+func (p *Pool) putBack(item CallPiece) {
+	j := p.jobs[item.Job]
+	if j == nil || j.ended {
+		return
+	}
+	state := &j.pieces[item.Piece]
+	if state.state == pieceRunning && state.call != 0 && state.attempts < maxAttempts && p.budget.Take() {
+		state.state = pieceWaiting
+	}
+}
+
+// overdueAt returns when the pieces of a call are put back.
+func (r *runningCall) overdueAt() clock.Instant {
+	return r.started.Add(time.Duration(overdueFactor*float64(r.expected)) + overdueSlack)
+}
+
 // expectedCall returns the time of a call that would begin now.
 func (p *Pool) expectedCall() time.Duration {
 	return max(p.callTime(1), min(p.typicalCall, p.callTime(p.batch.MaxPieces)))
@@ -327,9 +375,15 @@
 		}
 	}
 	for _, name := range p.names {
-		if u := p.upstreams[name]; u.inService && u.pausedUntil > now {
+		u := p.upstreams[name]
+		if u.inService && u.pausedUntil > now {
 			wake = min(wake, u.pausedUntil)
 		}
+		for _, running := range u.calls {
+			if at := running.overdueAt(); !running.overdue && at > now {
+				wake = min(wake, at)
+			}
+		}
 	}
 	return wake, true
 }
--- a/pkg/stagepool/upstream.go
+++ b/pkg/stagepool/upstream.go
@@ -20,9 +20,13 @@
 	// rejectedBackoff is the pause after a call found no place. Another caller holds the
 	// place for about the time of a call.
 	rejectedBackoff = 100 * time.Millisecond
-	// callTimeoutFactor and callTimeoutSlack bound a call by its expected time.
-	callTimeoutFactor = 2
-	callTimeoutSlack  = 600 * time.Millisecond
+	// callTimeoutFactor and callTimeoutSlack bound a call by its expected time. A call that
+	// is given up leaves results that nobody can release, so the bound is wide.
+	callTimeoutFactor = 6
+	callTimeoutSlack  = time.Second
+	// overdueFactor and overdueSlack say when the pieces of a call are sent again elsewhere.
+	overdueFactor = 1.5
+	overdueSlack  = 150 * time.Millisecond
 )
 
 // Upstream names an upstream of a pool.
@@ -44,6 +48,10 @@
 	// slowness is the ratio of measured to expected call times, 1 for a normal upstream.
 	slowness   float64
 	measuredAt clock.Instant
+	// foreign is the memory of results that an earlier owner's calls are making, until
+	// foreignUntil.
+	foreign      int64
+	foreignUntil clock.Instant
 	// used is the memory of results, including those of running calls.
 	used int64
 }
@@ -55,6 +63,8 @@
 	// expected is the time of the call at a normal upstream.
 	expected time.Duration
 	reserved int64
+	// overdue is set once the pieces were put back to be sent elsewhere.
+	overdue bool
 }
 
 // factor returns the slowness, forgotten by half in each half-life without a measurement.
