Trace a request through the logs, and mend what the first traces showed

(2) Results were released early although their piece had found no room; a call that fills over 85% of the room keeps its inputs to its end. (3) A lost upstream was noticed after 2.2 s; data that is not acknowledged now ends the connection after 1 s. The files of internal/edge are split by topic.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -13,6 +14,8 @@
 
 // App is hoistctl with its connections to the outside.
 type App struct {
+	// In is the standard input.
+	In io.Reader
 	// Out receives reports.
 	Out io.Writer
 	// Err receives errors and warnings.
@@ -25,7 +28,7 @@
 
 // NewApp returns an App with the system's clock.
 func NewApp(out, err io.Writer) *App {
-	return &App{Out: out, Err: err, Now: time.Now, Wait: wait}
+	return &App{In: os.Stdin, Out: out, Err: err, Now: time.Now, Wait: wait}
 }
 
 func wait(ctx context.Context, d time.Duration) error {
@@ -67,7 +70,7 @@
 		Flags:                 []cli.Flag{outputFlag()},
 		Commands: []*cli.Command{
 			a.checkCommand(), a.diffCommand(), a.statusCommand(),
-			a.explainCommand(), a.burnCommand(), a.costCommand(),
+			a.explainCommand(), a.burnCommand(), a.costCommand(), a.traceCommand(),
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			if command.Args().Present() {
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,64 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func (a *App) traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "print the path of a request through the logs of hoist-edge, and why it failed",
+		ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Required: true, Usage: "`ID` of the request"},
+			outputFlag(),
+		},
+		Action: a.trace,
+	}
+}
+
+// trace reads log files, or the standard input for "-" or no file.
+func (a *App) trace(_ context.Context, command *cli.Command) error {
+	id := command.String("request")
+	report := &traceReport{Request: id}
+	names := command.Args().Slice()
+	if len(names) == 0 {
+		names = []string{"-"}
+	}
+	for _, name := range names {
+		if err := a.traceFile(report, name); err != nil {
+			return err
+		}
+	}
+	report.finish()
+	if len(report.Steps) == 0 {
+		return fmt.Errorf("no line of the logs has request %s", id)
+	}
+	return a.print(command, report)
+}
+
+func (a *App) traceFile(report *traceReport, name string) error {
+	if name == "-" {
+		return report.read(a.In)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return report.read(file)
+}
+
+// table implements document.
+func (r *traceReport) table(out io.Writer) {
+	fmt.Fprintf(out, "request %s\n", r.Request)
+	for _, step := range r.Steps {
+		fmt.Fprintf(out, "%s  %-12s  %s\n", step.Time.Format("15:04:05.000"), step.VM, step.Text)
+	}
+	fmt.Fprintf(out, "cause: %s\n", r.Cause)
+}
--- /dev/null
+++ b/internal/edge/stageclient.go
@@ -0,0 +1,142 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+)
+
+const (
+	// maxOwners bounds the VMs that are tried as owner of a pool for one stage.
+	maxOwners = 3
+	// maxMoves bounds how often a stage follows its pool to another owner.
+	maxMoves = 3
+	// doubtTime is how long a VM that did not answer is not taken for an owner.
+	doubtTime = 2 * time.Second
+)
+
+// runStage runs one stage at the owner of its pool, or at the next VM in the ranking if
+// the owner does not answer.
+func (t *transfer) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
+	s := t.s
+	definition := t.route.Stages[stage]
+	due := t.due.Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
+	limit := min(t.due.Add(lateAllowance), t.deadline).Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
+	zone := t.stageZone(stage, inputs)
+	owners := s.gossip.owners(definition.Pool)
+	moves := 0
+	for i := 0; i < min(maxOwners, len(owners)); i++ {
+		entry, now := owners[i], s.now()
+		job := stagepool.Job{
+			Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: definition.ResultBytes,
+			Zone: zone, Due: due, Limit: limit,
+		}
+		if len(definition.After) == 0 {
+			job.Key = t.call.ContentKey
+		}
+		result, err := s.runAt(ctx, entry, definition.Pool, job, inputPools)
+		if err == nil && result.refusal == stagepool.Moved && moves < maxMoves {
+			moves++
+			owners = s.gossip.owners(definition.Pool)
+			i = -1
+			continue
+		}
+		if err == nil {
+			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", definition.Pool),
+				zap.String("owner", entry.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
+				zap.Duration("took", s.now().Sub(now)), zap.Duration("due", due.Sub(now)), zap.Duration("limit", limit.Sub(now)))
+			return result
+		}
+		if ctx.Err() != nil {
+			return stageResult{refusal: stagepool.Overloaded}
+		}
+		s.gossip.doubt(entry.Name, doubtTime)
+		s.logger.Warn("owner of a pool lost", zap.String("request", t.call.ID), zap.String("pool", definition.Pool),
+			zap.String("owner", entry.Name), zap.Int("rank", i), zap.Duration("waited", s.now().Sub(now)), obs.Reason(err))
+	}
+	return stageResult{refusal: stagepool.Failed}
+}
+
+// stageCallTime returns the typical time of one stage of the request.
+func (t *transfer) stageCallTime() time.Duration {
+	longest := time.Duration(0)
+	for _, stage := range t.route.Stages {
+		if pool := t.view.Catalog.Pools[stage.Pool]; pool != nil && pool.Batch != nil {
+			longest = max(longest, pool.Batch.CallTime+time.Duration(pool.Batch.MaxPieces)*pool.Batch.PieceTime)
+		}
+	}
+	return longest
+}
+
+// runAt runs a job at a VM. An error means that the VM could not be asked.
+func (s *Server) runAt(ctx context.Context, entry fleet.Entry, pool string, job stagepool.Job, inputPools []string) (stageResult, error) {
+	if entry.Name == s.settings.VM {
+		return s.owner(pool).run(ctx, job, s.releaseRead(job.Inputs, inputPools)), nil
+	}
+	now := s.now()
+	request := &hoistv1.RunStageRequest{
+		Request: job.Request, Pool: pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
+		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Limit.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
+		Zone: job.Zone, InputPools: inputPools,
+	}
+	var result stageResult
+	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
+		response, err := client.RunStage(ctx, request)
+		if err != nil {
+			return err
+		}
+		result = stageResult{
+			handles: response.GetHandles(), refusal: refusalOf(response.GetRefusal()),
+			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
+		}
+		return nil
+	})
+	return result, err
+}
+
+// releaseRead returns what releases the inputs of a job once they have been read, or nil
+// if their pools are not known.
+func (s *Server) releaseRead(inputs, pools []string) func() {
+	if len(inputs) == 0 || len(pools) != len(inputs) {
+		return nil
+	}
+	return func() {
+		byPool := map[string][]string{}
+		for i, handle := range inputs {
+			byPool[pools[i]] = append(byPool[pools[i]], handle)
+		}
+		for pool, handles := range byPool {
+			s.release(pool, handles)
+		}
+	}
+}
+
+// release frees results at the owner of their pool, without waiting.
+func (s *Server) release(pool string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	owners := s.gossip.owners(pool)
+	if len(owners) == 0 || owners[0].Name == s.settings.VM {
+		s.owner(pool).release(handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		err := s.peers.call(ctx, owners[0], func(ctx context.Context, client hoistv1.FleetClient) error {
+			_, err := client.Release(ctx, &hoistv1.ReleaseRequest{Pool: pool, Handles: handles})
+			return err
+		})
+		if err != nil && !errors.Is(err, context.Canceled) {
+			s.logger.Info("release not delivered; the results expire", zap.String("pool", pool), zap.String("owner", owners[0].Name), obs.Reason(err))
+		}
+	}()
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -37,3 +37,11 @@
 	}
 	return view
 }
+
+// stagePool returns the definition of a pool of stages.
+func (v *View) stagePool(pool string) (catalog.Batch, bool) {
+	if v == nil || v.Catalog == nil || v.Catalog.Pools[pool] == nil || v.Catalog.Pools[pool].Batch == nil {
+		return catalog.Batch{}, false
+	}
+	return *v.Catalog.Pools[pool].Batch, true
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,8 +24,10 @@
 	prefix string
 	next   atomic.Uint64
 
-	config   atomic.Pointer[config]
-	inFlight atomic.Int64
+	config atomic.Pointer[config]
+	// suspectsKnown is the number of suspects in the latest snapshot, for the log.
+	suspectsKnown int
+	inFlight      atomic.Int64
 	// stopping is set at the stop signal, draining when new requests are refused.
 	stopping atomic.Bool
 	draining atomic.Bool
--- a/internal/gateway/loops.go
+++ b/internal/gateway/loops.go
@@ -85,6 +85,9 @@
 	if len(report.Warmth) == 0 && len(report.Suspects) == 0 {
 		return
 	}
+	if len(report.Suspects) > 0 {
+		g.options.Logger.Info("suspects reported", zap.Int("suspects", len(report.Suspects)))
+	}
 	ctx, stop := context.WithTimeout(ctx, reportTimeout)
 	defer stop()
 	if _, err := agent.Report(ctx, reportMessage(now, report)); err != nil {
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -25,6 +25,10 @@
 	if current != nil && current.revisions.VMs > next.revisions.VMs {
 		next.revisions.VMs, next.vms = current.revisions.VMs, current.vms
 	}
+	if known := len(message.GetSuspects()); known != g.suspectsKnown {
+		g.options.Logger.Info("suspects learnt", zap.Int("suspects", known), zap.Int("before", g.suspectsKnown))
+		g.suspectsKnown = known
+	}
 	g.change(func(core *dispatch.Core) dispatch.Effects {
 		return core.Apply(now, dispatch.Snapshot{
 			Tables: next.tables, PoolsRevision: next.revisions.Pools, ListRevision: next.revisions.VMs, VMs: next.vms,
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -25,7 +25,7 @@
 	// dialTimeout bounds the opening of a connection; the network answers in milliseconds.
 	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout closes a connection whose data the other end does not acknowledge.
-	unackedTimeout = 2 * time.Second
+	unackedTimeout = time.Second
 	// probeIdle, probeInterval and probeCount find connections that went silent while
 	// nothing is under way on them.
 	probeIdle     = time.Second
--- /dev/null
+++ b/pkg/catalog/example_test.go
@@ -0,0 +1,18 @@
+package catalog_test
+
+import (
+	"fmt"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+)
+
+// The route with the longest prefix of the path serves a request.
+func ExampleCatalog_Match() {
+	tables := catalog.Catalog{Routes: []catalog.Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "ask", Host: "a.example", Prefix: "/v1/ask/"},
+	}}
+	tables.Index()
+	fmt.Println(tables.Match("a.example", "/v1/ask/now").Name, tables.Match("a.example", "/v1/").Name)
+	// Output: ask all
+}
--- /dev/null
+++ b/pkg/fleet/example_test.go
@@ -0,0 +1,18 @@
+package fleet_test
+
+import (
+	"fmt"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+)
+
+// VMs that know the same entries agree who owns what.
+func ExampleRoster_Owners() {
+	a := fleet.Entry{Name: "a", Address: "10.0.0.1:1", Started: 1}
+	b := fleet.Entry{Name: "b", Address: "10.0.0.2:1", Started: 1}
+	atA, atB := fleet.New(0, a), fleet.New(0, b)
+	atA.Learn(0, []fleet.Entry{b})
+	atB.Learn(0, []fleet.Entry{a})
+	fmt.Println(atA.Owners(0, "pool")[0].Name == atB.Owners(0, "pool")[0].Name)
+	// Output: true
+}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -255,9 +255,10 @@
 	p.nextCall++
 	running := &runningCall{started: now, expected: p.callTime(len(pieces))}
 	call := Call{ID: p.nextCall, Upstream: u.ID}
+	isTight := p.isTight(u, pieces)
 	for _, w := range pieces {
 		w.j.readAt = now.Add(p.batch.CallTime / readPart)
-		if now < p.blindUntil {
+		if isTight || now < p.blindUntil {
 			w.j.readAt = now.Add(time.Hour)
 		}
 		item := &w.j.pieces[w.index]
@@ -278,6 +279,22 @@
 	return call
 }
 
+// isTight reports whether results of a call may find no room, as sizes are approximate.
+// Pieces without room are sent again and then need their inputs once more.
+func (p *Pool) isTight(u *upstream, pieces []waiting) bool {
+	if p.batch.ResultBytes == 0 {
+		return false
+	}
+	used := u.used
+	for _, w := range pieces {
+		used += w.j.ResultBytes
+	}
+	return float64(used) > tightPart*float64(p.batch.ResultBytes)
+}
+
+// tightPart is the part of the room from which results may find none.
+const tightPart = 0.85
+
 // demote puts jobs that cannot be on time any more behind those that can. Without it one
 // burst makes all jobs late, each by as much as the one before.
 func (p *Pool) demote(now clock.Instant) {
--- a/pkg/stagepool/sim_test.go
+++ b/pkg/stagepool/sim_test.go
@@ -116,9 +116,13 @@
 		}
 		s.pool.Freed(free.Handles)
 	}
-	if at, ok := s.pool.Wake(s.now); ok && at != s.wakeAt {
+	if at, ok := s.pool.Wake(s.now); ok {
 		s.wakeAt = at
-		s.after(at.Sub(s.now), s.drive)
+		s.after(at.Sub(s.now), func() {
+			if s.wakeAt == at {
+				s.drive()
+			}
+		})
 	}
 }
 
