Leave room to jobs that can be on time, and weigh own requests by the fleet's size

Cause: (1) late jobs filled the room that the next jobs needed. (2) With 80 VMs each VM sees one or two requests of its own at an upstream, so that a popular prefix gathered the requests of all. Change: late jobs leave half of the room; one own request counts as one for each eight VMs. Both tests fail without the change.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -15,6 +15,9 @@
 	maxMisdirected = 4
 	// busyPause is the pause before the next look for an upstream when all are at a limit.
 	busyPause = 20 * time.Millisecond
+	// soloFleet is the size of a fleet up to which the requests of one VM tell the load of an
+	// upstream well enough by themselves.
+	soloFleet = 8
 	// busyPart is the part of the objective for which a request waits for a place.
 	busyPart = 8
 )
@@ -134,6 +137,7 @@
 func (t *transfer) query() *placement.Query {
 	return &placement.Query{
 		Prefix: t.sharedPrefix(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
+		Weight: float64(t.s.fleetSize.Load()) / soloFleet,
 	}
 }
 
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -32,6 +32,9 @@
 	Zone string
 	// MaxInFlight bounds the requests of this VM at one upstream; 0 means no bound.
 	MaxInFlight int
+	// Weight is the number of requests of the fleet for which one request of this VM stands;
+	// less than 1 counts as 1.
+	Weight float64
 	// Tried lists upstreams that must not be taken.
 	Tried map[string]bool
 }
@@ -65,9 +68,9 @@
 	if q.Prefix == "" {
 		return best, Found
 	}
-	limit := best.cost(now)*preferenceRatio + preferenceSlack
+	limit := best.cost(now, q.Weight)*preferenceRatio + preferenceSlack
 	for _, u := range preferred(q.Prefix, open) {
-		if u.cost(now) <= limit {
+		if u.cost(now, q.Weight) <= limit {
 			return u, Found
 		}
 	}
@@ -91,7 +94,7 @@
 	var best *Upstream
 	bestCost := 0.0
 	for _, u := range upstreams {
-		cost := u.cost(now)
+		cost := u.cost(now, q.Weight)
 		if q.Prefix == "" && u.Zone != q.Zone {
 			cost += otherZoneCost
 		}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -109,3 +109,15 @@
 		t.Errorf("the reason is %v", why)
 	}
 }
+
+// TestPopularPrefixSpreadsInALargeFleet guards against 80 VMs that each see a few requests
+// of their own at the upstream of a popular prefix, which together are hundreds.
+func TestPopularPrefixSpreadsInALargeFleet(t *testing.T) {
+	upstreams := pool(30)
+	q := &Query{Prefix: "p", Weight: 10}
+	first, _ := Pick(0, q, upstreams)
+	first.Began(0, 100)
+	if again, _ := Pick(0, q, upstreams); again == first {
+		t.Errorf("%s is taken again although the fleet has about ten requests there", first.ID)
+	}
+}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -92,9 +92,10 @@
 	return u.errors * math.Exp2(-age)
 }
 
-// cost ranks upstreams: the load of this VM, times how slow and faulty the upstream is.
-func (u *Upstream) cost(now clock.Instant) float64 {
-	return float64(u.InFlight+1) * max(1, u.latency) * (1 + errorCost*u.errorWeight(now))
+// cost ranks upstreams: the load, as this VM can tell it from its own requests, times how
+// slow and faulty the upstream is.
+func (u *Upstream) cost(now clock.Instant, weight float64) float64 {
+	return (float64(u.InFlight)*max(1, weight) + 1) * max(1, u.latency) * (1 + errorCost*u.errorWeight(now))
 }
 
 // errorCost is the cost of a recent error in units of the load.
--- a/pkg/stagepool/load_test.go
+++ b/pkg/stagepool/load_test.go
@@ -138,3 +138,21 @@
 		t.Errorf("%.0f pieces/s on time, expected at least %.0f", got, least)
 	}
 }
+
+// TestLateJobsLeaveRoom guards against jobs that are late anyway and take the room which the
+// next jobs need to be on time.
+func TestLateJobsLeaveRoom(t *testing.T) {
+	batch := fiveUpstreams
+	batch.ResultBytes = 40
+	s := newSimulation(t, batch, "zone-0")
+	s.holdTime = time.Hour
+	for range 8 {
+		s.submit(Job{Pieces: 5, ResultBytes: 1, Due: 0, Limit: s.now.Add(10 * time.Second)})
+	}
+	s.run(2 * time.Second)
+	id, _ := s.submit(Job{Pieces: 5, ResultBytes: 1, Due: s.now.Add(time.Second), Limit: s.now.Add(2 * time.Second)})
+	s.run(4 * time.Second)
+	if _, done := s.ends[id]; !done {
+		t.Error("a job that could be on time found no room")
+	}
+}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -194,6 +194,9 @@
 
 // takeJob adds the waiting pieces of a job if they fit.
 func (p *Pool) takeJob(now clock.Instant, j *job, taken []waiting, room int64) ([]waiting, int64) {
+	if j.late && p.batch.ResultBytes > 0 && room < int64(lateRoomPart*float64(p.batch.ResultBytes)) {
+		return taken, room
+	}
 	n := j.waitingPieces()
 	fits := p.batch.MaxPieces - len(taken)
 	if p.batch.ResultBytes > 0 && j.ResultBytes > 0 {
@@ -219,6 +222,9 @@
 	return taken, room
 }
 
+// lateRoomPart is the part of the room that late jobs leave to those that can be on time.
+const lateRoomPart = 0.5
+
 // isLarge reports whether the pieces would not even fit into an empty call with most of
 // the room free.
 func (p *Pool) isLarge(j *job, pieces int) bool {
