Do not take a new owner's empty history for the rate of its pool

Cause (incident c96a): while VMs are stopped in turn, each new owner found the room taken, estimated by what it had made so far, which was nothing, refused all jobs and so never made anything: no stream was on time for two seconds after each stop. Ruled out: store, upstreams, old tables. Change: the rate of a pool limited by room is at least half of the room in two full calls. The test failed before.

--- a/pkg/stagepool/load_test.go
+++ b/pkg/stagepool/load_test.go
@@ -156,3 +156,29 @@
 		t.Error("a job that could be on time found no room")
 	}
 }
+
+// TestNewOwnerAcceptsJobs replays the first moments of a new owner that finds the room of its
+// upstreams taken by the results of the one before. It guards against a rate of nothing made
+// so far that is taken for the pool's rate, by which the owner refuses all jobs and so never
+// makes anything.
+func TestNewOwnerAcceptsJobs(t *testing.T) {
+	batch := fiveUpstreams
+	batch.ResultBytes = 60
+	s := newSimulation(t, batch, zones(5)...)
+	s.now = s.now.Add(time.Second)
+	var states []UpstreamState
+	for i := range 5 {
+		state := UpstreamState{ID: fmt.Sprint("u", i), Slowness: 1}
+		for j := range 50 {
+			state.Results = append(state.Results, HeldResult{Handle: fmt.Sprint(i, "/", j), Bytes: 1, ExpiresIn: 4 * time.Second})
+		}
+		states = append(states, state)
+	}
+	s.pool.TakeOver(s.now, states)
+	job := Job{Pieces: 12, ResultBytes: 1, Due: s.now.Add(time.Second), Limit: s.now.Add(2 * time.Second)}
+	for i := range 4 {
+		if _, ok := s.submit(job); !ok {
+			t.Fatalf("job %d was refused", i)
+		}
+	}
+}
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -118,10 +118,10 @@
 		return 0, now, NoUpstream
 	}
 	late := false
-	end := p.estimate(now, p.ahead(submitted.Due, false), submitted.Pieces)
+	end := p.estimate(now, p.ahead(submitted.Due, false), submitted.Pieces, submitted.ResultBytes)
 	if end.After(submitted.Due) {
 		late = true
-		end = p.estimate(now, p.ahead(submitted.Due, true), submitted.Pieces)
+		end = p.estimate(now, p.ahead(submitted.Due, true), submitted.Pieces, submitted.ResultBytes)
 	}
 	if end.After(submitted.Limit) {
 		return 0, end, Overloaded
@@ -243,7 +243,11 @@
 
 // Wait returns the time until a piece that arrives now would be made.
 func (p *Pool) Wait(now clock.Instant) time.Duration {
-	return p.estimate(now, p.Waiting(), 1).Sub(now)
+	var bytes int64
+	if len(p.queue) > 0 {
+		bytes = p.queue[0].ResultBytes
+	}
+	return p.estimate(now, p.Waiting(), 1, bytes).Sub(now)
 }
 
 // end finishes a job. Results are released unless they are handed to the request.
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -61,7 +61,7 @@
 
 // estimate returns when pieces would end that run in full batches after a number of
 // others.
-func (p *Pool) estimate(now clock.Instant, ahead, pieces int) clock.Instant {
+func (p *Pool) estimate(now clock.Instant, ahead, pieces int, resultBytes int64) clock.Instant {
 	slots := p.slots(now)
 	if len(slots) == 0 {
 		return now.Add(time.Hour)
@@ -69,7 +69,7 @@
 	end := now
 	if p.isRoomBound(now) {
 		// Results leave no faster than they were made of late.
-		rate := max(p.made.perSecond(now), 1)
+		rate := max(p.made.perSecond(now), p.leastRate(len(slots), resultBytes))
 		end = now.Add(time.Duration(float64(ahead+pieces)/rate*float64(time.Second)) + p.expectedCall())
 	}
 	for left := ahead + pieces; left > 0; left -= p.batch.MaxPieces {
@@ -86,6 +86,17 @@
 	return end
 }
 
+// leastRate returns the pieces per second that a pool makes in any case while room limits
+// it: half of the room is made anew in two full calls. What was made of late is less in the
+// first moments of an owner and after jobs were refused, and says nothing then.
+func (p *Pool) leastRate(upstreams int, resultBytes int64) float64 {
+	pieces := p.batch.MaxPieces
+	if resultBytes > 0 {
+		pieces = min(pieces, int(p.batch.ResultBytes/resultBytes/2))
+	}
+	return float64(upstreams*max(pieces, 1)) / (2 * p.callTime(p.batch.MaxPieces).Seconds())
+}
+
 // isRoomBound reports whether upstreams were idle of late since they had no room for what
 // waited.
 func (p *Pool) isRoomBound(now clock.Instant) bool {
