--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -165,25 +165,26 @@
 }
 
 // listen opens all listeners and serves them.
-func (s *Server) listen(ctx context.Context) (callers, ready *http.Server, peerServer *grpc.Server, err error) {
+func (s *Server) listen(ctx context.Context) (*http.Server, *http.Server, *grpc.Server, error) {
 	peerListener, err := s.peers.transport.Listen(s.settings.PeerListen)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	peerServer = grpc.NewServer(s.peers.transport.ServerOptions()...)
+	peerServer := grpc.NewServer(s.peers.transport.ServerOptions()...)
 	hoistv1.RegisterFleetServer(peerServer, fleetServer{s: s})
 	go s.watchServer("peers", func() error { return peerServer.Serve(peerListener) })
-	callers = &http.Server{
+	callers := &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx }, ErrorLog: zap.NewStdLog(s.logger),
 	}
-	ready = &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, server := range []struct {
 		name, address string
 		server        *http.Server
 	}{{"callers", s.settings.Listen, callers}, {"readiness", s.settings.ReadyListen, ready}} {
 		listener, err := net.Listen("tcp4", server.address)
 		if err != nil {
+			peerServer.Stop()
 			return nil, nil, nil, errors.Wrapf(err, "listen for %s", server.name)
 		}
 		go s.watchServer(server.name, func() error { return server.server.Serve(listener) })
--- a/internal/edge/standin_test.go
+++ b/internal/edge/standin_test.go
@@ -5,12 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,35 +249,29 @@
 	done    []chan struct{}
 }
 
-func freePort(t *testing.T, network string) int {
-	t.Helper()
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		return conn.LocalAddr().(*net.UDPAddr).Port
-	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
-}
+// Ports of the VMs; below the kernel's range for outgoing connections, so that none of these
+// takes a port before it is listened on.
+const (
+	callerPort = 10001 + iota
+	readyPort
+	peerPort
+	gossipPort
+)
+
+// fleets counts the fleets of this process; each has IPs of its own.
+var fleets atomic.Int64
 
-// startFleet starts VMs with the addresses 127.0.0.2, 127.0.0.3 and so on.
+// startFleet starts VMs on a loopback subnet of their own.
 func startFleet(t *testing.T, n int, change func(*Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: newTestStore()}
-	gossipPort, peerPort := freePort(t, "udp"), freePort(t, "tcp")
+	subnet := fmt.Sprintf("127.%d.%d.", 201+os.Getpid()%50, fleets.Add(1)%250)
 	for i := range n {
-		ip := fmt.Sprint("127.0.0.", i+2)
+		ip := fmt.Sprint(subnet, i+2)
 		settings := Settings{
 			VM: fmt.Sprint("vm-", i), Zone: "zone-a", IP: ip, GossipPort: gossipPort, PeerListen: portOf(ip, peerPort),
-			Listen: portOf(ip, freePort(t, "tcp")), ReadyListen: portOf(ip, freePort(t, "tcp")),
-			Seeds: []string{portOf("127.0.0.2", peerPort)}, Store: portOf(ip, peerPort), GracePeriod: 8 * time.Second,
+			Listen: portOf(ip, callerPort), ReadyListen: portOf(ip, readyPort),
+			Seeds: []string{portOf(subnet+"2", peerPort)}, Store: portOf(ip, peerPort), GracePeriod: 8 * time.Second,
 			KeyBound: time.Minute, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second,
 		}
 		if change != nil {
