Learn removals in time while the store turns a reader away

Traced: (1) a VM followed a reader that was turned away, whose tables may have been 2 s old before it was left; (2) a VM that had failed to read and then followed a peer counted as in an outage from then on, so that removed entries were kept for 1.7 s. Change: a reader that cannot read tells its followers at once; watches wait 0.7 s and held calls 0.5 s; an outage is tables older than 2 s, whoever tried to read them. The code of choosing an owner is simpler, unused settings are gone, and the budget for repeats follows the operators' bound. TestTurnedAwayByTheStore covers it.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -25,8 +25,6 @@
 	body   []byte
 }
 
-func (a *wholeAnswer) discard() {}
-
 // whole reads the answer before any of it is passed on, so that a broken one can be
 // replaced.
 func (t *transfer) whole(taken *lease, exchange *outbound.Exchange, verdict Verdict) (attemptEnd, *wholeAnswer, string) {
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -89,8 +89,6 @@
 	Deliver(header http.Header, delivery Delivery) http.Header
 	// Judge decodes an upstream's answer.
 	Judge(status int, header http.Header) Verdict
-	// Unseal removes the upstream's proof from a header.
-	Unseal(header http.Header)
 	// StageCall encodes a batch of pieces.
 	StageCall(address string, call stagepool.Call) (*outbound.Request, error)
 	// StageResults decodes the results of a batch.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -377,3 +377,33 @@
 		t.Errorf("%v %q, error %v", response, body, err)
 	}
 }
+
+// TestTurnedAwayByTheStore turns the readers of the store away, all but the last. It guards
+// against VMs that follow a reader which knows nothing new, and against upstreams that are
+// kept after their entry was removed, since one VM's trouble is taken for an outage.
+func TestTurnedAwayByTheStore(t *testing.T) {
+	f := startFleet(t, 5, nil)
+	u, leaving := newTestUpstream(t, "u", nil), newTestUpstream(t, "leaving", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: plainPools(), Routes: []catalog.Route{route("/x/", catalog.NonIdempotent, nil)}},
+		upstreamsOf("p", u, leaving)...)
+	ranking := f.servers[0].gossip.owners(readersKey)
+	for i, s := range f.servers {
+		for _, reader := range ranking[:storeReaders-1] {
+			if s.settings.VM == reader.Name {
+				f.sources[i].turnedAway.Store(true)
+			}
+		}
+	}
+	f.store.put("u/leaving", nil)
+	removed := time.Now()
+	for _, s := range f.servers {
+		await(t, "the entry is removed at "+s.settings.VM, func() bool {
+			_, known := s.view.Load().ByID["leaving"]
+			return !known
+		})
+	}
+	// Operators bound new work to an upstream that has left by two seconds.
+	if took := time.Since(removed); took > 2*time.Second {
+		t.Errorf("the last VM knew after %v", took)
+	}
+}
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -62,7 +62,7 @@
 	o := f.s.follower.share(ctx, r.GetRevision(), min(time.Duration(r.GetWaitMs())*time.Millisecond, pullWait))
 	response := &hoistv1.PullResponse{
 		Complete: o.complete, Unchanged: o.unchanged, Revision: o.revision, AgeMs: o.age.Milliseconds() + 1, Keys: o.keys,
-		HeldMs: f.s.now().Sub(begun).Milliseconds(),
+		HeldMs: f.s.now().Sub(begun).Milliseconds(), Lost: o.lost,
 	}
 	for _, item := range o.items {
 		response.Items = append(response.Items, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -19,12 +19,15 @@
 const (
 	// watchWait is how long the store holds a watch without changes. Each return proves
 	// that the tables are current, which requests with keys depend on.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 700 * time.Millisecond
 	// readPause is the pause after a failed read.
 	readPause = 250 * time.Millisecond
 	// staleAge is the age of the tables from which peers are asked for theirs. It is above
-	// what a watch without changes takes.
-	staleAge = 2 * time.Second
+	// what a watch and a held call without changes take together.
+	staleAge = 1600 * time.Millisecond
+	// outageAge is the age of the tables that counts as an outage of the store for all VMs,
+	// since nobody had newer ones.
+	outageAge = 2 * time.Second
 	// watchGap is the pause after a watch that brought changes, so that a series of them
 	// takes few calls. It is far below the times in which changes must be in force.
 	watchGap = 80 * time.Millisecond
@@ -32,8 +35,6 @@
 	rescueInterval = 400 * time.Millisecond
 	// rescuePeers is the number of peers asked in a round.
 	rescuePeers = 2
-	// outageErrors is the number of failed reads in a row that count as an outage.
-	outageErrors = 2
 )
 
 // follower keeps the published items and the view made from them.
@@ -110,9 +111,9 @@
 	if err != nil {
 		return err
 	}
-	f.recovered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteGap()
 	f.take(f.replica.Replace(items, revision, sent))
 	return nil
 }
@@ -126,20 +127,23 @@
 	if err != nil {
 		return err
 	}
-	f.recovered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteGap()
 	f.take(f.replica.Apply(items, revision, sent))
 	f.hasNews = len(items) > 0
 	return nil
 }
 
-// recovered tells the registry of the store's return before the entries that lapsed are
-// taken over.
-func (f *follower) recovered() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.registry.Outage(f.now(), false)
+// noteGap tells the registry of an outage that has ended, before the entries that lapsed in
+// it are taken over. A VM that is turned away alone has current tables from its peers, and
+// sees no outage. The caller holds the lock.
+func (f *follower) noteGap() {
+	now := f.now()
+	if f.replica.Complete() && now.Sub(f.replica.FreshAt()) > outageAge {
+		f.registry.Outage(now, true)
+		f.registry.Outage(now, false)
+	}
 }
 
 // note counts failed reads, and logs the loss and the return of the store.
@@ -157,8 +161,9 @@
 		return
 	}
 	f.failures++
-	if f.failures >= outageErrors {
-		f.registry.Outage(f.now(), true)
+	if f.failures == 1 {
+		// Peers that wait here for changes turn to another reader.
+		f.signal()
 	}
 	if !f.reported {
 		f.reported = true
@@ -226,9 +231,14 @@
 	}
 }
 
-func (f *follower) publish() {
+// signal wakes peers that wait for news. The caller holds the lock.
+func (f *follower) signal() {
 	close(f.news)
 	f.news = make(chan struct{})
+}
+
+func (f *follower) publish() {
+	f.signal()
 	zones := make(map[string]bool, len(f.zonesOut))
 	for zone := range f.zonesOut {
 		zones[zone] = true
@@ -254,7 +264,9 @@
 
 // offer is what a peer gets that is complete up to a revision.
 type offer struct {
-	complete  bool
+	complete bool
+	// lost is set if this VM cannot read the store at present.
+	lost      bool
 	unchanged bool
 	revision  uint64
 	age       time.Duration
@@ -266,7 +278,7 @@
 // peer needs that is complete up to it.
 func (f *follower) share(ctx context.Context, revision uint64, wait time.Duration) offer {
 	f.mu.Lock()
-	news, changed := f.news, f.replica.ChangedAt() > revision || !f.replica.Complete()
+	news, changed := f.news, f.replica.ChangedAt() > revision || !f.replica.Complete() || f.failures > 0
 	f.mu.Unlock()
 	if wait > 0 && !changed {
 		timer := time.NewTimer(wait)
@@ -281,7 +293,7 @@
 	defer f.mu.Unlock()
 	o := offer{
 		complete: f.replica.Complete(), revision: f.replica.Revision(), age: f.now().Sub(f.replica.FreshAt()),
-		unchanged: f.replica.ChangedAt() <= revision,
+		unchanged: f.replica.ChangedAt() <= revision, lost: f.failures > 0,
 	}
 	if !o.unchanged {
 		o.items, o.keys = f.replica.Since(revision)
@@ -294,6 +306,7 @@
 func (f *follower) merge(asked uint64, o offer, fresh clock.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteGap()
 	if o.unchanged {
 		f.replica.Confirm(asked, o.revision, fresh)
 		return
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -62,7 +62,6 @@
 		if again := t.mayTryAgain(end); !again {
 			return t.giveUp(end, held, detail)
 		}
-		held.discard()
 		if t.inputs == nil && len(t.route.Stages) > 0 {
 			if failure := t.remakeInputs(); failure != nil {
 				return failure
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,16 +27,11 @@
 	MetricsPort int
 	// Seeds are addresses PeerListen of some VMs, which may be out of date.
 	Seeds []string
-	// Zones is the number of availability zones.
-	Zones int
 	// Store is the IP:port of the store with the published items.
-	Store          string
-	MemoryBytes    int64
-	MaxDescriptors int
+	Store       string
+	MemoryBytes int64
 	// GracePeriod is the time between a stop signal and the kill.
 	GracePeriod time.Duration
-	// DrainBound is the time after which an upstream that leaves must get no new work.
-	DrainBound time.Duration
 	// KeyBound is the age of the tables from which requests with keys are refused, since
 	// their key may have been taken away; 0 means never.
 	KeyBound time.Duration
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -25,46 +25,52 @@
 // runStage runs one stage at the owner of its pool, or at the next VM in the ranking if
 // the owner does not answer.
 func (t *transfer) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
-	s := t.s
-	definition := t.route.Stages[stage]
-	due := t.due.Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
-	limit := min(t.due.Add(lateAllowance), t.deadline).Add(-finalTime - time.Duration(level-1)*t.stageCallTime())
-	zone := t.stageZone(stage, inputs)
-	owners := s.gossip.owners(definition.Pool)
-	moves := 0
-	for i := 0; i < min(maxOwners, len(owners)); i++ {
-		entry, now := owners[i], s.now()
-		job := stagepool.Job{
-			Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: definition.ResultBytes,
-			Zone: zone, Due: due, Limit: limit,
+	s, pool := t.s, t.route.Stages[stage].Pool
+	job := t.stageJob(stage, level, inputs)
+	lost, moves := 0, 0
+	for lost < maxOwners && moves < maxMoves {
+		// A VM that was lost comes last in the ranking from then on.
+		owners := s.gossip.owners(pool)
+		if len(owners) == 0 {
+			break
 		}
-		if len(definition.After) == 0 {
-			job.Key = t.call.ContentKey
-		}
-		result, err := s.runAt(ctx, entry, definition.Pool, job, inputPools)
-		if err == nil && result.refusal == stagepool.Moved && moves < maxMoves {
+		began := s.now()
+		result, err := s.runAt(ctx, owners[0], pool, job, inputPools)
+		switch {
+		case err == nil && result.refusal == stagepool.Moved:
 			moves++
-			owners = s.gossip.owners(definition.Pool)
-			i = -1
-			continue
-		}
-		if err == nil {
-			s.waits.note(s.now(), definition.Pool, result.wait)
-			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", definition.Pool),
-				zap.String("owner", entry.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
-				zap.Duration("took", s.now().Sub(now)), zap.Duration("due", due.Sub(now)), zap.Duration("limit", limit.Sub(now)))
+		case err == nil:
+			s.waits.note(s.now(), pool, result.wait)
+			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", pool),
+				zap.String("owner", owners[0].Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
+				zap.Duration("took", s.now().Sub(began)), zap.Duration("due", job.Due.Sub(began)), zap.Duration("limit", job.Limit.Sub(began)))
 			return result
-		}
-		if ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return stageResult{refusal: stagepool.Overloaded}
+		default:
+			lost++
+			s.gossip.doubt(owners[0].Name, doubtTime)
+			s.logger.Warn("owner of a pool lost", zap.String("request", t.call.ID), zap.String("pool", pool),
+				zap.String("owner", owners[0].Name), zap.Int("lost", lost), zap.Duration("waited", s.now().Sub(began)), obs.Reason(err))
 		}
-		s.gossip.doubt(entry.Name, doubtTime)
-		s.logger.Warn("owner of a pool lost", zap.String("request", t.call.ID), zap.String("pool", definition.Pool),
-			zap.String("owner", entry.Name), zap.Int("rank", i), zap.Duration("waited", s.now().Sub(now)), obs.Reason(err))
 	}
 	return stageResult{refusal: stagepool.Failed}
 }
 
+// stageJob describes a stage to the owner of its pool.
+func (t *transfer) stageJob(stage, level int, inputs []string) stagepool.Job {
+	// What follows the stage takes this long.
+	after := finalTime + time.Duration(level-1)*t.stageCallTime()
+	job := stagepool.Job{
+		Request: t.call.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: t.route.Stages[stage].ResultBytes,
+		Zone: t.stageZone(stage, inputs), Due: t.due.Add(-after), Limit: min(t.due.Add(lateAllowance), t.deadline).Add(-after),
+	}
+	if len(inputs) == 0 {
+		job.Key = t.call.ContentKey
+	}
+	return job
+}
+
 // stageCallTime returns the typical time of one stage of the request.
 func (t *transfer) stageCallTime() time.Duration {
 	longest := time.Duration(0)
--- a/internal/edge/standin_test.go
+++ b/internal/edge/standin_test.go
@@ -61,8 +61,6 @@
 	}
 }
 
-func (testDialect) Unseal(header http.Header) { header.Del("Seal") }
-
 func (testDialect) StageCall(address string, call stagepool.Call) (*outbound.Request, error) {
 	body, err := json.Marshal(call)
 	return &outbound.Request{Method: http.MethodPost, Target: "/stage", Host: address, Header: http.Header{}, Body: body}, err
@@ -141,6 +139,32 @@
 	return items, s.revision, nil
 }
 
+// vmStore is the store as one VM sees it.
+type vmStore struct {
+	*testStore
+	turnedAway atomic.Bool
+}
+
+// List implements Source.
+func (s *vmStore) List(ctx context.Context) ([]replica.Item, uint64, error) {
+	if s.turnedAway.Load() {
+		return nil, 0, io.ErrUnexpectedEOF
+	}
+	return s.testStore.List(ctx)
+}
+
+// Watch implements Source.
+func (s *vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+	if s.turnedAway.Load() {
+		return nil, 0, io.ErrUnexpectedEOF
+	}
+	items, revision, err := s.testStore.Watch(ctx, after, wait)
+	if s.turnedAway.Load() {
+		return nil, 0, io.ErrUnexpectedEOF
+	}
+	return items, revision, err
+}
+
 // List implements Source.
 func (s *testStore) List(context.Context) ([]replica.Item, uint64, error) { return s.since(0) }
 
@@ -244,6 +268,7 @@
 type testFleet struct {
 	t       *testing.T
 	store   *testStore
+	sources []*vmStore
 	servers []*Server
 	stops   []context.CancelFunc
 	done    []chan struct{}
@@ -291,8 +316,10 @@
 }
 
 func (f *testFleet) start(settings Settings) {
+	source := &vmStore{testStore: f.store}
+	f.sources = append(f.sources, source)
 	server, err := New(Options{
-		Settings: settings, Source: f.store, Decode: f.store.decode, Dialect: testDialect{}, Client: outbound.NewClient(settings.IP),
+		Settings: settings, Source: source, Decode: f.store.decode, Dialect: testDialect{}, Client: outbound.NewClient(settings.IP),
 		Now: bootclock.Now, Logger: zap.NewNop(), Failures: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	if err != nil {
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -27,7 +27,9 @@
 	// itself for alone.
 	startWait = 500 * time.Millisecond
 	// pullWait is how long a reader holds the call of a VM that has its latest tables.
-	pullWait = time.Second
+	pullWait = 500 * time.Millisecond
+	// readerStale is the age of a reader's tables from which another reader is asked.
+	readerStale = 1100 * time.Millisecond
 	// pullSlack is added to the wait for the answer of a reader.
 	pullSlack = 400 * time.Millisecond
 	// pullPause is the pause after a reader gave nothing of use.
@@ -114,7 +116,7 @@
 	// The peer read its state no earlier than it says that it held the call.
 	fresh := sent.Add(time.Duration(response.GetHeldMs())*time.Millisecond - o.age)
 	s.follower.merge(asked, o, fresh)
-	return o.age < staleAge
+	return !response.GetLost() && o.age < readerStale
 }
 
 func toItems(items []*hoistv1.PublishedItem) []replica.Item {
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -16,6 +16,10 @@
 // parts of a split fleet that count different VMs stay within the bound together.
 const coldMargin = 0.6
 
+// retryPart is the part of a repeat for which one request pays at most. Operators may allow
+// less; half of what they allow is used, as VMs on both sides of a split count alone.
+const retryPart = 0.1
+
 // upstreams is what this VM knows of upstreams from its own requests.
 type upstreams struct {
 	now func() clock.Instant
@@ -26,6 +30,8 @@
 	granted clock.Instant
 	// grant is the number of repeats per second and pool that need no requests.
 	grant float64
+	// part is what a first attempt adds to the budget of its pool.
+	part float64
 }
 
 type upstreamState struct {
@@ -42,6 +48,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.grant = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(len(names)) / 2
+	u.part = min(retryPart, s.RetryShare/2)
 	for id, entry := range view.ByID {
 		state := u.states[id]
 		if state == nil || state.entry.Started != entry.Started {
@@ -149,7 +156,7 @@
 func (u *upstreams) deposit(pool string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.budget(pool).Deposit()
+	u.budget(pool).Grant(u.part)
 }
 
 // repeat reports whether the budget of the pool allows another attempt, and takes it.
