--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -96,6 +96,7 @@
 		}
 		if err != nil {
 			g.logger.Warn("membership receive failed", obs.Reason(err))
+			pause(context.Background(), gossipTick)
 			continue
 		}
 		var datagram hoistv1.Datagram
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -141,9 +141,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		_, err := c.client.Ping(ctx, &hoistv1.PingRequest{})
 		cancel()
-		if err != nil {
-			c.endEpoch(errPeerSilent)
+		if err != nil && c.giveUp() {
 			return
 		}
 	}
 }
+
+// giveUp ends the pending calls after a failed check and reports whether there were any.
+func (c *peerConn) giveUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 {
+		return false
+	}
+	c.endEpoch(errPeerSilent)
+	return true
+}
