Remove state that nothing reads from placement and routes

Found on reading the whole change: each request recorded its prompt tokens at its upstream, which no decision reads, and took the lock once more at its first byte to take them off; Route.Repeatable had no caller beside transfer.mayRepeat. Both are gone; behaviour is unchanged, and the tests keep their assertions. The stated invariant of stagepool allowed for no overdue calls; it does now.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -40,7 +40,6 @@
 		return attemptBroken, nil, err.Error()
 	}
 	answer := &wholeAnswer{status: exchange.Status, header: answerHeader(exchange.Header), body: body}
-	taken.firstByte()
 	if exchange.Status >= http.StatusInternalServerError {
 		taken.with(func(now clock.Instant, u *placement.Upstream) { u.Failed(now) })
 		if !verdict.Sealed || isPromise(answer.status) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -115,7 +115,7 @@
 	until := t.s.now().Add(min(t.route.Objective/busyPart, t.left()))
 	for {
 		view := t.s.view.Load()
-		taken, exclusion := t.s.upstreams.take(view, t.pool, query, t.promptTokens())
+		taken, exclusion := t.s.upstreams.take(view, t.pool, query)
 		if taken != nil {
 			return taken, nil
 		}
@@ -156,5 +156,3 @@
 	}
 	return parts[max(0, len(parts)-2)].ID
 }
-
-func (t *transfer) promptTokens() int { return t.call.PromptTokens }
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -74,8 +74,8 @@
 	if !t.begun {
 		t.writeStreamHead(exchange)
 	}
-	if !taken.gotByte {
-		taken.firstByte()
+	if !taken.gotEvent {
+		taken.gotEvent = true
 		t.noteFirst(taken)
 		// The upstream has read the results of the stages by now.
 		t.releaseInputs()
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -89,13 +89,13 @@
 	owner   *upstreams
 	state   *upstreamState
 	entry   registry.Entry
-	prompt  int
 	started clock.Instant
-	gotByte bool
+	// gotEvent is set once an event of the answer was passed on.
+	gotEvent bool
 }
 
 // take chooses an upstream in service for a request.
-func (u *upstreams) take(view *View, pool string, q *placement.Query, prompt int) (*lease, placement.Exclusion) {
+func (u *upstreams) take(view *View, pool string, q *placement.Query) (*lease, placement.Exclusion) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
@@ -104,8 +104,8 @@
 		return nil, exclusion
 	}
 	state := u.states[chosen.ID]
-	state.Began(now, prompt)
-	return &lease{owner: u, state: state, entry: state.entry, prompt: prompt, started: now}, placement.Found
+	state.Began(now)
+	return &lease{owner: u, state: state, entry: state.entry, started: now}, placement.Found
 }
 
 // candidates returns the upstreams of a pool in service. The caller holds the lock.
@@ -137,18 +137,8 @@
 	change(l.owner.now(), &l.state.Upstream)
 }
 
-// firstByte records that the answer has begun.
-func (l *lease) firstByte() {
-	if l.gotByte {
-		return
-	}
-	l.gotByte = true
-	l.with(func(_ clock.Instant, u *placement.Upstream) { u.FirstByte(l.prompt) })
-}
-
 // end gives the place back.
 func (l *lease) end() {
-	l.firstByte()
 	l.with(func(_ clock.Instant, u *placement.Upstream) { u.Ended() })
 }
 
--- a/pkg/catalog/route.go
+++ b/pkg/catalog/route.go
@@ -57,9 +57,6 @@
 	ResultBytes int64
 }
 
-// Repeatable reports whether a request that may have run may be sent again.
-func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
-
 // PoolFor returns the pool of a request; point is in [0, 1) and fixes the choice.
 func (r *Route) PoolFor(point float64) string {
 	total := 0.0
--- a/pkg/placement/example_test.go
+++ b/pkg/placement/example_test.go
@@ -10,7 +10,7 @@
 func ExamplePick() {
 	upstreams := []*placement.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	first, _ := placement.Pick(0, &placement.Query{Prefix: "contract"}, upstreams)
-	first.Began(0, 1000)
+	first.Began(0)
 	again, _ := placement.Pick(0, &placement.Query{Prefix: "contract"}, upstreams)
 	fmt.Println(first == again)
 	// Output: true
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -22,13 +22,13 @@
 	upstreams := pool(9)
 	first, _ := Pick(0, &Query{Prefix: "p"}, upstreams)
 	for range 3 {
-		first.Began(0, 100)
+		first.Began(0)
 		if again, _ := Pick(0, &Query{Prefix: "p"}, upstreams); again != first {
 			t.Fatalf("moved from %s to %s at load %d", first.ID, again.ID, first.InFlight)
 		}
 	}
 	for range 10 {
-		first.Began(0, 100)
+		first.Began(0)
 	}
 	if again, _ := Pick(0, &Query{Prefix: "p"}, upstreams); again == first {
 		t.Errorf("%s is taken with %d requests while others are idle", first.ID, first.InFlight)
@@ -57,7 +57,7 @@
 	var sends []clock.Instant
 	for now := clock.Instant(0); now < clock.Instant(3*time.Second); now = now.Add(10 * time.Millisecond) {
 		if chosen, _ := Pick(now, &Query{}, []*Upstream{u}); chosen != nil {
-			chosen.Began(now, 0)
+			chosen.Began(now)
 			sends = append(sends, now)
 		}
 	}
@@ -116,7 +116,7 @@
 	upstreams := pool(30)
 	q := &Query{Prefix: "p", Weight: 10}
 	first, _ := Pick(0, q, upstreams)
-	first.Began(0, 100)
+	first.Began(0)
 	if again, _ := Pick(0, q, upstreams); again == first {
 		t.Errorf("%s is taken again although the fleet has about ten requests there", first.ID)
 	}
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -27,10 +27,8 @@
 	ID   string
 	Zone string
 	// InFlight is the number of requests of this VM.
-	InFlight int
-	// PromptTokens is the number of prompt tokens of requests without a first event.
-	PromptTokens int
-	ColdUntil    clock.Instant
+	InFlight  int
+	ColdUntil clock.Instant
 	// ColdShare is the number of requests that this VM may send per second while the
 	// upstream is in cold start.
 	ColdShare int
@@ -44,15 +42,11 @@
 }
 
 // Began records that a request is sent.
-func (u *Upstream) Began(now clock.Instant, promptTokens int) {
+func (u *Upstream) Began(now clock.Instant) {
 	u.InFlight++
-	u.PromptTokens += promptTokens
 	u.coldSends = append(u.recentSends(now), now)
 }
 
-// FirstByte records that the prompt was read.
-func (u *Upstream) FirstByte(promptTokens int) { u.PromptTokens -= promptTokens }
-
 // Ended records the end of a request.
 func (u *Upstream) Ended() { u.InFlight-- }
 
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -8,7 +8,7 @@
 // it arrives, and dropped before its pieces cost anything.
 //
 // A Pool is deterministic and not safe for concurrent use. Invariants:
-//   - a piece is in at most one running call;
+//   - a piece is in at most one running call that is not overdue;
 //   - results of jobs that ended are released;
 //   - an upstream has at most the configured number of calls.
 package stagepool
