Do not take a slow VM for cold upstreams

Cause: under load every answer is late, and three late ones of the last five made an upstream count as cold.

Ruled out: stalls of the gateway's own process, which are subtracted already; the load came from other processes, the upstreams' stand-ins among them.

A slow attempt is no sign while at least half of the other upstreams are slow too, in two pools or more and, where there are several zones, in two or more of these.

The cases of one upstream, one pool and one zone still count as cold.

--- a/pkg/coldstart/coldstart_test.go
+++ b/pkg/coldstart/coldstart_test.go
@@ -15,7 +15,7 @@
 func warmed() *Evidence {
 	e := &Evidence{WarmAfter: 3}
 	for i := range 3 {
-		e.Success(start.Add(time.Duration(i)), start-1, time.Millisecond)
+		e.Success(start.Add(time.Duration(i)), start-1, time.Millisecond, false)
 	}
 	return e
 }
@@ -33,10 +33,10 @@
 		},
 		"service time": func(e *Evidence) clock.Instant {
 			for range learnedAfter {
-				e.Success(later, later, time.Millisecond)
+				e.Success(later, later, time.Millisecond, false)
 			}
 			for range jumpCount {
-				e.Success(later, later, 2*time.Millisecond+jumpMinimum)
+				e.Success(later, later, 2*time.Millisecond+jumpMinimum, false)
 			}
 			return later
 		},
@@ -57,10 +57,10 @@
 func TestShortPauseIsNoSignOfCold(t *testing.T) {
 	e := warmed()
 	for range learnedAfter {
-		e.Success(start.Add(3), start.Add(3), time.Millisecond)
+		e.Success(start.Add(3), start.Add(3), time.Millisecond, false)
 	}
 	for range jumpWindow {
-		e.Success(start.Add(4), start.Add(4), 10*time.Millisecond)
+		e.Success(start.Add(4), start.Add(4), 10*time.Millisecond, false)
 	}
 	if warm, _ := e.Warm(start.Add(5)); !warm {
 		t.Error("cold after calls that were late by 9 ms")
@@ -76,7 +76,7 @@
 	e.Cold(coldAt)
 	now := coldAt.Add(time.Second)
 	for range 10 {
-		e.Success(now, coldAt-1, time.Millisecond)
+		e.Success(now, coldAt-1, time.Millisecond, false)
 	}
 	e.Merge(now, &Report{Reporter: "b", Sequence: 2, Successes: 52, Observed: now})
 	e.Merge(now, &Report{Reporter: "c", Sequence: 9, Successes: 99, Observed: now})
@@ -96,7 +96,7 @@
 	e.Merge(start.Add(time.Second), &Report{Reporter: "b", Sequence: 1, Cold: true, Observed: start.Add(time.Second)})
 	now := start.Add(2 * time.Second)
 	for range 3 {
-		e.Success(now, now, time.Millisecond)
+		e.Success(now, now, time.Millisecond, false)
 	}
 	e.Merge(now+2, &Report{Reporter: "b", Sequence: 1, Cold: true, Observed: now + 1})
 	if warm, _ := e.Warm(now + 2); !warm {
--- a/pkg/coldstart/evidence.go
+++ b/pkg/coldstart/evidence.go
@@ -54,13 +54,23 @@
 	gained int
 }
 
-// Success records a success of an attempt that was dispatched at started.
-func (e *Evidence) Success(now, started clock.Instant, elapsed time.Duration) {
+// IsSlow reports whether an attempt took far longer than this upstream usually does.
+func (e *Evidence) IsSlow(elapsed time.Duration) bool { return e.times.isSlow(elapsed) }
+
+// Recent reports whether an attempt ended since the instant, and whether one that ended
+// since was slow.
+func (e *Evidence) Recent(since clock.Instant) (seen, slow bool) {
+	return e.times.seenAt > since, e.times.slowAt > since
+}
+
+// Success records a success of an attempt that was dispatched at started. Common is set if
+// the attempt was slow for a cause that this upstream shares with most others.
+func (e *Evidence) Success(now, started clock.Instant, elapsed time.Duration, common bool) {
 	e.expire(now)
 	if started <= e.coldAt && e.coldAt != 0 {
 		return
 	}
-	if e.times.jump(elapsed, e.warm) {
+	if e.times.jump(now, elapsed, e.warm, common) {
 		e.Cold(now)
 		return
 	}
@@ -70,10 +80,11 @@
 	e.settle()
 }
 
-// Slow records an attempt that ended unanswered after elapsed, such as a timeout.
-func (e *Evidence) Slow(now clock.Instant, elapsed time.Duration) {
+// Slow records an attempt that ended unanswered after elapsed, such as a timeout. Common is
+// as in Success.
+func (e *Evidence) Slow(now clock.Instant, elapsed time.Duration, common bool) {
 	e.expire(now)
-	if e.times.jump(elapsed, e.warm) {
+	if e.times.jump(now, elapsed, e.warm, common) {
 		e.Cold(now)
 	}
 }
--- a/pkg/coldstart/example_test.go
+++ b/pkg/coldstart/example_test.go
@@ -22,7 +22,7 @@
 	limiter.Lease = coldstart.Lease{Slots: 2, Until: now.Add(5 * time.Second)}
 	show("cold with lease")
 	for range 3 {
-		limiter.Evidence.Success(now, now, 10*time.Millisecond)
+		limiter.Evidence.Success(now, now, 10*time.Millisecond, false)
 	}
 	show("warm")
 	limiter.Evidence.Cold(now)
--- a/pkg/coldstart/servicetime.go
+++ b/pkg/coldstart/servicetime.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/quantile"
 )
 
@@ -28,15 +29,31 @@
 	slow   [jumpWindow]bool
 	next   int
 	until  int
+	// seenAt and slowAt are when the latest attempt and the latest slow one ended.
+	seenAt clock.Instant
+	slowAt clock.Instant
+}
+
+// isSlow reports whether an attempt took far longer than the median.
+func (s *serviceTimes) isSlow(elapsed time.Duration) bool {
+	return s.sketch.Total() >= learnedAfter && elapsed > max(jumpFactor*s.median, s.median+jumpMinimum)
 }
 
 // jump records an attempt and reports whether recent ones jumped above the median.
-// Attempts on a cold upstream are not learned from.
-func (s *serviceTimes) jump(elapsed time.Duration, warm bool) bool {
+// Attempts on a cold upstream are not learned from, and a slow one whose cause is common to
+// many upstreams says nothing about this one.
+func (s *serviceTimes) jump(now clock.Instant, elapsed time.Duration, warm, common bool) bool {
 	if !warm {
 		return false
 	}
-	slow := s.sketch.Total() >= learnedAfter && elapsed > max(jumpFactor*s.median, s.median+jumpMinimum)
+	slow := s.isSlow(elapsed)
+	s.seenAt = now
+	if slow {
+		s.slowAt = now
+	}
+	if slow && common {
+		return false
+	}
 	s.slow[s.next] = slow
 	s.next = (s.next + 1) % jumpWindow
 	if !slow {
--- a/pkg/dispatch/done.go
+++ b/pkg/dispatch/done.go
@@ -82,7 +82,8 @@
 		u.Connection.Worked()
 		u.limiter.Evidence.Cold(now)
 	case OutcomeTimeout:
-		u.limiter.Evidence.Slow(now, c.serviceTime(now, a, outcome.Elapsed))
+		elapsed := c.serviceTime(now, a, outcome.Elapsed)
+		u.limiter.Evidence.Slow(now, elapsed, c.isCommonSlowness(now, u, elapsed))
 		a.route.times.Learn(a.stage, a.pool.entry.Name, outcome.Elapsed)
 	case OutcomeSilent, OutcomeCancelled:
 	}
@@ -97,7 +98,8 @@
 func (c *Core) succeeded(now clock.Instant, a *attempt, outcome *Outcome) {
 	u := a.upstream
 	u.Connection.Worked()
-	u.limiter.Evidence.Success(now, a.started, c.serviceTime(now, a, outcome.Elapsed))
+	elapsed := c.serviceTime(now, a, outcome.Elapsed)
+	u.limiter.Evidence.Success(now, a.started, elapsed, c.isCommonSlowness(now, u, elapsed))
 	if u.Warm {
 		u.limiter.Ramp.Success(u.limiter.Share)
 	}
