Give each pool one owner by claims, and let calls find it

Cause: the owner of a pool was the first of a ranking of the VMs that each VM took for reachable, settled and not doubted. Owners that do not know of each other's calls filled the upstreams' queues (661 calls rejected), released inputs of calls that waited behind others (4,555 inputs gone) and threw the work away. Owners were also small VMs at half of their processor.

Ruled out: lost upstreams alone (the same pools worked with few failures while one VM owned them); the engines, which run three streams each; the bursts, in which stages were refused but hardly any work lost.

Change: a VM claims a pool that nobody owns and keeps it while it runs. Claims travel with the directory, go before other entries while they are new, and are announced at once. Of two claims, as after a partition, the same one yields at both VMs. A VM that is asked but does not own the pool names the one that does; it checks an owner that its caller could not reach itself. VMs with at least half of the largest processor are preferred. Releases that do not reach the owner go to the upstream.

--- /dev/null
+++ b/internal/edge/directory.go
@@ -0,0 +1,32 @@
+package edge
+
+import (
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+)
+
+// maxClaims bounds the claims that are taken over from a message.
+const maxClaims = 256
+
+func fromEntry(e fleet.Entry) *hoistv1.DirectoryEntry {
+	claims := make([]uint64, 0, len(e.Claims))
+	for _, key := range e.Claims {
+		claims = append(claims, uint64(key))
+	}
+	return &hoistv1.DirectoryEntry{
+		Name: e.Name, Zone: e.Zone, Address: e.Address, Leaving: e.Leaving, StartedMs: e.Started, Version: e.Version,
+		Capacity: e.Capacity, Claims: claims,
+	}
+}
+
+func toEntry(e *hoistv1.DirectoryEntry) fleet.Entry {
+	entry := fleet.Entry{
+		Name: e.GetName(), Zone: e.GetZone(), Address: e.GetAddress(), Leaving: e.GetLeaving(), Started: e.GetStartedMs(),
+		Version: e.GetVersion(), Capacity: e.GetCapacity(),
+	}
+	claims := e.GetClaims()
+	for _, key := range claims[:min(len(claims), maxClaims)] {
+		entry.Claims = append(entry.Claims, fleet.Key(key))
+	}
+	return entry
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
 // route returns a route of the host a.example.
@@ -362,7 +364,7 @@
 			r.Stages, r.Objective = []catalog.Stage{{Pool: "a"}}, 3*time.Second
 		})},
 	}, append(upstreamsOf("p", model), upstreamsOf("a", stage)...)...)
-	owner := f.servers[0].gossip.owners("a")[0].Name
+	owner := f.ownerOf(t, "a")
 	survivor := 0
 	for i, s := range f.servers {
 		if s.settings.VM == owner {
@@ -378,6 +380,33 @@
 	}
 }
 
+// TestCallsFindTheOwner guards against stages that run at a VM which is not the owner, and
+// against callers that are sent back to an owner which does not answer.
+func TestCallsFindTheOwner(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	batch := catalog.Batch{Concurrency: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, ResultTTL: time.Minute}
+	f.publish(&catalog.Catalog{Version: 1, Pools: map[string]*catalog.Pool{"a": {Name: "a", Batch: &batch}}}, upstreamsOf("a", newTestUpstream(t, "s", nil))...)
+	owner := f.ownerOf(t, "a")
+	var others []*Server
+	for _, s := range f.servers {
+		if s.settings.VM != owner {
+			others = append(others, s)
+		}
+	}
+	asked := others[0]
+	if got, isOwn := asked.ownHere(context.Background(), "a", nil, nil); isOwn || got != owner {
+		t.Errorf("the call was sent on to %q, expected %s", got, owner)
+	}
+	if got, isOwn := asked.ownHere(context.Background(), "a", []string{owner}, nil); isOwn || got != owner {
+		t.Errorf("the call was sent on to %q although %s answers", got, owner)
+	}
+	// The owner claims nothing any more, and the directory of the VM that is asked is old.
+	response, err := fleetServer{s: asked}.RunStage(context.Background(), &hoistv1.RunStageRequest{Pool: "a", Pieces: 1, NotOwners: []string{owner}})
+	if err != nil || (response.GetRefusal() == refusalNames[stagepool.Moved] && response.GetOwner() == owner) {
+		t.Errorf("the call was sent back to %s: %v, error %v", owner, response, err)
+	}
+}
+
 // TestTurnedAwayByTheStore turns the readers of the store away, all but the last. It guards
 // against VMs that follow a reader which knows nothing new, and against upstreams that are
 // kept after their entry was removed, since one VM's trouble is taken for an outage.
@@ -386,7 +415,7 @@
 	u, leaving := newTestUpstream(t, "u", nil), newTestUpstream(t, "leaving", nil)
 	f.publish(&catalog.Catalog{Version: 1, Pools: plainPools(), Routes: []catalog.Route{route("/x/", catalog.NonIdempotent, nil)}},
 		upstreamsOf("p", u, leaving)...)
-	ranking := f.servers[0].gossip.owners(readersKey)
+	ranking := f.servers[0].gossip.ranking(readersKey)
 	for i, s := range f.servers {
 		for _, reader := range ranking[:storeReaders-1] {
 			if s.settings.VM == reader.Name {
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -32,6 +32,9 @@
 
 // RunStage runs a stage at this VM's owner of the pool.
 func (f fleetServer) RunStage(ctx context.Context, r *hoistv1.RunStageRequest) (*hoistv1.RunStageResponse, error) {
+	if owner, isOwn := f.s.ownHere(ctx, r.GetPool(), r.GetLost(), r.GetNotOwners()); !isOwn {
+		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.Moved], Owner: owner}, nil
+	}
 	now := f.s.now()
 	job := stagepool.Job{
 		Request: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()), Key: r.GetKey(), Inputs: r.GetInputs(),
@@ -41,7 +44,7 @@
 	result := f.s.owner(r.GetPool()).run(ctx, job, f.s.releaseRead(job.Inputs, r.GetInputPools()))
 	return &hoistv1.RunStageResponse{
 		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(),
-		WaitMs: result.wait.Milliseconds(),
+		WaitMs: result.wait.Milliseconds(), Owner: result.owner,
 	}, nil
 }
 
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -42,31 +42,35 @@
 	conn   *net.UDPConn
 	port   int
 	seeds  []string
-	// changed is called when the directory or a status changed.
+	// changed is called when the directory or a status changed, and claimed when only what
+	// VMs own or whether they leave did.
 	changed func()
+	claimed func()
 
-	mu        sync.Mutex
-	machine   *membership.Machine
-	roster    *fleet.Roster
-	version   uint64
+	mu      sync.Mutex
+	machine *membership.Machine
+	roster  *fleet.Roster
+	version uint64
+	// claims is the version of the directory as it was last reported.
+	claims    uint64
 	lastHello clock.Instant
 	alone     bool
 }
 
-func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, changed func()) (*gossip, error) {
+func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, changed, claimed func()) (*gossip, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(s.IP), Port: s.GossipPort})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for membership")
 	}
 	started := uint64(time.Now().UnixMilli())
-	self := fleet.Entry{Name: s.VM, Zone: s.Zone, Address: s.PeerListen, Started: started}
+	self := fleet.Entry{Name: s.VM, Zone: s.Zone, Address: s.PeerListen, Started: started, Capacity: s.Capacity}
 	machine := membership.New(now(), membership.Options{
 		Self: s.VM, Incarnation: membership.NewIncarnation(started), Seed: started,
 		Period: probePeriod, DirectTimeout: directTimeout, ProbeTimeout: probeTimeout,
 		Suspicion: suspicionTime, PauseBound: pauseBound,
 	})
 	return &gossip{
-		now: now, logger: logger, conn: conn, port: s.GossipPort, seeds: s.Seeds, changed: changed,
+		now: now, logger: logger, conn: conn, port: s.GossipPort, seeds: s.Seeds, changed: changed, claimed: claimed,
 		machine: machine, roster: fleet.New(now(), self), alone: true,
 	}, nil
 }
@@ -113,9 +117,7 @@
 	g.mu.Lock()
 	entries := make([]fleet.Entry, 0, len(datagram.GetDirectory()))
 	for _, e := range datagram.GetDirectory() {
-		entries = append(entries, fleet.Entry{
-			Name: e.GetName(), Zone: e.GetZone(), Address: e.GetAddress(), Leaving: e.GetLeaving(), Started: e.GetStartedMs(),
-		})
+		entries = append(entries, toEntry(e))
 	}
 	if g.roster.Learn(now, entries) {
 		g.machine.SetList(now, g.roster.Members())
@@ -207,10 +209,8 @@
 		return
 	}
 	g.mu.Lock()
-	for _, e := range g.roster.Announce(directoryEntries) {
-		datagram.Directory = append(datagram.Directory, &hoistv1.DirectoryEntry{
-			Name: e.Name, Zone: e.Zone, Address: e.Address, Leaving: e.Leaving, StartedMs: e.Started,
-		})
+	for _, e := range g.roster.Announce(g.now(), directoryEntries) {
+		datagram.Directory = append(datagram.Directory, fromEntry(e))
 	}
 	g.mu.Unlock()
 	data, err := proto.Marshal(datagram)
@@ -226,9 +226,9 @@
 // notify reports a change of the directory or of a status.
 func (g *gossip) notify() {
 	g.mu.Lock()
-	version := g.machine.Version()
-	changed := version != g.version
-	g.version = version
+	version, claims := g.machine.Version(), g.roster.Version()
+	changed, claimsChanged := version != g.version, claims != g.claims
+	g.version, g.claims = version, claims
 	alone := len(g.roster.Reachable(g.now())) == 0
 	lost := alone != g.alone
 	g.alone = alone
@@ -241,6 +241,9 @@
 	if lost {
 		g.logger.Info("peers", zap.Bool("alone", alone), zap.Int("known", size))
 	}
+	if claimsChanged && !changed {
+		g.claimed()
+	}
 	if !changed {
 		return
 	}
@@ -258,23 +261,16 @@
 func (g *gossip) leave() {
 	g.mu.Lock()
 	g.roster.Leave()
-	peers := g.roster.Reachable(g.now())
 	g.mu.Unlock()
-	for _, entry := range peers {
-		g.write(&hoistv1.Datagram{}, g.gossipAddress(entry.Address))
-	}
+	g.announce()
 }
 
-func (g *gossip) owners(key string) []fleet.Entry {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.roster.Owners(g.now(), key)
-}
-
-func (g *gossip) doubt(name string, pause time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.roster.Doubt(g.now(), name, pause)
+// announce sends this VM's entry to all others, which would learn of it in some seconds
+// otherwise.
+func (g *gossip) announce() {
+	for _, entry := range g.reachable() {
+		g.write(&hoistv1.Datagram{}, g.gossipAddress(entry.Address))
+	}
 }
 
 func (g *gossip) reachable() []fleet.Entry {
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -8,6 +8,7 @@
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
@@ -15,64 +16,43 @@
 // owner learns the same from its calls.
 const handOverTimeout = 500 * time.Millisecond
 
-// handOverPools passes the pools that other VMs own now to these.
-func (s *Server) handOverPools() {
+// handOver passes a pool that this VM owned to the VM that owns it now.
+func (s *Server) handOver(pool string, next fleet.Entry) {
 	s.ownersMu.Lock()
-	owners := make([]*owner, 0, len(s.owners))
-	for _, o := range s.owners {
-		owners = append(owners, o)
-	}
+	o := s.owners[pool]
 	s.ownersMu.Unlock()
-	for _, o := range owners {
-		ranking := s.gossip.owners(o.pool)
-		if len(ranking) == 0 {
-			continue
-		}
-		if ranking[0].Name == s.settings.VM {
-			o.setOwning(true)
-			continue
-		}
-		if !o.setOwning(false) {
-			continue
-		}
-		states := o.yield()
-		next := ranking[0]
-		s.logger.Info("pool handed over", zap.String("pool", o.pool), zap.String("owner", next.Name), zap.Int("upstreams", len(states)))
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-			defer cancel()
-			request := &hoistv1.HandOverRequest{Pool: o.pool, Upstreams: fromStates(states)}
-			err := s.peers.callUnwatched(ctx, next, func(ctx context.Context, client hoistv1.FleetClient) error {
-				_, err := client.HandOver(ctx, request)
-				return err
-			})
-			if err != nil {
-				s.logger.Warn("state of a pool not handed over", zap.String("pool", o.pool), zap.String("owner", next.Name), obs.Reason(err))
-			}
-		}()
+	if o == nil || next.Name == "" || next.Name == s.settings.VM {
+		return
 	}
+	states := o.yield(next.Name)
+	s.logger.Info("pool handed over", zap.String("pool", pool), zap.String("owner", next.Name), zap.Int("upstreams", len(states)))
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		defer cancel()
+		request := &hoistv1.HandOverRequest{Pool: pool, Upstreams: fromStates(states), From: s.settings.VM}
+		err := s.peers.callUnwatched(ctx, next, func(ctx context.Context, client hoistv1.FleetClient) error {
+			_, err := client.HandOver(ctx, request)
+			return err
+		})
+		if err != nil {
+			s.logger.Warn("state of a pool not handed over", zap.String("pool", pool), zap.String("owner", next.Name), obs.Reason(err))
+		}
+	}()
 }
 
 // HandOver takes over what the owner of a pool before this VM knew.
 func (f fleetServer) HandOver(_ context.Context, r *hoistv1.HandOverRequest) (*hoistv1.HandOverResponse, error) {
 	f.s.logger.Info("pool taken over", zap.String("pool", r.GetPool()), zap.Int("upstreams", len(r.GetUpstreams())))
+	f.s.gossip.told(r.GetPool(), "", r.GetFrom())
+	f.s.gossip.claim(r.GetPool())
 	f.s.owner(r.GetPool()).takeOver(toStates(r.GetUpstreams()))
 	return &hoistv1.HandOverResponse{}, nil
 }
 
-// setOwning records whether this VM is the first in the ranking of the pool, and returns
-// what was recorded before.
-func (o *owner) setOwning(owning bool) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	before := o.owning
-	o.owning = owning
-	return before
-}
-
-func (o *owner) yield() []stagepool.UpstreamState {
+func (o *owner) yield(next string) []stagepool.UpstreamState {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.next = next
 	states := o.core.Yield(o.now())
 	o.drive()
 	return states
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -34,6 +34,8 @@
 	retryAfter time.Duration
 	// wait is how long a piece that arrives now would take.
 	wait time.Duration
+	// owner is the VM that owns the pool if the job has moved; empty if it is not known.
+	owner string
 }
 
 // stageWaiter waits for the end of a job.
@@ -53,8 +55,8 @@
 	metrics *metrics
 
 	mu sync.Mutex
-	// owning is set while this VM is the first in the ranking of the pool.
-	owning   bool
+	// next is the VM to which the pool was last handed over.
+	next     string
 	core     *stagepool.Pool
 	waiters  map[stagepool.JobID]*stageWaiter
 	address  map[string]string
@@ -159,7 +161,11 @@
 	for _, outcome := range o.core.Outcomes() {
 		if waiter := o.waiters[outcome.Job]; waiter != nil {
 			delete(o.waiters, outcome.Job)
-			waiter.done <- stageResult{handles: outcome.Handles, refusal: outcome.Refusal, wait: o.core.Wait(now)}
+			result := stageResult{handles: outcome.Handles, refusal: outcome.Refusal, wait: o.core.Wait(now)}
+			if outcome.Refusal == stagepool.Moved {
+				result.owner = o.next
+			}
+			waiter.done <- result
 		}
 	}
 	for _, free := range o.core.Frees() {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -98,7 +98,7 @@
 	s.fleetSize.Store(1)
 	s.follower = newFollower(o.Source, o.Decode, o.Now, o.Logger, s.apply)
 	var err error
-	s.gossip, err = newGossip(&s.settings, o.Now, o.Logger, s.fleetChanged)
+	s.gossip, err = newGossip(&s.settings, o.Now, o.Logger, s.fleetChanged, s.settlePools)
 	return s, err
 }
 
@@ -122,7 +122,7 @@
 	if view := s.view.Load(); view != nil {
 		s.upstreams.apply(view, &s.settings, names)
 	}
-	s.handOverPools()
+	s.settlePools()
 }
 
 // owner returns this VM's owner of a pool.
@@ -251,7 +251,7 @@
 	begun := s.now()
 	s.stopping.Store(true)
 	s.gossip.leave()
-	s.handOverPools()
+	s.settlePools()
 	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
 	pause(context.Background(), min(s.balancerDelay, s.settings.GracePeriod/2))
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.GracePeriod-stopMargin-s.now().Sub(begun))
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -30,6 +30,8 @@
 	// Store is the IP:port of the store with the published items.
 	Store       string
 	MemoryBytes int64
+	// Capacity is the processor time of the VM in thousandths of a core; 0 if not known.
+	Capacity uint32
 	// GracePeriod is the time between a stop signal and the kill.
 	GracePeriod time.Duration
 	// KeyBound is the age of the tables from which requests with keys are refused, since
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -14,44 +14,66 @@
 )
 
 const (
-	// maxOwners bounds the VMs that are tried as owner of a pool for one stage.
-	maxOwners = 3
+	// maxLost bounds the VMs that are tried as owner of a pool for one stage and do not
+	// answer.
+	maxLost = 3
 	// maxMoves bounds how often a stage follows its pool to another owner.
-	maxMoves = 3
-	// doubtTime is how long a VM that did not answer is not taken for an owner.
-	doubtTime = 2 * time.Second
+	maxMoves = 4
 )
 
-// runStage runs one stage at the owner of its pool, or at the next VM in the ranking if
-// the owner does not answer.
+// stageSearch looks for the owner of a pool for one stage.
+type stageSearch struct {
+	s    *Server
+	pool string
+	// lost are the VMs that did not answer, and denied those that are not the owner.
+	lost   []string
+	denied []string
+	moves  int
+}
+
+// isOver reports whether no other owner is looked for.
+func (f *stageSearch) isOver() bool { return len(f.lost) >= maxLost || f.moves >= maxMoves }
+
+// moved follows the pool to another owner.
+func (f *stageSearch) moved(from, to string) {
+	f.moves++
+	if from != f.s.settings.VM {
+		f.denied = append(f.denied, from)
+	}
+	f.s.gossip.told(f.pool, to, from)
+}
+
+// noAnswer notes that a VM did not answer.
+func (f *stageSearch) noAnswer(name string) {
+	f.lost = append(f.lost, name)
+	f.s.gossip.doubt(name, doubtTime)
+}
+
+// runStage runs one stage at the owner of its pool, or at the next one if the owner does not
+// answer.
 func (t *transfer) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
 	s, pool := t.s, t.route.Stages[stage].Pool
 	job := t.stageJob(stage, level, inputs)
-	lost, moves := 0, 0
-	for lost < maxOwners && moves < maxMoves {
-		// A VM that was lost comes last in the ranking from then on.
-		owners := s.gossip.owners(pool)
-		if len(owners) == 0 {
-			break
-		}
+	search := &stageSearch{s: s, pool: pool}
+	for !search.isOver() {
+		owner := s.gossip.owner(pool)
 		began := s.now()
-		result, err := s.runAt(ctx, owners[0], pool, job, inputPools)
+		result, err := s.runAt(ctx, owner, job, inputPools, search)
 		switch {
 		case err == nil && result.refusal == stagepool.Moved:
-			moves++
+			search.moved(owner.Name, result.owner)
 		case err == nil:
 			s.waits.note(s.now(), pool, result.wait)
 			s.logger.Info("stage ended", zap.String("request", t.call.ID), zap.Int("stage", stage), zap.String("pool", pool),
-				zap.String("owner", owners[0].Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
+				zap.String("owner", owner.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
 				zap.Duration("took", s.now().Sub(began)), zap.Duration("due", job.Due.Sub(began)), zap.Duration("limit", job.Limit.Sub(began)))
 			return result
 		case ctx.Err() != nil:
 			return stageResult{refusal: stagepool.Overloaded}
 		default:
-			lost++
-			s.gossip.doubt(owners[0].Name, doubtTime)
+			search.noAnswer(owner.Name)
 			s.logger.Warn("owner of a pool lost", zap.String("request", t.call.ID), zap.String("pool", pool),
-				zap.String("owner", owners[0].Name), zap.Int("lost", lost), zap.Duration("waited", s.now().Sub(began)), obs.Reason(err))
+				zap.String("owner", owner.Name), zap.Int("lost", len(search.lost)), zap.Duration("waited", s.now().Sub(began)), obs.Reason(err))
 		}
 	}
 	return stageResult{refusal: stagepool.Failed}
@@ -83,15 +105,16 @@
 }
 
 // runAt runs a job at a VM. An error means that the VM could not be asked.
-func (s *Server) runAt(ctx context.Context, entry fleet.Entry, pool string, job stagepool.Job, inputPools []string) (stageResult, error) {
+func (s *Server) runAt(ctx context.Context, entry fleet.Entry, job stagepool.Job, inputPools []string, search *stageSearch) (stageResult, error) {
 	if entry.Name == s.settings.VM {
-		return s.owner(pool).run(ctx, job, s.releaseRead(job.Inputs, inputPools)), nil
+		s.gossip.claim(search.pool)
+		return s.owner(search.pool).run(ctx, job, s.releaseRead(job.Inputs, inputPools)), nil
 	}
 	now := s.now()
 	request := &hoistv1.RunStageRequest{
-		Request: job.Request, Pool: pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
+		Request: job.Request, Pool: search.pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
 		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Limit.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
-		Zone: job.Zone, InputPools: inputPools,
+		Zone: job.Zone, InputPools: inputPools, Lost: search.lost, NotOwners: search.denied,
 	}
 	var result stageResult
 	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
@@ -103,6 +126,7 @@
 			handles: response.GetHandles(), refusal: refusalOf(response.GetRefusal()),
 			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
 			wait:       time.Duration(response.GetWaitMs()) * time.Millisecond,
+			owner:      response.GetOwner(),
 		}
 		return nil
 	})
@@ -131,20 +155,21 @@
 	if len(handles) == 0 {
 		return
 	}
-	owners := s.gossip.owners(pool)
-	if len(owners) == 0 || owners[0].Name == s.settings.VM {
+	owner := s.gossip.owner(pool)
+	if owner.Name == s.settings.VM {
 		s.owner(pool).release(handles)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		err := s.peers.call(ctx, owners[0], func(ctx context.Context, client hoistv1.FleetClient) error {
+		err := s.peers.call(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) error {
 			_, err := client.Release(ctx, &hoistv1.ReleaseRequest{Pool: pool, Handles: handles})
 			return err
 		})
 		if err != nil && !errors.Is(err, context.Canceled) {
-			s.logger.Info("release not delivered; the results expire", zap.String("pool", pool), zap.String("owner", owners[0].Name), obs.Reason(err))
+			s.logger.Info("release not delivered; released at the upstreams", zap.String("pool", pool), zap.String("owner", owner.Name), obs.Reason(err))
+			s.owner(pool).release(handles)
 		}
 	}()
 }
--- a/internal/edge/standin_test.go
+++ b/internal/edge/standin_test.go
@@ -337,6 +337,22 @@
 	}()
 }
 
+// ownerOf waits until all VMs agree which one owns the pool, and returns its name.
+func (f *testFleet) ownerOf(t *testing.T, pool string) string {
+	t.Helper()
+	owner := ""
+	await(t, "an owner of "+pool, func() bool {
+		owner = f.servers[0].gossip.owner(pool).Name
+		for _, s := range f.servers {
+			if s.gossip.owner(pool).Name != owner {
+				return false
+			}
+		}
+		return true
+	})
+	return owner
+}
+
 // await polls until the condition holds.
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -55,7 +55,7 @@
 
 // readers returns the other VMs that read the store, and whether this one does.
 func (s *Server) readers() ([]fleet.Entry, bool) {
-	ranking := s.gossip.owners(readersKey)
+	ranking := s.gossip.ranking(readersKey)
 	rank := slices.IndexFunc(ranking, func(e fleet.Entry) bool { return e.Name == s.settings.VM })
 	running := s.now().Sub(s.begun)
 	if len(ranking) <= 1 {
@@ -77,7 +77,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, rescueInterval)
 		s.follower.tick()
-		s.handOverPools()
+		s.settlePools()
 		if age, complete := s.follower.age(); complete && age < staleAge {
 			continue
 		}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 )
@@ -38,6 +40,18 @@
 	return view
 }
 
+// stagePools returns the names of the pools of stages, sorted.
+func (v *View) stagePools() []string {
+	var out []string
+	for name, pool := range v.Catalog.Pools {
+		if pool.Batch != nil {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // stagePool returns the definition of a pool of stages.
 func (v *View) stagePool(pool string) (catalog.Batch, bool) {
 	if v == nil || v.Catalog == nil || v.Catalog.Pools[pool] == nil || v.Catalog.Pools[pool].Batch == nil {
--- /dev/null
+++ b/pkg/fleet/entry.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+)
+
+// Key identifies something that one VM of the fleet owns, such as a pool of stages.
+type Key uint64
+
+// KeyOf returns the key for a name. Claims travel as hashes, so that an entry stays small
+// with many pools.
+func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+
+// Entry describes one VM. It does not change once it is in use.
+type Entry struct {
+	Name    string
+	Zone    string
+	Address string
+	// Started is the start of its process in milliseconds since the Unix epoch.
+	Started uint64
+	// Version counts the changes of Leaving and Claims within one start.
+	Version uint64
+	// Leaving is set once the VM is shutting down.
+	Leaving bool
+	// Capacity is the processor time of the VM in thousandths of a core.
+	Capacity uint32
+	// Claims are the keys that the VM says it owns.
+	Claims []Key
+}
+
+// Claimed reports whether the VM says that it owns the key.
+func (e *Entry) Claimed(key Key) bool { return slices.Contains(e.Claims, key) }
+
+// isNewer reports whether the entry is a later state of the same VM.
+func (e *Entry) isNewer(old *Entry) bool {
+	if e.Started != old.Started {
+		return e.Started > old.Started
+	}
+	return e.Version > old.Version
+}
+
+// withClaim returns the entry with the key added to the claims.
+func (e Entry) withClaim(key Key) Entry {
+	if !e.Claimed(key) {
+		e.Claims = append(slices.Clone(e.Claims), key)
+	}
+	return e
+}
+
+// withoutClaim returns the entry with the key removed from the claims.
+func (e Entry) withoutClaim(key Key) Entry {
+	e.Claims = slices.DeleteFunc(slices.Clone(e.Claims), func(k Key) bool { return k == key })
+	return e
+}
+
+// compareClaimants orders VMs that claim the same key, the one that keeps it first. The
+// order depends on nothing that VMs may see differently.
+func compareClaimants(name string, a, b *Entry) int {
+	if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+		return c
+	}
+	return compareWeights(name, a, b)
+}
+
+func compareWeights(name string, a, b *Entry) int {
+	if c := cmp.Compare(rendezvous.Weight(name, b.Name), rendezvous.Weight(name, a.Name)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
--- a/pkg/fleet/example_test.go
+++ b/pkg/fleet/example_test.go
@@ -7,12 +7,12 @@
 )
 
 // VMs that know the same entries agree who owns what.
-func ExampleRoster_Owners() {
+func ExampleRoster_Ranking() {
 	a := fleet.Entry{Name: "a", Address: "10.0.0.1:1", Started: 1}
 	b := fleet.Entry{Name: "b", Address: "10.0.0.2:1", Started: 1}
 	atA, atB := fleet.New(0, a), fleet.New(0, b)
 	atA.Learn(0, []fleet.Entry{b})
 	atB.Learn(0, []fleet.Entry{a})
-	fmt.Println(atA.Owners(0, "pool")[0].Name == atB.Owners(0, "pool")[0].Name)
+	fmt.Println(atA.Ranking(0, "pool")[0].Name == atB.Ranking(0, "pool")[0].Name)
 	// Output: true
 }
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -1,51 +1,61 @@
-// Package fleet keeps the directory of the VMs of a fleet that has no published VM list.
-// VMs learn of each other from a few seeds and from the entries that messages carry; the
-// membership machine decides which of them are reachable.
+// Package fleet keeps the directory of the VMs of a fleet that has no published VM list,
+// and decides which VM owns what. VMs learn of each other from a few seeds and from the
+// entries that messages carry; the membership machine decides which of them are reachable.
 //
 // A Roster is deterministic and not safe for concurrent use. Invariants:
-//   - of two entries with one name the one of the later process start is kept, and
-//     "leaving" is never taken back within one start;
-//   - an entry that was unreachable for the whole retention is forgotten.
+//   - of two entries with one name the later one is kept: that of the later process start,
+//     or the later version of the same start;
+//   - an entry that was unreachable for the whole retention is forgotten;
+//   - of two VMs that claim a name and reach each other, the same one yields at both.
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/membership"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 const (
 	// retention is how long an unreachable VM stays in the directory. It still counts for
 	// shares of limits, since it may be alive behind a partition.
 	retention = 30 * time.Second
-	// settleTime is how long a VM must have been running before it owns pools, so that a
-	// VM that restarts in a loop takes over nothing. It counts only if another VM has been
-	// running for longer.
-	settleTime = 3 * time.Second
+	// newsTime is how long a changed entry goes before others in messages. Each VM sends
+	// several messages in this time.
+	newsTime = 2 * time.Second
+	// reachableSlack is the age of the last observation at which a VM still counts as
+	// reachable; observations come with each tick of the membership machine.
+	reachableSlack = 500 * time.Millisecond
 )
 
-// Entry describes one VM.
-type Entry struct {
-	Name    string
-	Zone    string
-	Address string
-	// Leaving is set once the VM is shutting down.
-	Leaving bool
-	// Started is the start of its process in milliseconds since the Unix epoch.
-	Started uint64
-}
-
 // known is an entry with the time when it was last heard of.
 type known struct {
 	Entry
+	// learnt is when the start of the VM was first heard of, and changed when the entry last
+	// changed.
 	learnt    clock.Instant
+	changed   clock.Instant
 	reachable clock.Instant
 	// doubtedUntil is set when a call to the VM failed.
 	doubtedUntil clock.Instant
+	// told holds what calls brought about the claims of the VM since its entry changed.
+	told map[Key]bool
+}
+
+// owns reports whether the VM claims the key as far as is known.
+func (k *known) owns(key Key) bool {
+	if owns, ok := k.told[key]; ok {
+		return owns
+	}
+	return k.Claimed(key)
+}
+
+func (k *known) tell(key Key, owns bool) {
+	if k.told == nil {
+		k.told = map[Key]bool{}
+	}
+	k.told[key] = owns
 }
 
 // Roster is the directory.
@@ -56,6 +66,8 @@
 	// rotation is the position of the entries that go into the next message.
 	rotation int
 	begun    clock.Instant
+	// version counts the changes of who leaves and who claims what.
+	version uint64
 }
 
 // New returns a directory that holds only this VM.
@@ -66,34 +78,46 @@
 // Self returns the entry of this VM.
 func (r *Roster) Self() Entry { return r.self }
 
+// Version changes when a VM begins to leave or its claims change.
+func (r *Roster) Version() uint64 { return r.version }
+
 // Leave marks this VM as shutting down.
-func (r *Roster) Leave() { r.self.Leaving = true }
+func (r *Roster) Leave() {
+	r.self.Leaving = true
+	r.changeSelf()
+}
+
+func (r *Roster) changeSelf() {
+	r.self.Version++
+	r.version++
+}
 
 // Learn takes over entries of a message and reports whether a VM or an address is new.
 func (r *Roster) Learn(now clock.Instant, entries []Entry) bool {
-	changed := false
+	isNew := false
 	for _, entry := range entries {
 		if entry.Name == "" || entry.Address == "" || entry.Name == r.self.Name {
 			continue
 		}
 		old := r.entries[entry.Name]
 		if old == nil {
-			r.entries[entry.Name] = &known{Entry: entry, learnt: now, reachable: now}
+			r.entries[entry.Name] = &known{Entry: entry, learnt: now, changed: now, reachable: now}
 			r.sortNames()
-			changed = true
+			r.version++
+			isNew = true
 			continue
 		}
-		if entry.Started < old.Started {
+		if !entry.isNewer(&old.Entry) {
 			continue
 		}
-		if entry.Started == old.Started {
-			old.Leaving = old.Leaving || entry.Leaving
-			continue
+		if entry.Started != old.Started {
+			old.learnt, old.reachable = now, now
+			isNew = true
 		}
-		changed = true
-		old.Entry, old.learnt, old.reachable = entry, now, now
+		old.Entry, old.changed, old.told = entry, now, nil
+		r.version++
 	}
-	return changed
+	return isNew
 }
 
 func (r *Roster) sortNames() {
@@ -138,31 +162,42 @@
 	return true
 }
 
-// Doubt excludes a VM from ownership for a time, after a call to it failed.
-func (r *Roster) Doubt(now clock.Instant, name string, pause time.Duration) {
-	if entry := r.entries[name]; entry != nil {
-		entry.doubtedUntil = max(entry.doubtedUntil, now.Add(pause))
-	}
-}
-
-// Announce returns up to n entries for a message, this VM first. Leaving VMs go before the
-// others, which take turns.
-func (r *Roster) Announce(n int) []Entry {
+// Announce returns up to n entries for a message, this VM first. Up to half of them changed
+// of late; the others take turns.
+func (r *Roster) Announce(now clock.Instant, n int) []Entry {
 	out := []Entry{r.self}
-	for _, name := range r.names {
-		if entry := r.entries[name]; entry.Leaving && len(out) < n {
-			out = append(out, entry.Entry)
+	isOut := map[string]bool{}
+	add := func(known *known) {
+		if !isOut[known.Name] {
+			isOut[known.Name] = true
+			out = append(out, known.Entry)
 		}
 	}
+	for _, entry := range r.news(now) {
+		if len(out) > n/2 {
+			break
+		}
+		add(entry)
+	}
 	for range r.names {
 		if len(out) >= n {
 			break
 		}
 		r.rotation = (r.rotation + 1) % len(r.names)
-		if entry := r.entries[r.names[r.rotation]]; !entry.Leaving {
-			out = append(out, entry.Entry)
+		add(r.entries[r.names[r.rotation]])
+	}
+	return out
+}
+
+// news returns the entries that changed of late, the latest first.
+func (r *Roster) news(now clock.Instant) []*known {
+	var out []*known
+	for _, name := range r.names {
+		if entry := r.entries[name]; now.Sub(entry.changed) < newsTime {
+			out = append(out, entry)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b *known) int { return int(b.changed.Sub(a.changed)) })
 	return out
 }
 
@@ -185,63 +220,13 @@
 func (r *Roster) Reachable(now clock.Instant) []Entry {
 	var out []Entry
 	for _, name := range r.names {
-		entry := r.entries[name]
-		if entry.Leaving || now.Sub(entry.reachable) > reachableSlack {
-			continue
+		if entry := r.entries[name]; r.isReachable(now, entry) {
+			out = append(out, entry.Entry)
 		}
-		out = append(out, entry.Entry)
 	}
 	return out
 }
 
-// reachableSlack is the age of the last observation at which a VM still counts as
-// reachable; observations come with each tick of the membership machine.
-const reachableSlack = 500 * time.Millisecond
-
-// Owners returns the VMs that may own a key in order of preference. All VMs with the same
-// directory return the same order; VMs that a call could not reach come last.
-func (r *Roster) Owners(now clock.Instant, key string) []Entry {
-	candidates := r.Reachable(now)
-	if !r.self.Leaving {
-		candidates = append(candidates, r.self)
-	}
-	oldest := uint64(0)
-	for _, entry := range candidates {
-		if oldest == 0 || entry.Started < oldest {
-			oldest = entry.Started
-		}
-	}
-	weight := func(entry Entry) int {
-		switch {
-		case r.doubted(now, entry.Name):
-			return 2
-		case entry.Started > oldest+uint64(settleTime.Milliseconds()) && r.isYoung(now, entry.Name):
-			return 1
-		}
-		return 0
-	}
-	slices.SortFunc(candidates, func(a, b Entry) int {
-		if c := cmp.Compare(weight(a), weight(b)); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(rendezvous.Weight(key, b.Name), rendezvous.Weight(key, a.Name)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Name, b.Name)
-	})
-	return candidates
-}
-
-func (r *Roster) doubted(now clock.Instant, name string) bool {
-	entry := r.entries[name]
-	return entry != nil && entry.doubtedUntil > now
-}
-
-// isYoung reports whether the start of a VM was learnt less than the settle time ago.
-func (r *Roster) isYoung(now clock.Instant, name string) bool {
-	if name == r.self.Name {
-		return now.Sub(r.begun) < settleTime
-	}
-	entry := r.entries[name]
-	return entry != nil && now.Sub(entry.learnt) < settleTime
+func (r *Roster) isReachable(now clock.Instant, entry *known) bool {
+	return !entry.Leaving && now.Sub(entry.reachable) <= reachableSlack
 }
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -53,12 +53,12 @@
 // TestOwnersAgree guards against two owners of a pool while all VMs know each other.
 func TestOwnersAgree(t *testing.T) {
 	rosters := fleetOf(7)
-	want := names(rosters[0].Owners(0, "pool"))
+	want := names(rosters[0].Ranking(0, "pool"))
 	if len(want) != 7 {
 		t.Fatalf("owners %v", want)
 	}
 	for _, r := range rosters[1:] {
-		if diff := cmp.Diff(want, names(r.Owners(0, "pool"))); diff != "" {
+		if diff := cmp.Diff(want, names(r.Ranking(0, "pool"))); diff != "" {
 			t.Error(diff)
 		}
 	}
@@ -69,25 +69,25 @@
 func TestOwnerMovesWhenItIsLost(t *testing.T) {
 	now := clock.Instant(0)
 	r := fleetOf(7)[0]
-	ranking := names(r.Owners(now, "pool"))
+	ranking := names(r.Ranking(now, "pool"))
 	lost := ranking[0]
 	if lost == "vm-0" {
 		lost = ranking[1]
 	}
 	r.Doubt(now, lost, time.Second)
-	if last := names(r.Owners(now, "pool"))[6]; last != lost {
+	if last := names(r.Ranking(now, "pool"))[6]; last != lost {
 		t.Errorf("%s is doubted and %s comes last", lost, last)
 	}
 	now = now.Add(2 * time.Second)
 	observe(r, now, map[string]bool{lost: true})
-	if got := names(r.Owners(now, "pool")); len(got) != 6 {
+	if got := names(r.Ranking(now, "pool")); len(got) != 6 {
 		t.Errorf("owners %v still have %s", got, lost)
 	}
 	observe(r, now, nil)
 	leaving := entry(0, 1000)
-	leaving.Name, leaving.Leaving = lost, true
+	leaving.Name, leaving.Leaving, leaving.Version = lost, true, 1
 	r.Learn(now, []Entry{leaving})
-	if got := names(r.Owners(now, "pool")); len(got) != 6 {
+	if got := names(r.Ranking(now, "pool")); len(got) != 6 {
 		t.Errorf("owners %v have %s, which leaves", got, lost)
 	}
 }
@@ -98,20 +98,20 @@
 	now := clock.Instant(10 * time.Second)
 	r := fleetOf(7)[0]
 	observe(r, now, nil)
-	first := names(r.Owners(now, "pool"))[0]
+	first := names(r.Ranking(now, "pool"))[0]
 	if first == "vm-0" {
-		first = names(r.Owners(now, "pool"))[1]
+		first = names(r.Ranking(now, "pool"))[1]
 	}
 	again := Entry{Name: first, Zone: "z", Address: "10.0.0.9:1", Started: 60_000}
 	if !r.Learn(now, []Entry{again}) {
 		t.Error("a new start is not reported as a change")
 	}
-	if got := names(r.Owners(now, "pool"))[0]; got == first {
+	if got := names(r.Ranking(now, "pool"))[0]; got == first {
 		t.Errorf("%s owns the pool at once", first)
 	}
 	now = now.Add(settleTime + time.Millisecond)
 	observe(r, now, nil)
-	if got := names(r.Owners(now, "pool")); got[0] != first && got[1] != first {
+	if got := names(r.Ranking(now, "pool")); got[0] != first && got[1] != first {
 		t.Errorf("%s does not own the pool again: %v", first, got)
 	}
 }
@@ -136,9 +136,10 @@
 // TestAnnounceTakesTurns guards against entries that no message ever carries.
 func TestAnnounceTakesTurns(t *testing.T) {
 	r := fleetOf(20)[0]
+	now := clock.Instant(10 * time.Second)
 	seen := map[string]bool{}
 	for range 10 {
-		batch := r.Announce(4)
+		batch := r.Announce(now, 4)
 		if len(batch) != 4 || batch[0].Name != "vm-0" {
 			t.Fatalf("announced %v", names(batch))
 		}
