Never end a stream with another answer

Cause: a stream that broke was sent to a second upstream to go on there. That one answered with status 500 and a body of its own, which was kept as the upstream's own answer and written after the events that the caller had.

Ruled out: the change of ownership; the path is the same in the landed code, and needs only a resumable stream that breaks and an upstream that fails its rest.

Change: once part of a stream was passed on, an answer that is no stream counts as a broken attempt; the next upstream is tried, or the connection ends without the end of the answer.

Before: TestOtherAnswerDoesNotEndAStream fails with status 200, 400 and 500. After: passes.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -86,6 +87,11 @@
 	if strings.HasPrefix(exchange.Header.Get("Content-Type"), "text/event-stream") && exchange.Status < 300 {
 		return t.stream(taken, exchange)
 	}
+	if t.begun {
+		// Only the rest of the stream may follow what the caller has of it.
+		taken.with(func(now clock.Instant, u *placement.Upstream) { u.Failed(now) })
+		return attemptBroken, nil, "status " + strconv.Itoa(exchange.Status) + " in place of the rest of the stream"
+	}
 	return t.whole(taken, exchange, verdict)
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,6 +199,39 @@
 
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: d%d\n\n", id, id) }
 
+// TestOtherAnswerDoesNotEndAStream guards against a stream that looks complete because the
+// upstream at which it should go on answered with something else, which was appended to it.
+func TestOtherAnswerDoesNotEndAStream(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint("status ", status), func(t *testing.T) {
+			f := startFleet(t, 1, nil)
+			var sends atomic.Int64
+			answer := func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Seal", "s")
+				if sends.Add(1) > 1 {
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, "other")
+					return
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, event(1)+"id: 2\nda")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			f.publish(&catalog.Catalog{Version: 1, Pools: plainPools(), Routes: []catalog.Route{
+				route("/x/", catalog.Stream, func(r *catalog.Route) { r.Resumable = true }),
+			}}, upstreamsOf("p", newTestUpstream(t, "a", answer), newTestUpstream(t, "b", answer))...)
+			_, body, err := f.send(0, "r", "/x/", nil)
+			if err == nil || body != event(1) {
+				t.Errorf("body %q, error %v; expected the first event and a cut", body, err)
+			}
+			if sends.Load() != 2 {
+				t.Errorf("%d sends", sends.Load())
+			}
+		})
+	}
+}
+
 // TestStreamGoesOn breaks a stream inside an event at one upstream. It guards against parts
 // of events, events that are missing or come twice, and headers that change on the way.
 func TestStreamGoesOn(t *testing.T) {
