Doubt an owner that did not answer until it is heard of again

Cause: a VM that did not answer a call was left out of ownership for two seconds.

Ruled out: wrong claims; the VMs behind the cut claimed rightly for their side.

Change: the doubt ends when a message of the VM itself arrives. Doubted VMs are asked for one twice a second.

Before: TestOwnerMovesWhenItIsLost with the second look after two seconds fails.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -54,6 +54,7 @@
 	// claims is the version of the directory as it was last reported.
 	claims    uint64
 	lastHello clock.Instant
+	lastDoubt clock.Instant
 	alone     bool
 }
 
@@ -119,6 +120,10 @@
 	for _, e := range datagram.GetDirectory() {
 		entries = append(entries, toEntry(e))
 	}
+	if len(entries) > 0 {
+		// The sender's own entry comes first.
+		g.roster.Heard(entries[0].Name)
+	}
 	if g.roster.Learn(now, entries) {
 		g.machine.SetList(now, g.roster.Members())
 	}
@@ -147,6 +152,7 @@
 	g.mu.Unlock()
 	g.send(out)
 	g.hello(now)
+	g.askDoubted(now)
 	g.notify()
 }
 
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -8,13 +8,13 @@
 	"go.uber.org/zap"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
 
 const (
-	// doubtTime is how long a VM that did not answer is not taken for an owner. Membership
-	// has found it unreachable by then, or it answers again.
-	doubtTime = 2 * time.Second
+	// doubtInterval is the time between two messages that ask a doubted VM for a sign of life.
+	doubtInterval = 500 * time.Millisecond
 	// ownerCheckTimeout bounds the check of an owner that another VM could not reach. The
 	// stage that waits for it has about a second.
 	ownerCheckTimeout = 200 * time.Millisecond
@@ -66,10 +66,29 @@
 	return yielded
 }
 
-func (g *gossip) doubt(name string, pause time.Duration) {
+// doubt excludes a VM that did not answer from ownership until it is heard of again.
+func (g *gossip) doubt(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.Doubt(g.now(), name, pause)
+	g.roster.Doubt(name)
+	g.lastDoubt = g.now()
+}
+
+// askDoubted asks the VMs that did not answer a call for a message.
+func (g *gossip) askDoubted(now clock.Instant) {
+	g.mu.Lock()
+	doubted := g.roster.Doubted(now)
+	due := len(doubted) > 0 && now.Sub(g.lastDoubt) >= doubtInterval
+	if due {
+		g.lastDoubt = now
+	}
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, entry := range doubted {
+		g.write(&hoistv1.Datagram{Hello: true}, g.gossipAddress(entry.Address))
+	}
 }
 
 // told takes over from a call which VM owns a pool, and which VMs said that they do not.
@@ -101,7 +120,7 @@
 			return entry.Name, false
 		}
 		s.logger.Warn("owner of a pool lost", zap.String("pool", pool), zap.String("owner", entry.Name), zap.String("found_by", "a check"))
-		s.gossip.doubt(entry.Name, doubtTime)
+		s.gossip.doubt(entry.Name)
 	}
 	return "", false
 }
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -46,7 +46,7 @@
 // noAnswer notes that a VM did not answer.
 func (f *stageSearch) noAnswer(name string) {
 	f.lost = append(f.lost, name)
-	f.s.gossip.doubt(name, doubtTime)
+	f.s.gossip.doubt(name)
 }
 
 // runStage runs one stage at the owner of its pool, or at the next one if the owner does not
--- a/pkg/fleet/ownership.go
+++ b/pkg/fleet/ownership.go
@@ -52,7 +52,7 @@
 	}
 	for _, other := range r.names {
 		known := r.entries[other]
-		if !known.owns(key) || !r.isReachable(now, known) || known.doubtedUntil > now {
+		if !known.owns(key) || !r.isReachable(now, known) || known.doubted {
 			continue
 		}
 		if best == nil || compareClaimants(name, &known.Entry, best) < 0 {
@@ -78,7 +78,7 @@
 	}
 	tier := func(entry Entry) int {
 		switch {
-		case r.doubted(now, entry.Name):
+		case r.isDoubted(entry.Name):
 			return 3
 		case entry.Started > oldest+uint64(settleTime.Milliseconds()) && r.isYoung(now, entry.Name):
 			return 2
@@ -130,7 +130,7 @@
 func (r *Roster) Told(name, owner string) {
 	if known := r.entries[owner]; known != nil {
 		known.tell(KeyOf(name), true)
-		known.doubtedUntil = 0
+		known.doubted = false
 	}
 }
 
@@ -141,16 +141,37 @@
 	}
 }
 
-// Doubt excludes a VM from ownership for a time, after a call to it failed.
-func (r *Roster) Doubt(now clock.Instant, name string, pause time.Duration) {
+// Doubt excludes a VM from ownership after a call to it failed, until a message of its own
+// arrives. Membership takes seconds to find many VMs lost at once, and a pool that goes back
+// to a lost VM meanwhile costs each stage its time once more.
+func (r *Roster) Doubt(name string) {
 	if entry := r.entries[name]; entry != nil {
-		entry.doubtedUntil = max(entry.doubtedUntil, now.Add(pause))
+		entry.doubted = true
 	}
 }
 
-func (r *Roster) doubted(now clock.Instant, name string) bool {
+// Heard takes over that a message of the VM's own arrived.
+func (r *Roster) Heard(name string) {
+	if entry := r.entries[name]; entry != nil {
+		entry.doubted = false
+	}
+}
+
+// Doubted returns the reachable VMs that are doubted, by name. They should be asked for a
+// message.
+func (r *Roster) Doubted(now clock.Instant) []Entry {
+	var out []Entry
+	for _, name := range r.names {
+		if entry := r.entries[name]; entry.doubted && r.isReachable(now, entry) {
+			out = append(out, entry.Entry)
+		}
+	}
+	return out
+}
+
+func (r *Roster) isDoubted(name string) bool {
 	entry := r.entries[name]
-	return entry != nil && entry.doubtedUntil > now
+	return entry != nil && entry.doubted
 }
 
 // isYoung reports whether the start of a VM was learnt less than the settle time ago.
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -37,8 +37,8 @@
 	learnt    clock.Instant
 	changed   clock.Instant
 	reachable clock.Instant
-	// doubtedUntil is set when a call to the VM failed.
-	doubtedUntil clock.Instant
+	// doubted is set when a call to the VM failed, until it is heard of again.
+	doubted bool
 	// told holds what calls brought about the claims of the VM since its entry changed.
 	told map[Key]bool
 }
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -74,11 +74,21 @@
 	if lost == "vm-0" {
 		lost = ranking[1]
 	}
-	r.Doubt(now, lost, time.Second)
+	r.Doubt(lost)
 	if last := names(r.Ranking(now, "pool"))[6]; last != lost {
 		t.Errorf("%s is doubted and %s comes last", lost, last)
 	}
 	now = now.Add(2 * time.Second)
+	observe(r, now, nil)
+	if last := names(r.Ranking(now, "pool"))[6]; last != lost {
+		t.Errorf("%s owns again although nothing was heard of it", lost)
+	}
+	r.Heard(lost)
+	if got := names(r.Ranking(now, "pool")); !cmp.Equal(got, ranking) {
+		t.Errorf("ranking %v after a message of %s, expected %v", got, lost, ranking)
+	}
+	observe(r, now, map[string]bool{lost: true})
+	now = now.Add(time.Second)
 	observe(r, now, map[string]bool{lost: true})
 	if got := names(r.Ranking(now, "pool")); len(got) != 6 {
 		t.Errorf("owners %v still have %s", got, lost)
