Place requests by the earliest part of the prompt with enough values

A log of the prompts (trial) shows two sources: instructions of 340 tokens with 80 values that were placed by their 1,868 subjects, so that every upstream read them; and long subjects that left their upstream because the VM had one other request there, which counts as ten in a fleet of 80.

Ruled out: subjects under several instructions (each has one); the first upstream being overloaded (engines run three streams each).

Change: a route's requests are placed by the first shared part whose estimated number of values is at least a quarter of the upstreams. One own request at an upstream does not speak against it by itself; two do.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -148,11 +148,18 @@
 	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.fleetSize.Load())))
 }
 
-// sharedPrefix returns the last part of the prompt that other requests share.
+// sharedPrefix returns the part of the prompt by which the request is placed; empty if the
+// prompt shares nothing. The last of several parts belongs to the request alone.
 func (t *transfer) sharedPrefix() string {
-	parts := t.call.Prefix
-	if len(parts) == 0 || !t.route.Prefixes {
+	if len(t.call.Prefix) == 0 || !t.route.Prefixes {
 		return ""
 	}
-	return parts[max(0, len(parts)-2)].ID
+	if t.prefix == "" {
+		var shared []string
+		for _, part := range t.call.Prefix[:max(1, len(t.call.Prefix)-1)] {
+			shared = append(shared, part.ID)
+		}
+		t.prefix = t.s.upstreams.prefixKey(t.route.Name, shared, len(t.view.InService[t.pool]))
+	}
+	return t.prefix
 }
--- a/internal/edge/transfer.go
+++ b/internal/edge/transfer.go
@@ -21,10 +21,12 @@
 	ctx  context.Context
 	view *View
 
-	call        Call
-	route       *catalog.Route
-	workspace   *catalog.Workspace
-	pool        string
+	call      Call
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	pool      string
+	// prefix is the part of the prompt by which the request is placed.
+	prefix      string
 	body        []byte
 	fingerprint poison.Fingerprint
 
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"slices"
 	"sync"
 
@@ -27,7 +28,9 @@
 	mu      sync.Mutex
 	states  map[string]*upstreamState
 	budgets map[string]*retry.Budget
-	granted clock.Instant
+	// prefixes holds by what the requests of a route are placed.
+	prefixes map[string]*placement.PrefixKey
+	granted  clock.Instant
 	// grant is the number of repeats per second and pool that need no requests.
 	grant float64
 	// part is what a first attempt adds to the budget of its pool.
@@ -40,7 +43,10 @@
 }
 
 func newUpstreams(now func() clock.Instant) *upstreams {
-	return &upstreams{now: now, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{}, granted: now()}
+	return &upstreams{
+		now: now, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
+		prefixes: map[string]*placement.PrefixKey{}, granted: now(),
+	}
 }
 
 // apply takes over a view and the names of the VMs that may be running.
@@ -66,6 +72,9 @@
 			delete(u.states, id)
 		}
 	}
+	if view.Catalog != nil {
+		maps.DeleteFunc(u.prefixes, func(route string, _ *placement.PrefixKey) bool { return !view.Catalog.HasRoute(route) })
+	}
 }
 
 // coldShare returns this VM's part of the requests per second to a cold upstream. With
@@ -130,6 +139,18 @@
 	return chosen.Zone
 }
 
+// prefixKey returns the part of a prompt by which a request of a route is placed.
+func (u *upstreams) prefixKey(route string, shared []string, upstreams int) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	key := u.prefixes[route]
+	if key == nil {
+		key = &placement.PrefixKey{}
+		u.prefixes[route] = key
+	}
+	return key.Choose(shared, upstreams)
+}
+
 // with changes the state of the leased upstream.
 func (l *lease) with(change func(now clock.Instant, u *placement.Upstream)) {
 	l.owner.mu.Lock()
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -19,6 +19,7 @@
 	Limits     Limits
 
 	byHost map[string][]*Route
+	byName map[string]bool
 	byKey  map[string]*Workspace
 }
 
@@ -41,9 +42,10 @@
 
 // Index prepares the look-ups. Call it once before the first one.
 func (c *Catalog) Index() {
-	c.byHost = map[string][]*Route{}
+	c.byHost, c.byName = map[string][]*Route{}, map[string]bool{}
 	for i := range c.Routes {
 		route := &c.Routes[i]
+		c.byName[route.Name] = true
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
 	}
 	for _, routes := range c.byHost {
@@ -70,6 +72,9 @@
 	return nil
 }
 
+// HasRoute reports whether there is a route of the name.
+func (c *Catalog) HasRoute(name string) bool { return c.byName[name] }
+
 // NeedsKey reports whether requests of the route must carry a key.
 func (c *Catalog) NeedsKey(route *Route) bool {
 	return len(c.Workspaces) > 0 && !route.Anonymous
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -68,7 +68,9 @@
 	if q.Prefix == "" {
 		return best, Found
 	}
-	limit := best.cost(now, q.Weight)*preferenceRatio + preferenceSlack
+	// One request of this VM at the upstream may be all that the fleet has there, so that its
+	// weight alone does not speak against the upstream.
+	limit := best.cost(now, q.Weight)*preferenceRatio + preferenceSlack + max(q.Weight-1, 0)
 	for _, u := range preferred(q.Prefix, open) {
 		if u.cost(now, q.Weight) <= limit {
 			return u, Found
