Bound the head of upstream responses and discard foreign ones

Cause: the parser of internal/outbound had no limit on a response head. A fake upstream that sent a status line, one header, many headers, noise or 1xx responses without end made a test process allocate until a limit of 12 GB. A response with both a length and chunks was taken and its connection used again, and status 101 counted as a response.

Change: a head is parsed once it is complete in the read buffer of 16 KiB; longer ones, both framings at once, status 101 and more than 16 interim responses are errors. Request.Verify lets a caller of Do refuse a response that is not its own, whose connection is then closed, and Request.SingleUse keeps a connection out of the pool. CloseIdle had no caller.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -42,7 +42,12 @@
 	bodyWriteTimeout = 500 * time.Millisecond
 	// maxInlineBodyBytes is the largest body that is written before the response is read.
 	maxInlineBodyBytes = 8 << 10
-	bufferBytes        = 8 << 10
+	writeBufferBytes   = 8 << 10
+	// maxHeadBytes bounds the head of a response. It is also the size of the read buffer, since
+	// a head is parsed only once it is complete.
+	maxHeadBytes = 16 << 10
+	// maxInterimResponses bounds the responses with a status of 1xx before the final one.
+	maxInterimResponses = 16
 )
 
 // ErrNotSent marks the error of a request of which no byte was sent.
@@ -83,6 +88,12 @@
 	Body   []byte
 	// MaxConnIdle limits how long a reused connection may have been idle; 0 means the default.
 	MaxConnIdle time.Duration
+	// SingleUse sends the request on a new connection that is closed afterwards. It is for
+	// responses that do not say which request they belong to.
+	SingleUse bool
+	// Verify, if not nil, checks in Do that a complete response belongs to the request. If it
+	// returns an error, the connection is closed, since it may hold further foreign responses.
+	Verify func(*Response) error
 }
 
 // Response is a response with a buffered body.
@@ -100,6 +111,9 @@
 		return nil, err
 	}
 	defer exchange.Close()
+	if exchange.ContentLength > limit {
+		return nil, errors.Newf("response body of %d bytes exceeds %d", exchange.ContentLength, limit)
+	}
 	body, err := io.ReadAll(io.LimitReader(exchange.Body, limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read response body")
@@ -107,17 +121,24 @@
 	if int64(len(body)) > limit {
 		return nil, errors.Newf("response body exceeds %d bytes", limit)
 	}
-	return &Response{Status: exchange.Status, Header: exchange.Header, Body: body}, nil
+	response := &Response{Status: exchange.Status, Header: exchange.Header, Body: body}
+	if request.Verify != nil {
+		if err := request.Verify(response); err != nil {
+			exchange.Discard()
+			return nil, err
+		}
+	}
+	return response, nil
 }
 
 // Start sends a request and reads the status line and headers of the response. The caller
 // must close the exchange. The connection is closed when the context ends.
 func (c *Client) Start(ctx context.Context, address string, request *Request) (*Exchange, error) {
-	cn, err := c.acquireConn(ctx, address, request.MaxConnIdle)
+	cn, err := c.connFor(ctx, address, request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
-	x := &Exchange{client: c, conn: cn, address: address}
+	x := &Exchange{client: c, conn: cn, address: address, singleUse: request.SingleUse}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := x.send(request); err != nil {
 		x.Close()
@@ -133,6 +154,14 @@
 	return x, nil
 }
 
+// connFor returns the connection for a request.
+func (c *Client) connFor(ctx context.Context, address string, request *Request) (*conn, error) {
+	if request.SingleUse {
+		return c.dial(ctx, address)
+	}
+	return c.acquireConn(ctx, address, request.MaxConnIdle)
+}
+
 // acquireConn returns the most recently used idle connection, or dials a new one.
 func (c *Client) acquireConn(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
 	now := time.Now()
@@ -202,17 +231,6 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an address, for use after the process at the
-// address was replaced.
-func (c *Client) CloseIdle(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cn := range c.idleConns[address] {
-		_ = cn.Close()
-	}
-	delete(c.idleConns, address)
-}
-
 // conn is a connection that counts the bytes sent for its current request.
 type conn struct {
 	net.Conn
@@ -229,7 +247,7 @@
 		// Without the raw connection, isUsable returns false and the connection is not reused.
 		cn.rawConn, _ = tcp.SyscallConn()
 	}
-	cn.reader = bufio.NewReaderSize(raw, bufferBytes)
+	cn.reader = bufio.NewReaderSize(raw, maxHeadBytes)
 	return cn
 }
 
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -15,6 +15,8 @@
 type Exchange struct {
 	Status int
 	Header http.Header
+	// ContentLength is the announced length of the body, or -1.
+	ContentLength int64
 	// Body returns io.EOF only at the end of a complete response.
 	Body io.Reader
 
@@ -26,12 +28,14 @@
 	bodyWritten     chan error
 	complete        bool
 	closed          bool
+	// singleUse is set if the connection must not serve another request.
+	singleUse bool
 }
 
 // send writes the request. A large body is written concurrently with reading the response,
 // since a server may respond before it has read the body.
 func (x *Exchange) send(request *Request) error {
-	w := bufio.NewWriterSize(x.conn, bufferBytes)
+	w := bufio.NewWriterSize(x.conn, writeBufferBytes)
 	writeHead(w, request)
 	if len(request.Body) <= maxInlineBodyBytes {
 		_, _ = w.Write(request.Body)
@@ -53,25 +57,40 @@
 func writeHead(w *bufio.Writer, request *Request) {
 	_, _ = w.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(w)
+	if request.SingleUse {
+		_, _ = w.WriteString("Connection: close\r\n")
+	}
 	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
 }
 
+// readHead reads the head of the final response.
 func (x *Exchange) readHead(method string) error {
-	for {
+	for range maxInterimResponses + 1 {
+		head, err := peekHead(x.conn.reader)
+		if err != nil {
+			return err
+		}
+		if hasAmbiguousLength(head) {
+			return errors.New("the response has both a length and chunks")
+		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return errors.New("the response switches protocols, which the request did not ask for")
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
 		x.response = response
-		x.Status, x.Header, x.Body = response.StatusCode, response.Header, eofTracker{x}
+		x.Status, x.Header, x.Body, x.ContentLength = response.StatusCode, response.Header, eofTracker{x}, response.ContentLength
 		return nil
 	}
+	return errors.Newf("more than %d interim responses", maxInterimResponses)
 }
 
 // eofTracker reads the response body and records that its end was reached.
@@ -103,8 +122,14 @@
 	x.client.putIdle(x.address, x.conn)
 }
 
+// Discard ends the exchange and closes its connection.
+func (x *Exchange) Discard() {
+	x.singleUse = true
+	x.Close()
+}
+
 func (x *Exchange) isReusable() bool {
-	if !x.complete || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 {
+	if x.singleUse || !x.complete || x.response.Close || x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 {
 		return false
 	}
 	if x.bodyWritten != nil {
