Keep broken answers, stalls and malformed messages to one request

Cause, each shown by a test that fails on: an event of short lines was read without bound (1.4 GB in 23 s); a stream without seal or with an encoding, an event out of order, status 101, an unsealed 400, and a 408 or 429 without the statement that the request did not run reached callers; a stream with a byte or a comment now and then lasted until the deadline; an idempotent request waited for a slow body although another upstream could answer; a copy of an earlier batch's answer gave a request the results of another one; a caller's header with 2,000,000,000 pieces ended the process (80 GB); a caller that sent a byte of its body now and then was read for ever; a broken stream looked complete to an HTTP/1.0 caller; a VM took requests during a stop that could not end before it.

Change: bodies in memory share a bound that follows from the VM's memory; an event has at most 64 KiB and must follow the one before; progress of a stream is a whole event with data, and callers' patience bounds the time to the next one, half of it where the stream can move on; responses need the request's ID, and a connection serves no second request after one without it; results of a batch must be new; store calls use a connection each and check the form of their responses; pieces are bounded; a panic ends one request, message, item or pool; requests that would outlast a stop are refused as not run, requests are taken for 2.9 s in place of 3.3 s, and what runs is cut 0.25 s before the kill in place of 0.7 s.

FuzzReadEvent 20 s without a finding.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -19,11 +20,10 @@
 	// run only once. Such a request is lost if the other end closes the idle connection at that
 	// moment.
 	nonRepeatableMaxIdle = 2 * time.Second
-	// responseHeaderTimeoutFactor and responseHeaderTimeoutSlack set the timeout for the response
-	// header of an idempotent request, relative to its objective. After it another upstream is
-	// tried.
-	responseHeaderTimeoutFactor = 1.0
-	responseHeaderTimeoutSlack  = 100 * time.Millisecond
+	// responseTimeoutFactor and responseTimeoutSlack set the timeout for the response to an
+	// idempotent request, relative to its objective. After it another upstream is tried.
+	responseTimeoutFactor = 1.0
+	responseTimeoutSlack  = 100 * time.Millisecond
 )
 
 // attemptOutcome is the outcome of sending the request to one upstream.
@@ -60,58 +60,73 @@
 	t.upstream = upstreamLease.entry.ID
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
-	headerTimer := t.startResponseHeaderTimer(cancel)
+	progress := newProgressTimer(t.responseTimeout(), cancel)
+	defer progress.stop()
 	exchange, err := t.s.client.Start(ctx, upstreamLease.entry.Address, t.upstreamRequest(upstreamLease))
-	if headerTimer != nil {
-		headerTimer.Stop()
-	}
 	if err != nil {
 		return t.handleStartError(upstreamLease, err)
 	}
 	defer exchange.Close()
 	t.tried[upstreamLease.entry.ID] = true
 	info := t.s.dialect.DecodeResponse(exchange.Status, exchange.Header)
+	if info.RequestID == "" {
+		// A late second copy of this response could not be told from the response to the next
+		// request on the connection.
+		defer exchange.Discard()
+	}
+	if outcome, detail, isFinal := t.checkResponseHead(upstreamLease, info); isFinal {
+		return outcome, nil, detail
+	}
+	if strings.HasPrefix(exchange.Header.Get("Content-Type"), "text/event-stream") && exchange.Status < http.StatusMultipleChoices {
+		return t.relayStream(upstreamLease, exchange, progress)
+	}
+	if t.responseStarted {
+		// The caller has received the start of a stream; only the rest of it may follow.
+		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
+		return attemptBroken, nil, "status " + strconv.Itoa(exchange.Status) + " in place of the rest of the stream"
+	}
+	return t.relayResponse(upstreamLease, exchange)
+}
+
+// checkResponseHead handles a response whose head decides the outcome of the attempt, and reports
+// whether it does. Otherwise the body decides, and the upstream may have run the request.
+func (t *transaction) checkResponseHead(upstreamLease *lease, info ResponseInfo) (outcome attemptOutcome, detail string, isFinal bool) {
 	if info.ColdRemaining > 0 {
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordColdStart(now, info.ColdRemaining) })
 	}
 	switch {
 	case info.RequestID != "" && info.RequestID != t.requestInfo.ID:
 		t.mayHaveRun = true
-		return attemptBroken, nil, "the answer belongs to request " + info.RequestID
+		return attemptBroken, "the answer belongs to request " + info.RequestID, true
 	case info.Misdirected:
 		delete(t.tried, upstreamLease.entry.ID)
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
-		return attemptNotSent, nil, "another upstream has the address"
+		return attemptNotSent, "another upstream has the address", true
 	case info.InputsMissing:
-		return attemptInputsMissing, nil, "results of the stages are gone"
+		return attemptInputsMissing, "results of the stages are gone", true
 	case info.NotRun:
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordRejection(now) })
-		return attemptRejected, nil, "the upstream has no place"
+		return attemptRejected, "the upstream has no place", true
 	}
 	t.mayHaveRun = true
-	if strings.HasPrefix(exchange.Header.Get("Content-Type"), "text/event-stream") && exchange.Status < 300 {
-		return t.relayStream(upstreamLease, exchange)
-	}
-	if t.responseStarted {
-		// The caller has received the start of a stream; only the rest of it may follow.
+	if info.RequestID == "" || info.Encoded || !info.Sealed {
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
-		return attemptBroken, nil, "status " + strconv.Itoa(exchange.Status) + " in place of the rest of the stream"
+		return attemptBroken, "the answer is not the upstream's own: it has no request ID, no seal, or an encoding", true
 	}
-	return t.relayResponse(upstreamLease, exchange, info)
+	return 0, "", false
 }
 
-// startResponseHeaderTimer starts a timer that cancels the attempt of an idempotent request when
-// its response header is overdue and another upstream may still respond in time. It returns nil
-// if the attempt has no such limit.
-func (t *transaction) startResponseHeaderTimer(cancel context.CancelFunc) *time.Timer {
-	if t.route.Kind != catalog.Idempotent || len(t.tried)+1 >= t.route.MaxUpstreams || t.route.Objective == 0 {
-		return nil
-	}
-	timeout := time.Duration(responseHeaderTimeoutFactor*float64(t.route.Objective)) + responseHeaderTimeoutSlack
-	if timeout >= t.remaining() {
-		return nil
-	}
-	return time.AfterFunc(timeout, cancel)
+// responseTimeout returns how long an attempt may take until its first progress: the first event
+// of a stream, or the whole response of another request.
+func (t *transaction) responseTimeout() time.Duration {
+	if t.route.Kind == catalog.Stream {
+		return t.arrived.Add(streamPatience(t.route) + patienceMargin).Sub(t.s.now())
+	}
+	timeout := time.Duration(responseTimeoutFactor*float64(t.route.Objective)) + responseTimeoutSlack
+	if t.route.Kind != catalog.Idempotent || len(t.tried)+1 >= t.route.MaxUpstreams || t.route.Objective == 0 || timeout >= t.remaining() {
+		return t.remaining()
+	}
+	return timeout
 }
 
 // handleStartError handles an attempt that ended before the response header arrived.
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -77,6 +77,8 @@
 	InputsMissing bool
 	// Sealed is set if the response has the seal which shows that the upstream created it.
 	Sealed bool
+	// Encoded is set if the body has an encoding that no upstream uses.
+	Encoded bool
 	// ColdRemaining is how long the upstream remains in cold start; 0 if not stated.
 	ColdRemaining time.Duration
 	// Load is the number of other calls at the upstream; nil if not stated.
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -25,6 +28,9 @@
 	return stagepool.Failed
 }
 
+// errPieceCount reports a call with a number of pieces that no request has.
+var errPieceCount = status.Errorf(codes.InvalidArgument, "the number of pieces is not between 1 and %d", maxStagePieces)
+
 // fleetServer implements the gRPC service for other VMs.
 type fleetServer struct {
 	hoistv1.UnimplementedFleetServer
@@ -33,6 +39,9 @@
 
 // RunStage runs a stage if this VM owns or claims the pool, and returns the owner otherwise.
 func (f fleetServer) RunStage(ctx context.Context, r *hoistv1.RunStageRequest) (*hoistv1.RunStageResponse, error) {
+	if !isPieceCount(int64(r.GetPieces())) {
+		return nil, errPieceCount
+	}
 	if owner, isOwner := f.s.claimOrRedirect(ctx, r.GetPool(), r.GetLost(), r.GetNotOwners()); !isOwner {
 		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged], Owner: owner}, nil
 	}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -64,6 +64,7 @@
 		if canRetry := t.canRetry(outcome); !canRetry {
 			return t.giveUp(outcome, response, detail)
 		}
+		response.release()
 		if t.inputs == nil && len(t.route.Stages) > 0 {
 			if failure := t.rerunStages(); failure != nil {
 				return failure
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -38,11 +38,12 @@
 
 // gossip discovers the other VMs and tracks which of them are reachable.
 type gossip struct {
-	now    func() clock.Instant
-	logger *zap.Logger
-	conn   *net.UDPConn
-	port   int
-	seeds  []string
+	now     func() clock.Instant
+	logger  *zap.Logger
+	contain *containment
+	conn    *net.UDPConn
+	port    int
+	seeds   []string
 	// onMembershipChange is called when the members or their status changed, and onClaimChange
 	// when only the directory did, such as the pools that VMs own or whether they are leaving.
 	onMembershipChange func()
@@ -60,7 +61,7 @@
 	alone bool
 }
 
-func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, onMembershipChange, onClaimChange func()) (*gossip, error) {
+func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, contain *containment, onMembershipChange, onClaimChange func()) (*gossip, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(s.IP), Port: s.GossipPort})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for membership")
@@ -73,7 +74,7 @@
 		SuspicionTimeout: suspicionTimeout, PauseThreshold: pauseThreshold,
 	})
 	return &gossip{
-		now: now, logger: logger, conn: conn, port: s.GossipPort, seeds: s.Seeds, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange,
+		now: now, logger: logger, contain: contain, conn: conn, port: s.GossipPort, seeds: s.Seeds, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange,
 		membership: machine, directory: fleet.New(now(), self), alone: true,
 	}, nil
 }
@@ -111,13 +112,24 @@
 			g.logger.Warn("malformed membership datagram ignored", zap.Stringer("from", from), obs.ErrorField(err))
 			continue
 		}
-		g.handleDatagram(&datagram, from)
+		g.contain.run("membership datagram", func() { g.handleDatagram(&datagram, from) })
 	}
 }
 
 func (g *gossip) handleDatagram(datagram *hoistv1.Datagram, from *net.UDPAddr) {
+	g.sendMessages(g.applyDatagram(datagram))
+	if datagram.GetHello() {
+		g.writeDatagram(&hoistv1.Datagram{}, from)
+	}
+	g.reportChanges()
+}
+
+// applyDatagram applies a datagram to the directory and the membership machine, and returns the
+// messages to send.
+func (g *gossip) applyDatagram(datagram *hoistv1.Datagram) []membership.Message {
 	now := g.now()
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	entries := make([]fleet.Entry, 0, len(datagram.GetDirectory()))
 	for _, e := range datagram.GetDirectory() {
 		entries = append(entries, entryFromProto(e))
@@ -136,12 +148,7 @@
 	if a := datagram.GetAck(); a != nil {
 		out = append(out, g.membership.Receive(now, peer.ToMembershipAck(g.directory.Self().Name, a))...)
 	}
-	g.mu.Unlock()
-	g.sendMessages(out)
-	if datagram.GetHello() {
-		g.writeDatagram(&hoistv1.Datagram{}, from)
-	}
-	g.reportChanges()
+	return out
 }
 
 func (g *gossip) tick() {
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -51,20 +51,17 @@
 
 // handOverTo gives the pool up to the new owner and returns the state to send to it.
 func (r *poolRunner) handOverTo(newOwner string) []stagepool.UpstreamState {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.newOwner = newOwner
-	states := r.scheduler.HandOver(r.now())
-	r.applyDecisions()
+	var states []stagepool.UpstreamState
+	r.update(func() {
+		r.newOwner = newOwner
+		states = r.scheduler.HandOver(r.now())
+	})
 	return states
 }
 
 // takeOver applies the state that the previous owner sent.
 func (r *poolRunner) takeOver(states []stagepool.UpstreamState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.scheduler.TakeOver(r.now(), states)
-	r.applyDecisions()
+	r.update(func() { r.scheduler.TakeOver(r.now(), states) })
 }
 
 func upstreamStatesToProto(states []stagepool.UpstreamState) []*hoistv1.UpstreamState {
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -25,10 +25,16 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
+// panicRequest is the ID of a request whose decoding panics.
+const panicRequest = "panic"
+
 // testDialect implements Dialect with plain header names and JSON bodies.
 type testDialect struct{}
 
 func (testDialect) DecodeRequest(header http.Header) (RequestInfo, error) {
+	if header.Get("Request") == panicRequest {
+		panic("request of the test")
+	}
 	info := RequestInfo{ID: header.Get("Request"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event"), ContentKey: header.Get("Content-Key")}
 	if ms, err := strconv.Atoi(header.Get("Patience")); err == nil {
 		info.Timeout = time.Duration(ms) * time.Millisecond
@@ -58,6 +64,7 @@
 	return ResponseInfo{
 		RequestID: header.Get("Request"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, InputsMissing: status == http.StatusConflict,
+		Encoded: header.Get("Content-Encoding") != "",
 	}
 }
 
@@ -123,6 +130,9 @@
 func (s *testStore) decode(key string, value []byte) (any, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if key == "panic" {
+		panic("item of the test")
+	}
 	if zone, ok := strings.CutPrefix(key, "out/"); ok {
 		return ZoneOut(zone), nil
 	}
@@ -199,6 +209,9 @@
 	server *httptest.Server
 	// handler serves requests other than stage calls.
 	handler http.HandlerFunc
+	// beforeStage, if set, is called before a stage call runs, and results changes its results.
+	beforeStage func()
+	results     func(call stagepool.Call, results []stagepool.PieceResult) []stagepool.PieceResult
 
 	mu          sync.Mutex
 	runs        map[string]int
@@ -258,6 +271,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if u.beforeStage != nil {
+		u.beforeStage()
+	}
 	u.mu.Lock()
 	u.calls = append(u.calls, call)
 	var results []stagepool.PieceResult
@@ -266,6 +282,9 @@
 		results = append(results, stagepool.PieceResult{Outcome: stagepool.PieceSucceeded, Handle: fmt.Sprint(u.address(), "/", u.resultCount)})
 	}
 	u.mu.Unlock()
+	if u.results != nil {
+		results = u.results(call, results)
+	}
 	_ = json.NewEncoder(w).Encode(results) // The caller reports an incomplete response.
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -20,6 +20,7 @@
 	stageCalls   *prometheus.CounterVec
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
+	panics       *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -42,8 +43,11 @@
 		stageRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_stage_refused_total", Help: "Stages refused at once since they could not end in time.",
 		}, []string{"pool"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
+		}, []string{"scope"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
 	return m
 }
 
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -54,8 +54,13 @@
 	now     func() clock.Instant
 	logger  *zap.Logger
 	metrics *metrics
+	contain *containment
+	handles recentHandles
 
 	mu sync.Mutex
+	// batch and entries are the configuration that was last applied.
+	batch   catalog.Batch
+	entries []registry.Entry
 	// newOwner is the VM to which the pool was last handed over.
 	newOwner        string
 	scheduler       *stagepool.Pool
@@ -67,7 +72,7 @@
 
 func newPoolRunner(pool string, s *Server) *poolRunner {
 	r := &poolRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics,
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
 	}
@@ -75,79 +80,114 @@
 	return r
 }
 
-// configure applies the batch settings of the pool and its upstreams in service.
-func (r *poolRunner) configure(batch catalog.Batch, entries []registry.Entry) {
+// update runs f, which changes the scheduler, and performs what the scheduler then decides.
+func (r *poolRunner) update(f func()) {
+	r.locked(func() {
+		f()
+		r.applyDecisions()
+	})
+}
+
+// locked runs f under the lock. If an invariant of the scheduler turns out to be broken, which it
+// reports by a panic, its jobs fail and a new scheduler takes its place.
+func (r *poolRunner) locked(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	upstreams := make([]stagepool.Upstream, 0, len(entries))
-	for _, entry := range entries {
+	if r.contain.run("pool "+r.pool, f) {
+		r.reset()
+	}
+}
+
+// reset fails all jobs and starts over with a new scheduler. The caller holds the lock.
+func (r *poolRunner) reset() {
+	for _, waiter := range r.waiters {
+		waiter.done <- stageResult{refusal: stagepool.Failed}
+	}
+	r.waiters = map[stagepool.JobID]*stageWaiter{}
+	r.scheduler = stagepool.New(r.now())
+	r.applyConfiguration()
+}
+
+// configure applies the batch settings of the pool and its upstreams in service.
+func (r *poolRunner) configure(batch catalog.Batch, entries []registry.Entry) {
+	r.update(func() {
+		r.batch, r.entries = batch, entries
+		r.applyConfiguration()
+	})
+}
+
+// applyConfiguration passes the configuration to the scheduler. The caller holds the lock.
+func (r *poolRunner) applyConfiguration() {
+	upstreams := make([]stagepool.Upstream, 0, len(r.entries))
+	for _, entry := range r.entries {
 		upstreams = append(upstreams, stagepool.Upstream{ID: entry.ID, Zone: entry.Zone})
 		r.addresses[entry.ID] = entry.Address
 	}
-	r.scheduler.Configure(r.now(), batch, upstreams)
-	r.applyDecisions()
+	r.scheduler.Configure(r.now(), r.batch, upstreams)
 }
 
 // runJob runs a job to its end. If the context ends first, the job is cancelled. onInputsRead, if
 // not nil, is called once the upstreams have read the inputs.
 func (r *poolRunner) runJob(ctx context.Context, job stagepool.Job, onInputsRead func()) stageResult {
-	r.mu.Lock()
-	now := r.now()
-	id, expectedEnd, refusal := r.scheduler.Submit(now, job)
-	if refusal != stagepool.NoRefusal {
-		waiting := r.scheduler.WaitingPieces()
-		r.mu.Unlock()
-		r.metrics.stageRefused.WithLabelValues(r.pool).Inc()
-		r.logger.Info("stage refused", zap.String("request", job.Request), zap.String("pool", r.pool), zap.Int("stage", job.Stage),
-			zap.Int("pieces", job.Pieces), zap.Int("waiting", waiting), zap.Duration("expected", expectedEnd.Sub(now)),
-			zap.Duration("limit", job.Deadline.Sub(now)))
-		return stageResult{refusal: refusal, retryAfter: expectedEnd.Sub(job.Deadline)}
-	}
-	done := make(chan stageResult, 1)
-	r.waiters[id] = &stageWaiter{done: done, onInputsRead: onInputsRead}
-	r.applyDecisions()
-	r.mu.Unlock()
+	waiter := &stageWaiter{done: make(chan stageResult, 1), onInputsRead: onInputsRead}
+	id := r.submit(job, waiter)
 	select {
-	case result := <-done:
+	case result := <-waiter.done:
 		return result
 	case <-ctx.Done():
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.waiters, id)
-	r.scheduler.Cancel(id)
-	r.applyDecisions()
+	r.update(func() {
+		// A new scheduler after a broken invariant has other jobs under the same IDs.
+		if r.waiters[id] == waiter {
+			delete(r.waiters, id)
+			r.scheduler.Cancel(id)
+		}
+	})
 	select {
-	case result := <-done:
+	case result := <-waiter.done:
 		// The job ended in the meantime; nothing else releases its results.
-		r.scheduler.Release(result.handles)
-		r.applyDecisions()
+		r.update(func() { r.scheduler.Release(result.handles) })
 	default:
 	}
 	return stageResult{refusal: stagepool.Overloaded}
 }
 
+// submit adds a job and notifies the waiter if the job is refused.
+func (r *poolRunner) submit(job stagepool.Job, waiter *stageWaiter) (id stagepool.JobID) {
+	r.update(func() {
+		now := r.now()
+		var expectedEnd clock.Instant
+		var refusal stagepool.Refusal
+		id, expectedEnd, refusal = r.scheduler.Submit(now, job)
+		if refusal == stagepool.NoRefusal {
+			r.waiters[id] = waiter
+			return
+		}
+		r.metrics.stageRefused.WithLabelValues(r.pool).Inc()
+		r.logger.Info("stage refused", zap.String("request", job.Request), zap.String("pool", r.pool), zap.Int("stage", job.Stage),
+			zap.Int("pieces", job.Pieces), zap.Int("waiting", r.scheduler.WaitingPieces()), zap.Duration("expected", expectedEnd.Sub(now)),
+			zap.Duration("limit", job.Deadline.Sub(now)))
+		waiter.done <- stageResult{refusal: refusal, retryAfter: expectedEnd.Sub(job.Deadline)}
+	})
+	return id
+}
+
 // release releases results. Results unknown to the scheduler, which a previous owner created, are
 // released at their upstreams directly.
 func (r *poolRunner) release(handles []string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	byAddress := map[string][]string{}
-	for _, handle := range r.scheduler.Release(handles) {
-		address := r.dialect.HandleAddress(handle)
-		byAddress[address] = append(byAddress[address], handle)
-	}
-	for address, unknown := range byAddress {
-		go r.sendRelease(address, unknown)
-	}
-	r.applyDecisions()
+	r.update(func() {
+		byAddress := map[string][]string{}
+		for _, handle := range r.scheduler.Release(handles) {
+			address := r.dialect.HandleAddress(handle)
+			byAddress[address] = append(byAddress[address], handle)
+		}
+		for address, unknown := range byAddress {
+			go r.sendRelease(address, unknown)
+		}
+	})
 }
 
-func (r *poolRunner) onDispatchTimer() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.applyDecisions()
-}
+func (r *poolRunner) onDispatchTimer() { r.update(func() {}) }
 
 // applyDecisions performs what the scheduler decided. The caller holds the lock.
 func (r *poolRunner) applyDecisions() {
@@ -188,7 +228,8 @@
 // executeCall sends one batch and reports its outcome to the scheduler.
 func (r *poolRunner) executeCall(call stagepool.Call, address string) {
 	started := r.now()
-	outcome, results, load, err := r.sendCall(call, address)
+	outcome, results, load, err := stagepool.CallFailed, []stagepool.PieceResult(nil), (*stagepool.CallLoad)(nil), errors.New("panic during the call")
+	r.contain.run("stage call", func() { outcome, results, load, err = r.sendCall(call, address) })
 	now := r.now()
 	r.metrics.stageCalls.WithLabelValues(r.pool, callOutcomeNames[outcome]).Inc()
 	r.metrics.stagePieces.WithLabelValues(r.pool).Observe(float64(len(call.Pieces)))
@@ -202,10 +243,7 @@
 			zap.String("address", address), zap.Int("pieces", len(call.Pieces)), zap.String("first_request", call.Pieces[0].Request),
 			zap.String("end", callOutcomeNames[outcome]), zap.Duration("elapsed", now.Sub(started)), obs.ErrorField(err))
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.scheduler.FinishCall(now, call.Upstream, call.ID, outcome, results, load)
-	r.applyDecisions()
+	r.update(func() { r.scheduler.FinishCall(now, call.Upstream, call.ID, outcome, results, load) })
 }
 
 // countOutcome returns the number of pieces with the outcome.
@@ -232,6 +270,13 @@
 	if err != nil {
 		return stagepool.CallFailed, nil, nil, err
 	}
+	var results []stagepool.PieceResult
+	request.Verify = func(response *outbound.Response) (err error) {
+		if response.Status == http.StatusOK {
+			results, err = r.decodeResults(call, response.Body)
+		}
+		return err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
 	defer cancel()
 	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
@@ -247,17 +292,26 @@
 		return stagepool.CallMisdirected, nil, nil, nil
 	case info.NotRun:
 		return stagepool.CallRejected, nil, info.Load, nil
-	case response.Status != http.StatusOK:
+	case response.Status != http.StatusOK || info.Encoded:
 		return stagepool.CallFailed, nil, nil, errors.Newf("status %d", response.Status)
 	}
-	results, err := r.dialect.DecodeStageResults(response.Body)
+	return stagepool.CallAnswered, results, info.Load, nil
+}
+
+// decodeResults decodes the results of a batch and checks that they belong to it. A response
+// names no batch, so a second copy of an earlier response shows only by its handles.
+func (r *poolRunner) decodeResults(call stagepool.Call, body []byte) ([]stagepool.PieceResult, error) {
+	results, err := r.dialect.DecodeStageResults(body)
 	if err != nil {
-		return stagepool.CallFailed, nil, nil, err
+		return nil, err
 	}
 	if len(results) != len(call.Pieces) {
-		return stagepool.CallFailed, nil, nil, errors.Newf("%d results for %d pieces", len(results), len(call.Pieces))
+		return nil, errors.Newf("%d results for %d pieces", len(results), len(call.Pieces))
 	}
-	return stagepool.CallAnswered, results, info.Load, nil
+	if handle, seen := r.handles.addNew(results); seen {
+		return nil, errors.Newf("result %s belongs to an earlier batch", handle)
+	}
+	return results, nil
 }
 
 // queryMemory queries an upstream for its free memory and reports it to the scheduler.
@@ -271,10 +325,7 @@
 		return
 	}
 	r.logger.Info("free memory of an upstream reported", zap.String("pool", r.pool), zap.String("upstream", upstream), zap.Int64("free_bytes", freeBytes))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.scheduler.ReportFreeMemory(r.now(), upstream, freeBytes)
-	r.applyDecisions()
+	r.update(func() { r.scheduler.ReportFreeMemory(r.now(), upstream, freeBytes) })
 }
 
 func (r *poolRunner) fetchFreeMemory(ctx context.Context, address string) (int64, error) {
@@ -290,17 +341,16 @@
 
 // flushReleases sends the pending releases of an upstream.
 func (r *poolRunner) flushReleases(upstream string) {
-	r.mu.Lock()
-	handles, address := r.pendingReleases[upstream], r.addresses[upstream]
-	delete(r.pendingReleases, upstream)
-	r.mu.Unlock()
+	var handles []string
+	var address string
+	r.locked(func() {
+		handles, address = r.pendingReleases[upstream], r.addresses[upstream]
+		delete(r.pendingReleases, upstream)
+	})
 	if !r.sendRelease(address, handles) {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.scheduler.ConfirmReleased(handles)
-	r.applyDecisions()
+	r.update(func() { r.scheduler.ConfirmReleased(handles) })
 }
 
 // sendRelease tells an upstream to delete results and reports whether the call succeeded.
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -138,6 +138,9 @@
 	if owner := f.s.gossip.owner(r.GetPool()); owner.Name != f.s.settings.VM {
 		return &hoistv1.ReserveResponse{Owner: owner.Name}, nil
 	}
+	if !r.GetCancel() && !isPieceCount(int64(r.GetPieces())) {
+		return nil, errPieceCount
+	}
 	runner, now := f.s.poolRunner(r.GetPool()), f.s.now()
 	id := stagepool.StageID{Request: r.GetRequest(), Stage: int(r.GetStage())}
 	if r.GetCancel() {
@@ -152,13 +155,11 @@
 }
 
 func (r *poolRunner) reserve(reservation stagepool.Reservation) clock.Instant {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.scheduler.Reserve(r.now(), reservation)
+	var end clock.Instant
+	r.locked(func() { end = r.scheduler.Reserve(r.now(), reservation) })
+	return end
 }
 
 func (r *poolRunner) cancelReservation(id stagepool.StageID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.scheduler.CancelReservation(id)
+	r.locked(func() { r.scheduler.CancelReservation(id) })
 }
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -1,12 +1,11 @@
 package edge
 
 import (
-	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -15,43 +14,36 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 )
 
-// maxResponseBytes bounds the body of a response that is not a stream.
-const maxResponseBytes = 32 << 20
-
 // bufferedResponse is an upstream's response that is not a stream.
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *body
 }
 
 // relayResponse reads the whole response before it forwards any of it, so that another
 // upstream can be tried if the response is incomplete or too large.
-func (t *transaction) relayResponse(upstreamLease *lease, exchange *outbound.Exchange, info ResponseInfo) (attemptOutcome, *bufferedResponse, string) {
-	body, err := io.ReadAll(io.LimitReader(exchange.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Newf("the answer has over %d bytes", maxResponseBytes)
-	}
+func (t *transaction) relayResponse(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
+	responseBody, err := t.s.responseMemory.read(exchange.Body, exchange.ContentLength, maxBodyBytes, t.s.responseMemory.waitForMemory(t.ctx))
 	if err != nil {
+		responseBody.release()
 		if t.ctx.Err() != nil {
 			return attemptAborted, nil, err.Error()
 		}
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		return attemptBroken, nil, err.Error()
 	}
-	response := &bufferedResponse{status: exchange.Status, header: responseHeader(exchange.Header), body: body}
+	response := &bufferedResponse{status: exchange.Status, header: responseHeader(exchange.Header), body: responseBody}
+	if statusMeansNotRun(response.status) {
+		// The upstream did not say so in a way that counts, and must not seem to.
+		response.release()
+		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
+		return attemptBroken, nil, "status " + strconv.Itoa(response.status) + " that is no answer of the upstream"
+	}
 	if exchange.Status >= http.StatusInternalServerError {
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
-		if !info.Sealed || statusMeansNotRun(response.status) {
-			// Without a seal the response is not known to come from the upstream. A status
-			// that tells the caller that the request did not run must not be forwarded.
-			return attemptBroken, nil, "status " + http.StatusText(response.status) + " that is no answer of the upstream"
-		}
 		return attemptFailed, response, http.StatusText(response.status)
 	}
-	if exchange.Status < 300 && !info.Sealed {
-		return attemptBroken, nil, "the answer has no proof"
-	}
 	elapsed := float64(t.s.now().Sub(upstreamLease.started))
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, time.Millisecond))
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, elapsed/expected) })
@@ -71,14 +63,29 @@
 	return false
 }
 
+// writeTo writes the response to the caller and releases its body.
 func (b *bufferedResponse) writeTo(t *transaction) {
+	defer b.body.release()
 	header := t.w.Header()
 	for name, values := range b.header {
 		header[name] = values
 	}
+	if size := b.body.size(); size > 0 {
+		header.Set("Content-Length", strconv.FormatInt(size, 10))
+	}
 	t.w.WriteHeader(b.status)
-	if _, err := t.w.Write(b.body); err != nil {
-		t.s.logger.Info("response not delivered", zap.String("request", t.requestInfo.ID), obs.ErrorField(err))
+	for _, part := range b.body.parts {
+		if _, err := t.w.Write(part); err != nil {
+			t.s.logger.Info("response not delivered", zap.String("request", t.requestInfo.ID), obs.ErrorField(err))
+			return
+		}
+	}
+}
+
+// release releases the body of a response that is not forwarded.
+func (b *bufferedResponse) release() {
+	if b != nil {
+		b.body.release()
 	}
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 )
 
@@ -24,6 +26,12 @@
 	// keyAgeFraction is the fraction of Settings.KeyRevocationTimeout at which requests with
 	// API keys are refused. The rest covers the time until a request reaches its upstream.
 	keyAgeFraction = 0.85
+	// stopSafetyFactor is how many times the expected duration of a request must be left before a
+	// VM stops. Durations vary, and requests take longer while VMs stop one after the other.
+	stopSafetyFactor = 1.5
+	// writeSlack is the time beyond the deadline for writing the response, such as an error that
+	// says that the deadline has passed.
+	writeSlack = 5 * time.Second
 	// minRetryAfter and maxRetryAfter bound the Retry-After header.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -34,6 +42,8 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
+	defer t.end()
+	t.limitWrites(defaultRequestTimeout)
 	if s.stopping.Load() {
 		// The next connection of the caller then goes to another VM.
 		w.Header().Set("Connection", "close")
@@ -48,6 +58,18 @@
 	t.finish(failure)
 }
 
+// end releases the memory of the request. A panic while the request was handled ends this request
+// alone: its connection is closed, so that the caller sees no complete response.
+func (t *transaction) end() {
+	t.requestBody.release()
+	if value := recover(); value != nil {
+		if value != http.ErrAbortHandler {
+			t.s.contain.record("request", value)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // prepare parses the request and checks whether it may be served.
 func (t *transaction) prepare() *errkind.Error {
 	info, err := t.s.dialect.DecodeRequest(t.r.Header)
@@ -66,11 +88,34 @@
 	if failure := t.authenticate(config); failure != nil {
 		return failure
 	}
+	for _, n := range info.Pieces {
+		if n != 0 && !isPieceCount(int64(n)) {
+			return errkind.New(errkind.BadRequest, "a stage with "+strconv.Itoa(n)+" pieces")
+		}
+	}
 	t.setDeadlines()
+	if failure := t.checkStop(); failure != nil {
+		return failure
+	}
+	t.limitWrites(t.remaining())
 	t.pool = t.route.PoolFor(float64(xxhash.Sum64String(info.ID)>>11) / (1 << 53))
 	return t.readBody(config)
 }
 
+// checkStop refuses a request that could not end before this VM stops. Another VM can run it.
+func (t *transaction) checkStop() *errkind.Error {
+	if !t.s.stopping.Load() {
+		return nil
+	}
+	left := clock.Instant(t.s.stopAt.Load()).Sub(t.arrived)
+	expected := t.s.durations.expected(t.route.Name, t.route.Objective)
+	if time.Duration(stopSafetyFactor*float64(expected)) <= left {
+		return nil
+	}
+	t.retryAfter = minRetryAfter
+	return errkind.New(errkind.Draining, "the request would take "+expected.String()+", and the VM stops in "+left.String())
+}
+
 func (t *transaction) authenticate(config *catalog.Catalog) *errkind.Error {
 	if t.requestInfo.APIKey != "" {
 		t.workspace = config.WorkspaceOf(t.requestInfo.APIKey)
@@ -108,30 +153,56 @@
 	}
 }
 
+// readBody reads the body of the request, at most until the request's deadline.
 func (t *transaction) readBody(config *catalog.Catalog) *errkind.Error {
 	limit := config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if t.r.ContentLength > limit {
-		return errkind.New(errkind.BodyTooLarge, strconv.FormatInt(t.r.ContentLength, 10)+" bytes")
-	}
-	body, err := io.ReadAll(io.LimitReader(t.r.Body, limit+1))
-	if err != nil {
+	t.limitBodyReads(time.Now().Add(t.remaining()))
+	requestBody, err := t.s.requestMemory.read(t.r.Body, t.r.ContentLength, limit, t.s.requestMemory.tryMemory)
+	t.requestBody = requestBody
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return errkind.New(errkind.BodyTooLarge, err.Error())
+	case errors.Is(err, errNoBodyMemory):
+		return errkind.New(errkind.Overloaded, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.New(errkind.DeadlineExceeded, "the body did not arrive in time")
+	case err != nil:
 		return errkind.New(errkind.BadRequest, "the body did not arrive: "+err.Error())
 	}
-	if int64(len(body)) > limit {
-		return errkind.New(errkind.BodyTooLarge, "over "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	t.body = body
+	// A limit that passes later would count as the caller's disconnect.
+	t.limitBodyReads(time.Time{})
+	t.body = requestBody.bytes()
 	t.fingerprint = requestFingerprint(t)
 	return nil
 }
 
+// limitBodyReads sets the time by which the body must have arrived; the zero time means no limit.
+func (t *transaction) limitBodyReads(until time.Time) {
+	if t.r.Body == http.NoBody {
+		return
+	}
+	if err := http.NewResponseController(t.w).SetReadDeadline(until); err != nil {
+		t.s.logger.Debug("time limit for the request body not set", obs.ErrorField(err))
+	}
+}
+
+// limitWrites bounds how long the caller may take to read the response. Without a bound, a caller
+// that reads nothing would hold its request for ever. The limit stays in place until the next
+// request on the connection sets its own.
+func (t *transaction) limitWrites(timeout time.Duration) {
+	if err := http.NewResponseController(t.w).SetWriteDeadline(time.Now().Add(timeout + writeSlack)); err != nil {
+		t.s.logger.Debug("no time limit for the response", obs.ErrorField(err))
+	}
+}
+
 // finish writes the error response, if any, and the log line of the request.
 func (t *transaction) finish(failure *errkind.Error) {
 	elapsed := t.s.now().Sub(t.arrived)
 	if failure == nil {
+		t.s.durations.record(t.route.Name, elapsed)
 		t.s.metrics.recordRequest(t, "ok", elapsed)
 		t.s.logger.Info("request answered", append(t.logFields(), zap.String("upstream", t.upstream), zap.Int("sends", len(t.tried)),
 			zap.Duration("stages", t.stageTime), zap.Int("events", t.events))...)
@@ -148,8 +219,7 @@
 		zap.Duration("stages", t.stageTime), zap.Int("events", t.events), zap.Duration("tables_age", age),
 		zap.Duration("retry_after", t.retryAfter))...)
 	if t.responseStarted || kind == "caller_gone" {
-		// Aborting the connection tells the caller that the response is not complete.
-		panic(http.ErrAbortHandler)
+		t.abort()
 	}
 	t.writeError(failure)
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -30,10 +30,11 @@
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
 	// balancerDelay is how long a VM that shuts down accepts new requests: the load balancer
-	// notices after two failed readiness checks, one second apart.
-	balancerDelay = 3300 * time.Millisecond
+	// notices after two failed readiness checks, one second apart. Operators expect an answer to
+	// each request that is sent up to three seconds after the stop signal, or later if accepted.
+	balancerDelay = 2900 * time.Millisecond
 	// shutdownMargin is the part of the grace period kept for the exit of the process.
-	shutdownMargin = 700 * time.Millisecond
+	shutdownMargin = 250 * time.Millisecond
 	// sweepInterval is the time between two checks for connections to upstreams that were idle
 	// for too long.
 	sweepInterval = time.Second
@@ -63,13 +64,17 @@
 	failures *zap.Logger
 	registry *prometheus.Registry
 	metrics  *metrics
+	contain  *containment
 	random   *rand.Rand
 
 	follower  *follower
 	gossip    *gossip
 	peers     *peers
 	upstreams *upstreams
-	startedAt clock.Instant
+	// requestMemory and responseMemory bound the memory for bodies.
+	requestMemory  *bodyMemory
+	responseMemory *bodyMemory
+	startedAt      clock.Instant
 	// balancerDelay is how long new requests are accepted after a stop signal.
 	balancerDelay time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
@@ -78,6 +83,10 @@
 	fleetSize    atomic.Int64
 	inFlight     atomic.Int64
 	stopping     atomic.Bool
+	// stopAt is when requests that still run are cut off; it is set before stopping.
+	stopAt atomic.Int64
+	// durations estimates how long requests take.
+	durations durations
 
 	poolRunnersMu sync.Mutex
 	poolRunners   map[string]*poolRunner
@@ -95,11 +104,13 @@
 		upstreams: newUpstreams(options.Now), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
+	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
+	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), s.random.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
-	s.follower = newFollower(options.Source, options.Decode, options.Now, options.Logger, s.applyView)
+	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView)
 	var err error
-	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.onFleetChange, s.updatePoolClaims)
+	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.contain, s.onFleetChange, s.updatePoolClaims)
 	return s, err
 }
 
@@ -171,12 +182,12 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	peerServer := grpc.NewServer(s.peers.transport.ServerOptions()...)
+	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(s.contain.interceptCall))...)
 	hoistv1.RegisterFleetServer(peerServer, fleetServer{s: s})
 	go s.runServer("peers", func() error { return peerServer.Serve(peerListener) })
 	callerServer := &http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx }, ErrorLog: zap.NewStdLog(s.logger),
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: withConn, ErrorLog: zap.NewStdLog(s.logger),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, server := range []struct {
@@ -252,12 +263,14 @@
 // and idle connections are closed, and running requests may end.
 func (s *Server) shutDown(callerServer *http.Server) {
 	started := s.now()
+	stopAt := started.Add(s.settings.GracePeriod - shutdownMargin)
+	s.stopAt.Store(int64(stopAt))
 	s.stopping.Store(true)
 	s.gossip.leave()
 	s.updatePoolClaims()
 	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
 	sleep(context.Background(), min(s.balancerDelay, s.settings.GracePeriod/2))
-	ctx, cancel := context.WithTimeout(context.Background(), s.settings.GracePeriod-shutdownMargin-s.now().Sub(started))
+	ctx, cancel := context.WithTimeout(context.Background(), stopAt.Sub(s.now()))
 	defer cancel()
 	err := callerServer.Shutdown(ctx)
 	s.logger.Info("stopped", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("took", s.now().Sub(started)), obs.ErrorField(err))
--- a/internal/edge/stagerun.go
+++ b/internal/edge/stagerun.go
@@ -90,7 +90,9 @@
 			}
 		}
 		go func() {
-			run.completions <- stageCompletion{stage: stage, result: run.t.runStage(run.ctx, stage, run.levels[stage], inputs, pools)}
+			result := stageResult{refusal: stagepool.Failed}
+			run.t.s.contain.run("stage", func() { result = run.t.runStage(run.ctx, stage, run.levels[stage], inputs, pools) })
+			run.completions <- stageCompletion{stage: stage, result: result}
 		}()
 	}
 }
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -18,8 +18,14 @@
 	// stageRerunLimit bounds how often the stages run if their results are lost meanwhile, and
 	// how often they run again after an upstream has reported missing inputs.
 	stageRerunLimit = 2
+	// maxStagePieces bounds the pieces of one stage. The owner of its pool holds memory for each
+	// piece, and looks at all of them when it estimates how long they take.
+	maxStagePieces = 4096
 )
 
+// isPieceCount reports whether a stage that runs may have the number of pieces.
+func isPieceCount(n int64) bool { return n > 0 && n <= maxStagePieces }
+
 // inputSet holds the stage results that a request still needs.
 type inputSet struct {
 	// byStage holds the handles of the results of each stage.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,30 +13,33 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // relayStream forwards complete events as they arrive. An incomplete event at the end of a
 // broken stream is dropped, so that another upstream can resume the stream.
-func (t *transaction) relayStream(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
+func (t *transaction) relayStream(upstreamLease *lease, exchange *outbound.Exchange, progress *progressTimer) (attemptOutcome, *bufferedResponse, string) {
 	reader := bufio.NewReader(exchange.Body)
 	for {
-		event, id, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		event, err := readEvent(reader)
+		if errors.Is(err, io.EOF) {
 			return t.finishStream(upstreamLease, exchange)
 		}
 		if err != nil {
 			return t.recordStreamError(upstreamLease, err)
 		}
-		if id != "" && id == t.lastEventID {
+		if event.id != "" && event.id == t.lastEventID {
 			// A resumed stream must not repeat the last event that was forwarded.
 			continue
 		}
+		if !event.follows(t.lastEventID) {
+			return t.recordStreamError(upstreamLease, errors.Newf("event %q after event %q", event.id, t.lastEventID))
+		}
 		if err := t.writeEvent(upstreamLease, exchange, event); err != nil {
 			return attemptAborted, nil, "the caller has left: " + err.Error()
 		}
-		if id != "" {
-			t.lastEventID = id
+		if event.id != "" {
+			t.lastEventID = event.id
+		}
+		if event.hasData {
+			progress.reset(t.eventTimeout())
 		}
 	}
 }
@@ -48,6 +51,16 @@
 	return attemptDone, nil, ""
 }
 
+// eventTimeout returns how long the upstream may take for the next event. A stream that can go on
+// at another upstream moves there while its caller still waits.
+func (t *transaction) eventTimeout() time.Duration {
+	patience := streamPatience(t.route)
+	if t.isRepeatable() && len(t.tried) < t.route.MaxUpstreams {
+		return patience / resumePatienceDivisor
+	}
+	return patience + patienceMargin
+}
+
 func (t *transaction) recordStreamError(upstreamLease *lease, err error) (attemptOutcome, *bufferedResponse, string) {
 	if t.ctx.Err() != nil {
 		return attemptAborted, nil, err.Error()
@@ -70,20 +83,22 @@
 	t.w.WriteHeader(exchange.Status)
 }
 
-func (t *transaction) writeEvent(upstreamLease *lease, exchange *outbound.Exchange, event []byte) error {
+func (t *transaction) writeEvent(upstreamLease *lease, exchange *outbound.Exchange, event streamEvent) error {
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
-	if !upstreamLease.eventSent {
+	if event.hasData && !upstreamLease.eventSent {
 		upstreamLease.eventSent = true
 		t.recordFirstEvent(upstreamLease)
 		// The upstream has read the stage results before its first event.
 		t.releaseInputs()
 	}
-	if _, err := t.w.Write(event); err != nil {
+	if _, err := t.w.Write(event.text); err != nil {
 		return err
 	}
-	t.events++
+	if event.hasData {
+		t.events++
+	}
 	return http.NewResponseController(t.w).Flush()
 }
 
@@ -94,27 +109,3 @@
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
 	t.s.metrics.firstEvent.WithLabelValues(t.pool).Observe(t.s.now().Sub(t.arrived).Seconds())
 }
-
-// readEvent returns the next event, including the empty line that ends it, and the event's ID.
-// The error is io.EOF at the end of the stream; an incomplete event is a different error.
-func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
-	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) > 0 {
-				return nil, "", errors.New("the stream ended inside an event")
-			}
-			return nil, "", err
-		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, id, nil
-		}
-	}
-}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -27,6 +27,8 @@
 	pool        string
 	// prefixKey is the key of the prompt prefix by which the request is placed.
 	prefixKey   string
+	requestBody *body
+	// body is the content of requestBody.
 	body        []byte
 	fingerprint poison.Fingerprint
 
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -122,6 +122,11 @@
 		return nil, errors.Newf("response body exceeds %d bytes", limit)
 	}
 	response := &Response{Status: exchange.Status, Header: exchange.Header, Body: body}
+	if response.Status != http.StatusOK {
+		// A refusal does not say which request it belongs to, so a late second copy could not
+		// be told from the refusal of the next request.
+		exchange.Discard()
+	}
 	if request.Verify != nil {
 		if err := request.Verify(response); err != nil {
 			exchange.Discard()
