Spread the subjects of a prompt over a subset of engines, and copy prompts on a spill

Cause: a route's prompts were placed by one part.

Change: pkg/placement narrows the upstreams part by part: an instruction spreads over a subset of three times the engines that an even split would give it, and a subject prefers two of these. A request that goes to another engine than the preferred one names that one as the source of its cached prompt.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -153,7 +153,7 @@
 	pool := t.view.Catalog.Pools[t.pool]
 	upstreamRequest := UpstreamRequest{
 		Upstream: upstreamLease.entry.ID, TimeLeft: t.remaining(), Priority: t.priority(), LastEventID: t.lastEventID, Resumed: t.lastEventID != "",
-		IsEngine: pool != nil && pool.Engine != nil,
+		IsEngine: pool != nil && pool.Engine != nil, CacheSource: upstreamLease.cacheSource,
 	}
 	if t.workspace != nil {
 		upstreamRequest.Workspace = t.workspace.Name
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -63,6 +63,9 @@
 	Inputs      []string
 	// IsEngine is set if the upstream serves a language model.
 	IsEngine bool
+	// CacheSource is the IP:port of an engine from which the upstream copies the cached part of
+	// the prompt; empty if it has it itself or nobody is known to have it.
+	CacheSource string
 }
 
 // ResponseInfo is what the status and headers of an upstream's response state.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -152,18 +152,18 @@
 	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.fleetSize.Load())))
 }
 
-// sharedPrefix returns the key of the prompt prefix by which the request is placed; empty if the
-// route has no prompt prefixes. The last of several parts belongs to this request alone.
-func (t *transaction) sharedPrefix() string {
+// sharedPrefix returns the parts of the prompt by which the request is placed; empty if the route
+// has no prompt prefixes. The last of several parts belongs to this request alone.
+func (t *transaction) sharedPrefix() []placement.PrefixLevel {
 	if len(t.requestInfo.PromptPrefix) == 0 || !t.route.HasPromptPrefixes {
-		return ""
+		return nil
 	}
-	if t.prefixKey == "" {
+	if t.prefix == nil {
 		var shared []string
 		for _, part := range t.requestInfo.PromptPrefix[:max(1, len(t.requestInfo.PromptPrefix)-1)] {
 			shared = append(shared, part.ID)
 		}
-		t.prefixKey = t.s.upstreams.choosePrefix(t.route.Name, shared, len(t.view.InService[t.pool]))
+		t.prefix = t.s.upstreams.choosePrefix(t.route.Name, shared, len(t.view.InService[t.pool]))
 	}
-	return t.prefixKey
+	return t.prefix
 }
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
@@ -25,8 +26,8 @@
 	route       *catalog.Route
 	workspace   *catalog.Workspace
 	pool        string
-	// prefixKey is the key of the prompt prefix by which the request is placed.
-	prefixKey   string
+	// prefix holds the parts of the prompt by which the request is placed.
+	prefix      []placement.PrefixLevel
 	requestBody *body
 	// body is the content of requestBody.
 	body        []byte
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -104,6 +104,9 @@
 	state     *upstreamState
 	entry     registry.Entry
 	started   clock.Instant
+	// cacheSource is the address of the upstream that probably caches the prompt prefix of the
+	// request; empty if it is this one or not known.
+	cacheSource string
 	// eventSent is set once an event of the response was forwarded to the caller.
 	eventSent bool
 }
@@ -113,13 +116,18 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	chosen, status := placement.Pick(now, request, u.candidates(view, pool))
+	candidates := u.candidates(view, pool)
+	chosen, status := placement.Pick(now, request, candidates)
 	if chosen == nil {
 		return nil, status
 	}
 	state := u.states[chosen.ID]
 	state.RecordStart(now)
-	return &lease{upstreams: u, state: state, entry: state.entry, started: now}, placement.Found
+	l := &lease{upstreams: u, state: state, entry: state.entry, started: now}
+	if source := placement.CacheSource(now, request, chosen, candidates); source != nil {
+		l.cacheSource = u.states[source.ID].entry.Address
+	}
+	return l, placement.Found
 }
 
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
@@ -145,7 +153,7 @@
 }
 
 // choosePrefix returns the prompt prefix for the placement of a request of a route.
-func (u *upstreams) choosePrefix(route string, shared []string, upstreams int) string {
+func (u *upstreams) choosePrefix(route string, shared []string, upstreams int) []placement.PrefixLevel {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	selector := u.prefixSelectors[route]
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -7,6 +7,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
@@ -26,8 +29,9 @@
 
 // Request is a request to place.
 type Request struct {
-	// Prefix is the prompt prefix that the request shares with others; empty if there is none.
-	Prefix string
+	// Prefix holds the parts of the prompt that the request shares with others, in prompt order;
+	// empty if there are none.
+	Prefix []PrefixLevel
 	// Zone is the zone of this VM.
 	Zone string
 	// MaxInFlight bounds the requests of this VM at one upstream; 0 means no limit.
@@ -65,13 +69,14 @@
 		return nil, AllBusy
 	}
 	best := cheapest(now, r, available)
-	if r.Prefix == "" {
+	if len(r.Prefix) == 0 {
 		return best, Found
 	}
 	// With a high fleet weight, a single request of this VM may be the only one of the fleet at
 	// the upstream. Its weight alone must not rule out the upstream.
 	limit := best.cost(now, r.FleetWeight)*preferredCostRatio + preferredCostSlack + max(r.FleetWeight-1, 0)
-	for _, u := range preferredByPrefix(r.Prefix, available) {
+	isAvailable := func(u *Upstream) bool { return r.isAvailable(now, u) && !u.inBackoff(now) }
+	for _, u := range preferredByPrefix(r.Prefix, upstreams, isAvailable) {
 		if u.cost(now, r.FleetWeight) <= limit {
 			return u, Found
 		}
@@ -79,10 +84,15 @@
 	return best, Found
 }
 
+// isAvailable reports whether the upstream may take the request within all limits.
+func (r *Request) isAvailable(now clock.Instant, u *Upstream) bool {
+	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
+}
+
 func candidates(now clock.Instant, r *Request, upstreams []*Upstream) (available, inBackoff []*Upstream) {
 	for _, u := range upstreams {
 		switch {
-		case r.Tried[u.ID], r.MaxInFlight > 0 && u.InFlight >= r.MaxInFlight, u.atColdRateLimit(now):
+		case !r.isAvailable(now, u):
 		case u.inBackoff(now):
 			inBackoff = append(inBackoff, u)
 		default:
@@ -97,7 +107,7 @@
 	bestCost := 0.0
 	for _, u := range upstreams {
 		cost := u.cost(now, r.FleetWeight)
-		if r.Prefix == "" && u.Zone != r.Zone {
+		if len(r.Prefix) == 0 && u.Zone != r.Zone {
 			cost += crossZoneCost
 		}
 		if best == nil || cost < bestCost {
@@ -107,24 +117,46 @@
 	return best
 }
 
-// preferredByPrefix returns the highest-ranked upstreams of the prefix by rendezvous hashing.
-func preferredByPrefix(prefix string, upstreams []*Upstream) []*Upstream {
-	var top [preferredUpstreams]*Upstream
-	var weights [preferredUpstreams]uint64
-	for _, u := range upstreams {
-		weight := rendezvous.Weight(prefix, u.ID)
-		for i := range top {
-			if top[i] == nil || weight > weights[i] {
-				copy(top[i+1:], top[i:])
-				copy(weights[i+1:], weights[i:])
-				top[i], weights[i] = u, weight
-				break
-			}
+// CacheSource returns the upstream from which the chosen one can copy the prefix of the request, or
+// nil: the one that the prefix prefers most, which has probably cached it, if it is another one.
+func CacheSource(now clock.Instant, r *Request, chosen *Upstream, upstreams []*Upstream) *Upstream {
+	if len(r.Prefix) == 0 {
+		return nil
+	}
+	preferred := preferredByPrefix(r.Prefix, upstreams, func(u *Upstream) bool { return !u.inBackoff(now) })
+	if len(preferred) == 0 || preferred[0] == chosen {
+		return nil
+	}
+	return preferred[0]
+}
+
+// preferredByPrefix returns the available upstreams that the prefix prefers, by rendezvous hashing.
+// Each level narrows the upstreams down to a subset, also by those that are not available, so that
+// the subset stays the same while an upstream is at a limit.
+func preferredByPrefix(levels []PrefixLevel, upstreams []*Upstream, isAvailable func(*Upstream) bool) []*Upstream {
+	last := levels[len(levels)-1].Part
+	for _, level := range levels[:len(levels)-1] {
+		if level.Upstreams > 0 && level.Upstreams < len(upstreams) {
+			upstreams = top(level.Part, upstreams, level.Upstreams)
 		}
 	}
-	n := 0
-	for n < len(top) && top[n] != nil {
-		n++
+	candidates := make([]*Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		if isAvailable(u) {
+			candidates = append(candidates, u)
+		}
 	}
-	return top[:n]
+	return top(last, candidates, preferredUpstreams)
+}
+
+// top returns the n highest-ranked upstreams of a part of a prompt, in order.
+func top(part rendezvous.Hash, upstreams []*Upstream, n int) []*Upstream {
+	ranked := slices.Clone(upstreams)
+	slices.SortFunc(ranked, func(a, b *Upstream) int {
+		if c := cmp.Compare(rendezvous.WeightOf(part, b.hash()), rendezvous.WeightOf(part, a.hash())); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return ranked[:min(n, len(ranked))]
 }
--- a/pkg/placement/prefixselector.go
+++ b/pkg/placement/prefixselector.go
@@ -1,37 +1,42 @@
 package placement
 
-// minSpreadFraction is the minimum number of distinct values of a prompt part, as a fraction of
-// the upstreams, for requests to be placed by that part. Spreading over fewer upstreams than
-// there are is acceptable because busy upstreams overflow to others.
-const minSpreadFraction = 0.25
+import "github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 
-// maxPromptParts bounds the number of prompt parts that are considered.
-const maxPromptParts = 4
+const (
+	// maxPromptParts bounds the number of prompt parts that are considered.
+	maxPromptParts = 4
+	// partSpread is the number of upstreams that cache a part, relative to an even split of all
+	// upstreams over the values of the part. Subsets of several values overlap by chance, so a
+	// larger spread balances the load better; a smaller one reads the part at fewer upstreams.
+	partSpread = 3.0
+)
 
-// PrefixSelector selects the part of the prompt by which the requests of one route are placed.
-// An early part is shared by more requests, so placing by it makes best use of the prefix
-// caches; but a part with few distinct values would send all requests to a few upstreams. The
-// zero value is ready to use.
+// PrefixLevel is one shared part of a prompt: the requests with this part spread over a subset of
+// the upstreams.
+type PrefixLevel struct {
+	Part rendezvous.Hash
+	// Upstreams is the size of the subset; 0 means all.
+	Upstreams int
+}
+
+// PrefixSelector chooses for the prompts of one route over how many upstreams the requests with the
+// same part spread. A part with many values, of which each has few requests, is best cached at few
+// upstreams; one with few values would overload these. The zero value is ready to use.
 type PrefixSelector struct {
 	distinctByPart [maxPromptParts]DistinctEstimator
 }
 
-// Choose records the shared parts of a prompt, in prompt order, and returns the part to place
-// the request by: the first one with enough distinct values for the number of upstreams, or
-// else the last one.
-func (s *PrefixSelector) Choose(parts []string, upstreams int) string {
-	if len(parts) == 0 {
-		return ""
-	}
-	chosen := ""
+// Choose records the shared parts of a prompt, in prompt order, and returns their levels. Each
+// level is a subset of the one before, and the last part decides within the last subset.
+func (s *PrefixSelector) Choose(parts []string, upstreams int) []PrefixLevel {
+	levels := make([]PrefixLevel, 0, maxPromptParts)
 	for i, part := range parts[:min(len(parts), maxPromptParts)] {
 		s.distinctByPart[i].Add(part)
-		if chosen == "" && s.distinctByPart[i].Estimate() >= minSpreadFraction*float64(upstreams) {
-			chosen = part
+		level := PrefixLevel{Part: rendezvous.HashOf(part)}
+		if distinct := s.distinctByPart[i].Estimate(); distinct > 0 {
+			level.Upstreams = max(preferredUpstreams, int(partSpread*float64(upstreams)/distinct))
 		}
+		levels = append(levels, level)
 	}
-	if chosen == "" {
-		return parts[len(parts)-1]
-	}
-	return chosen
+	return levels
 }
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 const (
@@ -34,6 +35,7 @@
 	// start of the upstream.
 	ColdRateLimit int
 
+	idHash              rendezvous.Hash
 	backoffUntil        clock.Instant
 	consecutiveFailures int
 	latencyRatio        float64
@@ -42,6 +44,14 @@
 	recentStarts        []clock.Instant
 }
 
+// hash returns the hash of the ID.
+func (u *Upstream) hash() rendezvous.Hash {
+	if u.idHash == 0 {
+		u.idHash = rendezvous.HashOf(u.ID)
+	}
+	return u.idHash
+}
+
 // RecordStart records that a request is sent.
 func (u *Upstream) RecordStart(now clock.Instant) {
 	u.InFlight++
--- a/pkg/rendezvous/rank.go
+++ b/pkg/rendezvous/rank.go
@@ -10,10 +10,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Hash is the hash of a key or a name. Keeping the hashes of names that do not change saves most
+// of the time of a ranking.
+type Hash uint64
+
+// HashOf returns the hash of a key or a name.
+func HashOf(text string) Hash { return Hash(xxhash.Sum64String(text)) }
+
 // Weight returns the hash weight of name for key.
-func Weight(key, name string) uint64 {
+func Weight(key, name string) uint64 { return WeightOf(HashOf(key), HashOf(name)) }
+
+// WeightOf returns the hash weight of a name for a key by their hashes.
+func WeightOf(key, name Hash) uint64 {
 	// Combining two separate hashes avoids allocating the concatenated string.
-	return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(name)))
+	return mix(uint64(key) ^ mix(uint64(name)))
 }
 
 // Rank returns the names in descending order of weight for key. Names must be distinct.
