Take work that grows with VMs times upstreams off the path of each change

Cause: on each change of the tables or of the fleet, a VM ranked all VMs for each upstream, to divide rate limits that only cold upstreams have: 203 ms of a whole core at 300 VMs and 3,000 upstreams, where most VMs have a fifth of a core. Each table change was sent to each follower with the keys of all items. Lookups of an owner sorted all VMs.

Change: shares of cold upstreams are computed when one is a candidate; views share the entries of the registry; owners are found without sorting, and names are hashed once a ranking; tables are passed on as changes and removals, with all keys only to a peer whose state is older than the known removals, or that does not understand removals.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -43,7 +43,7 @@
 
 // checkForCrash checks whether an upstream crashed while it ran the request. It records a crash
 // and reports it to the other VMs.
-func (s *Server) checkForCrash(t *transaction, entry registry.Entry) {
+func (s *Server) checkForCrash(t *transaction, entry *registry.Entry) {
 	dialer := net.Dialer{Timeout: crashProbeTimeout}
 	conn, err := dialer.DialContext(t.ctx, "tcp4", entry.Address)
 	if err == nil {
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -75,13 +75,14 @@
 // pullHoldTime.
 func (f fleetServer) Pull(ctx context.Context, r *hoistv1.PullRequest) (*hoistv1.PullResponse, error) {
 	received := f.s.now()
-	changes := f.s.follower.changesAfter(ctx, r.GetRevision(), min(time.Duration(r.GetWaitMs())*time.Millisecond, pullHoldTime))
+	changes := f.s.follower.changesAfter(ctx, r.GetRevision(), min(time.Duration(r.GetWaitMs())*time.Millisecond, pullHoldTime), r.GetAcceptsRemovals())
 	response := &hoistv1.PullResponse{
-		Complete: changes.complete, Unchanged: changes.unchanged, Revision: changes.revision, AgeMs: changes.age.Milliseconds() + 1, Keys: changes.keys,
+		Complete: changes.complete, Unchanged: changes.unchanged, Revision: changes.revision, AgeMs: changes.age.Milliseconds() + 1,
 		HeldMs: f.s.now().Sub(received).Milliseconds(), Lost: changes.storeLost,
 	}
-	for _, item := range changes.items {
-		response.Items = append(response.Items, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	response.HasRemovals, response.Keys = changes.changes.IsDelta, changes.changes.Keys
+	for _, item := range changes.changes.Items {
+		response.Items = append(response.Items, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
 	}
 	return response, nil
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -271,13 +271,12 @@
 	unchanged bool
 	revision  uint64
 	age       time.Duration
-	items     []replica.Item
-	keys      []string
+	changes   replica.Changes
 }
 
 // changesAfter returns the changes for a peer whose items are complete up to the revision. It
 // waits for a change after the revision, at most for the given time.
-func (f *follower) changesAfter(ctx context.Context, revision uint64, wait time.Duration) peerChanges {
+func (f *follower) changesAfter(ctx context.Context, revision uint64, wait time.Duration, asDelta bool) peerChanges {
 	f.mu.Lock()
 	change, changed := f.change, f.replica.LastChangeRevision() > revision || !f.replica.Complete() || f.failures > 0
 	f.mu.Unlock()
@@ -297,7 +296,7 @@
 		unchanged: f.replica.LastChangeRevision() <= revision, storeLost: f.failures > 0,
 	}
 	if !changes.unchanged {
-		changes.items, changes.keys = f.replica.ChangesSince(revision)
+		changes.changes = f.replica.ChangesSince(revision, asDelta)
 	}
 	return changes
 }
@@ -312,7 +311,7 @@
 		f.replica.Confirm(requested, changes.revision, freshAt)
 		return
 	}
-	f.applyItems(f.replica.Merge(changes.items, changes.keys, changes.revision, freshAt))
+	f.applyItems(f.replica.Merge(changes.changes, changes.revision, freshAt))
 }
 
 // revision returns the revision up to which the items are complete, or 0.
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -171,7 +171,7 @@
 func (g *gossip) sendHellos(now clock.Instant) {
 	g.mu.Lock()
 	interval := reseedInterval
-	if len(g.directory.Reachable(now)) == 0 {
+	if g.directory.IsAlone(now) {
 		interval = helloInterval
 	}
 	due := g.lastHello == 0 || now.Sub(g.lastHello) >= interval
@@ -245,7 +245,7 @@
 	membershipVersion, directoryVersion := g.membership.Version(), g.directory.Version()
 	membershipChanged, directoryChanged := membershipVersion != g.membershipVersion, directoryVersion != g.directoryVersion
 	g.membershipVersion, g.directoryVersion = membershipVersion, directoryVersion
-	alone := len(g.directory.Reachable(g.now())) == 0
+	alone := g.directory.IsAlone(g.now())
 	aloneChanged := alone != g.alone
 	g.alone = alone
 	size := g.directory.Size()
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -99,7 +99,7 @@
 	sentAt, requested := s.now(), s.follower.revision()
 	var response *hoistv1.PullResponse
 	err := s.peers.callWithoutPing(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Pull(ctx, &hoistv1.PullRequest{Revision: requested, WaitMs: uint32(wait.Milliseconds())})
+		response, err = client.Pull(ctx, &hoistv1.PullRequest{Revision: requested, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true})
 		return err
 	})
 	if err != nil {
@@ -110,8 +110,9 @@
 		return false
 	}
 	changes := peerChanges{
-		complete: true, unchanged: response.GetUnchanged(), revision: response.GetRevision(), keys: response.GetKeys(),
-		age: time.Duration(response.GetAgeMs()) * time.Millisecond, items: itemsFromProto(response.GetItems()),
+		complete: true, unchanged: response.GetUnchanged(), revision: response.GetRevision(),
+		age:     time.Duration(response.GetAgeMs()) * time.Millisecond,
+		changes: replica.Changes{Items: itemsFromProto(response.GetItems()), IsDelta: response.GetHasRemovals(), Keys: response.GetKeys()},
 	}
 	// The peer read its items after it had held the call for the stated time, so their age
 	// counts from then.
@@ -123,7 +124,7 @@
 func itemsFromProto(items []*hoistv1.PublishedItem) []replica.Item {
 	out := make([]replica.Item, 0, len(items))
 	for _, item := range items {
-		out = append(out, replica.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision()})
+		out = append(out, replica.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetRemoved()})
 	}
 	return out
 }
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -2,22 +2,14 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/retry"
 )
 
-// coldRateFraction is the fraction of the rate limit of a cold upstream that the VMs use
-// together. The rest is a margin for a network partition, in which each part of the fleet
-// divides the limit among fewer VMs.
-const coldRateFraction = 0.6
-
 // maxRetryRatio bounds the retry tokens that one request adds to the budget. Operators may
 // allow fewer. Half of what they allow is used, since in a network partition the VMs on each
 // side count only themselves.
@@ -39,11 +31,15 @@
 	refillPerSecond float64
 	// tokensPerRequest is what a first attempt adds to the retry budget of its pool.
 	tokensPerRequest float64
+	// coldShare divides the rate limits of cold upstreams among the VMs.
+	coldShare *coldShare
 }
 
 type upstreamState struct {
 	placement.Upstream
-	entry registry.Entry
+	entry *registry.Entry
+	// share is the division from which ColdRateLimit was computed.
+	share *coldShare
 }
 
 func newUpstreams(now func() clock.Instant) *upstreams {
@@ -59,17 +55,15 @@
 	defer u.mu.Unlock()
 	u.refillPerSecond = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(len(names)) / 2
 	u.tokensPerRequest = min(maxRetryRatio, s.RetryRatio/2)
+	u.coldShare = newColdShare(view.Catalog, s, names)
 	for id, entry := range view.ByID {
 		state := u.states[id]
 		if state == nil || state.entry.StartID != entry.StartID {
-			state = &upstreamState{Upstream: placement.Upstream{ID: id, Zone: entry.Zone}}
+			state = &upstreamState{Upstream: placement.Upstream{ID: id, Zone: entry.Zone}, entry: entry}
 			u.states[id] = state
 		}
 		state.entry = entry
 		state.ColdUntil = max(state.ColdUntil, entry.ColdUntil)
-		if view.Catalog != nil {
-			state.ColdRateLimit = coldRateLimit(view.Catalog.Pools[entry.Pool], s, id, names)
-		}
 	}
 	for id, state := range u.states {
 		if _, ok := view.ByID[id]; !ok && state.InFlight == 0 {
@@ -81,28 +75,11 @@
 	}
 }
 
-// coldRateLimit returns how many requests per second this VM may send to a cold upstream. If
-// there are more VMs than requests, the first VMs in the ranking of the upstream may send one
-// each.
-func coldRateLimit(pool *catalog.Pool, s *Settings, id string, names []string) int {
-	if pool == nil || pool.ColdRequestsPerSecond <= 0 {
-		return int(^uint(0) >> 1)
-	}
-	total := int((pool.ColdRequestsPerSecond*max(s.ColdRateFactor, 1) + s.ColdRateBurst) * coldRateFraction)
-	if share := total / len(names); share > 0 {
-		return share
-	}
-	if slices.Index(rendezvous.Rank(id, names), s.VM) < total {
-		return 1
-	}
-	return 0
-}
-
 // lease counts one request as in flight at an upstream until release is called.
 type lease struct {
 	upstreams *upstreams
 	state     *upstreamState
-	entry     registry.Entry
+	entry     *registry.Entry
 	started   clock.Instant
 	// cacheSource is the address of the upstream that probably caches the prompt prefix of the
 	// request; empty if it is this one or not known.
@@ -116,27 +93,33 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	candidates := u.candidates(view, pool)
-	chosen, status := placement.Pick(now, request, candidates)
-	if chosen == nil {
+	choice, status := placement.Pick(now, request, u.candidates(view, pool))
+	if status != placement.Found {
 		return nil, status
 	}
-	state := u.states[chosen.ID]
+	state := u.states[choice.Upstream.ID]
 	state.RecordStart(now)
 	l := &lease{upstreams: u, state: state, entry: state.entry, started: now}
-	if source := placement.CacheSource(now, request, chosen, candidates); source != nil {
-		l.cacheSource = u.states[source.ID].entry.Address
+	if choice.CacheSource != nil {
+		l.cacheSource = u.states[choice.CacheSource.ID].entry.Address
 	}
 	return l, placement.Found
 }
 
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
 func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
-	var out []*placement.Upstream
-	for _, entry := range view.InService[pool] {
-		if state := u.states[entry.ID]; state != nil {
-			out = append(out, &state.Upstream)
+	now := u.now()
+	entries := view.InService[pool]
+	out := make([]*placement.Upstream, 0, len(entries))
+	for i := range entries {
+		state := u.states[entries[i].ID]
+		if state == nil {
+			continue
+		}
+		if state.ColdUntil > now && state.share != u.coldShare {
+			state.ColdRateLimit, state.share = u.coldShare.limit(pool, state.ID), u.coldShare
 		}
+		out = append(out, &state.Upstream)
 	}
 	return out
 }
@@ -145,11 +128,11 @@
 func (u *upstreams) pickZone(view *View, pool string, request *placement.Request) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	chosen, _ := placement.Pick(u.now(), request, u.candidates(view, pool))
-	if chosen == nil {
+	choice, status := placement.Pick(u.now(), request, u.candidates(view, pool))
+	if status != placement.Found {
 		return ""
 	}
-	return chosen.Zone
+	return choice.Upstream.Zone
 }
 
 // choosePrefix returns the prompt prefix for the placement of a request of a route.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -14,9 +14,9 @@
 	// Catalog is nil until a configuration is known.
 	Catalog *catalog.Catalog
 	// InService holds the upstreams that may receive new work, by pool.
-	InService map[string][]registry.Entry
+	InService map[string][]*registry.Entry
 	// ByID holds all registered upstreams by ID.
-	ByID map[string]registry.Entry
+	ByID map[string]*registry.Entry
 	// ZoneOf holds the zone of each upstream by its address.
 	ZoneOf map[string]string
 	// ZonesOut holds the zones that are out of service.
@@ -24,10 +24,10 @@
 }
 
 // newView builds a view from the published items.
-func newView(revision uint64, c *catalog.Catalog, entries []registry.Entry, zonesOut map[string]bool) *View {
+func newView(revision uint64, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool) *View {
 	view := &View{
 		Revision: revision, Catalog: c, ZonesOut: zonesOut,
-		InService: map[string][]registry.Entry{}, ByID: map[string]registry.Entry{}, ZoneOf: map[string]string{},
+		InService: map[string][]*registry.Entry{}, ByID: make(map[string]*registry.Entry, len(entries)), ZoneOf: make(map[string]string, len(entries)),
 	}
 	for _, entry := range entries {
 		view.ByID[entry.ID] = entry
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -233,6 +233,16 @@
 	return out
 }
 
+// IsAlone reports whether no other VM is reachable.
+func (d *Directory) IsAlone(now clock.Instant) bool {
+	for _, entry := range d.entries {
+		if d.isReachable(now, entry) {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Directory) isReachable(now clock.Instant, entry *trackedEntry) bool {
 	return !entry.Leaving && now.Sub(entry.lastReachableAt) <= reachableMaxAge
 }
--- a/pkg/fleet/ownership.go
+++ b/pkg/fleet/ownership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 // Each resource, such as a pool of stages, has one owner in every group of VMs that reach each
@@ -37,11 +38,11 @@
 	if claimant := d.claimant(now, resource); claimant != nil {
 		return *claimant, true
 	}
-	candidates := d.Ranking(now, resource)
+	candidates := d.candidates(now, resource)
 	if len(candidates) == 0 {
 		return Entry{}, false
 	}
-	return candidates[0], true
+	return slices.MinFunc(candidates, func(a, b candidate) int { return a.compare(&b) }).entry, true
 }
 
 // claimant returns the reachable VM that claims the resource, or nil.
@@ -63,38 +64,69 @@
 	return best
 }
 
+// candidate is a VM that may own a resource, with what decides the order of the candidates.
+type candidate struct {
+	entry Entry
+	// tier is 0 for preferred VMs and larger for others.
+	tier   int
+	weight uint64
+}
+
+// compare orders candidates; the first one should own the resource.
+func (c *candidate) compare(other *candidate) int {
+	if order := cmp.Compare(c.tier, other.tier); order != 0 {
+		return order
+	}
+	if order := cmp.Compare(other.weight, c.weight); order != 0 {
+		return order
+	}
+	return cmp.Compare(c.entry.Name, other.entry.Name)
+}
+
 // Ranking returns the VMs that may own a resource in order of preference. VMs with the same
 // directory return the same order; unresponsive VMs come last.
 func (d *Directory) Ranking(now clock.Instant, resource string) []Entry {
-	candidates := d.Reachable(now)
+	candidates := d.candidates(now, resource)
+	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
+	out := make([]Entry, 0, len(candidates))
+	for i := range candidates {
+		out = append(out, candidates[i].entry)
+	}
+	return out
+}
+
+// candidates returns the VMs that may own a resource, in no particular order.
+func (d *Directory) candidates(now clock.Instant, resource string) []candidate {
+	out := make([]candidate, 0, len(d.names)+1)
+	for _, name := range d.names {
+		if entry := d.entries[name]; d.isReachable(now, entry) {
+			out = append(out, candidate{entry: entry.Entry})
+		}
+	}
 	if !d.self.Leaving {
-		candidates = append(candidates, d.self)
+		out = append(out, candidate{entry: d.self})
 	}
 	oldest, largest := uint64(0), uint32(0)
-	for _, entry := range candidates {
-		if oldest == 0 || entry.Started < oldest {
-			oldest = entry.Started
+	for i := range out {
+		if oldest == 0 || out[i].entry.Started < oldest {
+			oldest = out[i].entry.Started
 		}
-		largest = max(largest, entry.Capacity)
+		largest = max(largest, out[i].entry.Capacity)
 	}
-	tier := func(entry Entry) int {
+	key := rendezvous.HashOf(resource)
+	for i := range out {
+		c := &out[i]
+		c.weight = rendezvous.WeightOf(key, rendezvous.HashOf(c.entry.Name))
 		switch {
-		case d.isUnresponsive(entry.Name):
-			return 3
-		case entry.Started > oldest+uint64(claimDelay.Milliseconds()) && d.startedRecently(now, entry.Name):
-			return 2
-		case float64(entry.Capacity) < preferredCapacityRatio*float64(largest):
-			return 1
+		case d.isUnresponsive(c.entry.Name):
+			c.tier = 3
+		case c.entry.Started > oldest+uint64(claimDelay.Milliseconds()) && d.startedRecently(now, c.entry.Name):
+			c.tier = 2
+		case float64(c.entry.Capacity) < preferredCapacityRatio*float64(largest):
+			c.tier = 1
 		}
-		return 0
 	}
-	slices.SortFunc(candidates, func(a, b Entry) int {
-		if c := cmp.Compare(tier(a), tier(b)); c != 0 {
-			return c
-		}
-		return compareWeights(resource, &a, &b)
-	})
-	return candidates
+	return out
 }
 
 // Claim adds the resource to this VM's claims, and reports whether the claim is new.
--- a/pkg/placement/example_test.go
+++ b/pkg/placement/example_test.go
@@ -12,8 +12,8 @@
 	upstreams := []*placement.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	prefix := []placement.PrefixLevel{{Part: rendezvous.HashOf("contract")}}
 	first, _ := placement.Pick(0, &placement.Request{Prefix: prefix}, upstreams)
-	first.RecordStart(0)
+	first.Upstream.RecordStart(0)
 	again, _ := placement.Pick(0, &placement.Request{Prefix: prefix}, upstreams)
-	fmt.Println(first == again)
+	fmt.Println(first.Upstream == again.Upstream)
 	// Output: true
 }
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -55,33 +55,54 @@
 	AllBusy
 )
 
-// Pick returns the upstream for a request, or nil and the reason. Upstreams in backoff are
-// chosen only if no other one is available.
-func Pick(now clock.Instant, r *Request, upstreams []*Upstream) (*Upstream, PickStatus) {
+// Choice is the outcome of Pick.
+type Choice struct {
+	// Upstream is nil if none was found.
+	Upstream *Upstream
+	// CacheSource is an upstream from which the chosen one can copy the prefix of the request: the
+	// one that the prefix prefers most, which has probably cached it. It is nil if that is the
+	// chosen one or not usable.
+	CacheSource *Upstream
+}
+
+// Pick returns the upstream for a request, or the reason why there is none. Upstreams in backoff
+// are chosen only if no other one is available.
+func Pick(now clock.Instant, r *Request, upstreams []*Upstream) (Choice, PickStatus) {
 	if len(upstreams) == 0 {
-		return nil, NoneInService
+		return Choice{}, NoneInService
 	}
 	available, inBackoff := candidates(now, r, upstreams)
 	if len(available) == 0 {
 		available = inBackoff
 	}
 	if len(available) == 0 {
-		return nil, AllBusy
+		return Choice{}, AllBusy
 	}
 	best := cheapest(now, r, available)
 	if len(r.Prefix) == 0 {
-		return best, Found
+		return Choice{Upstream: best}, Found
 	}
+	return pickByPrefix(now, r, upstreams, best), Found
+}
+
+// pickByPrefix returns the first preferred upstream that is not clearly more expensive than the
+// cheapest one, or else the cheapest one.
+func pickByPrefix(now clock.Instant, r *Request, upstreams []*Upstream, cheapest *Upstream) Choice {
 	// With a high fleet weight, a single request of this VM may be the only one of the fleet at
 	// the upstream. Its weight alone must not rule out the upstream.
-	limit := best.cost(now, r.FleetWeight)*preferredCostRatio + preferredCostSlack + max(r.FleetWeight-1, 0)
-	isAvailable := func(u *Upstream) bool { return r.isAvailable(now, u) && !u.inBackoff(now) }
-	for _, u := range preferredByPrefix(r.Prefix, upstreams, isAvailable) {
-		if u.cost(now, r.FleetWeight) <= limit {
-			return u, Found
+	limit := cheapest.cost(now, r.FleetWeight)*preferredCostRatio + preferredCostSlack + max(r.FleetWeight-1, 0)
+	choice := Choice{Upstream: cheapest}
+	preferred := preferredByPrefix(now, r.Prefix, upstreams)
+	for _, u := range preferred {
+		if r.isAvailable(now, u) && u.cost(now, r.FleetWeight) <= limit {
+			choice.Upstream = u
+			break
 		}
 	}
-	return best, Found
+	if len(preferred) > 0 && preferred[0] != choice.Upstream {
+		choice.CacheSource = preferred[0]
+	}
+	return choice
 }
 
 // isAvailable reports whether the upstream may take the request within all limits.
@@ -117,46 +138,45 @@
 	return best
 }
 
-// CacheSource returns the upstream from which the chosen one can copy the prefix of the request, or
-// nil: the one that the prefix prefers most, which has probably cached it, if it is another one.
-func CacheSource(now clock.Instant, r *Request, chosen *Upstream, upstreams []*Upstream) *Upstream {
-	if len(r.Prefix) == 0 {
-		return nil
-	}
-	preferred := preferredByPrefix(r.Prefix, upstreams, func(u *Upstream) bool { return !u.inBackoff(now) })
-	if len(preferred) == 0 || preferred[0] == chosen {
-		return nil
-	}
-	return preferred[0]
-}
-
-// preferredByPrefix returns the available upstreams that the prefix prefers, by rendezvous hashing.
-// Each level narrows the upstreams down to a subset, also by those that are not available, so that
-// the subset stays the same while an upstream is at a limit.
-func preferredByPrefix(levels []PrefixLevel, upstreams []*Upstream, isAvailable func(*Upstream) bool) []*Upstream {
-	last := levels[len(levels)-1].Part
+// preferredByPrefix returns the upstreams that the prefix prefers, by rendezvous hashing. Each level
+// narrows the upstreams down to a subset. It includes those at a limit, so that the subset stays
+// the same meanwhile; those in backoff are left out.
+func preferredByPrefix(now clock.Instant, levels []PrefixLevel, upstreams []*Upstream) []*Upstream {
 	for _, level := range levels[:len(levels)-1] {
 		if level.Upstreams > 0 && level.Upstreams < len(upstreams) {
 			upstreams = top(level.Part, upstreams, level.Upstreams)
 		}
 	}
-	candidates := make([]*Upstream, 0, len(upstreams))
+	reachable := make([]*Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
-		if isAvailable(u) {
-			candidates = append(candidates, u)
+		if !u.inBackoff(now) {
+			reachable = append(reachable, u)
 		}
 	}
-	return top(last, candidates, preferredUpstreams)
+	return top(levels[len(levels)-1].Part, reachable, preferredUpstreams)
+}
+
+// weightedUpstream is an upstream with its weight for a part of a prompt.
+type weightedUpstream struct {
+	*Upstream
+	weight uint64
 }
 
 // top returns the n highest-ranked upstreams of a part of a prompt, in order.
 func top(part rendezvous.Hash, upstreams []*Upstream, n int) []*Upstream {
-	ranked := slices.Clone(upstreams)
-	slices.SortFunc(ranked, func(a, b *Upstream) int {
-		if c := cmp.Compare(rendezvous.WeightOf(part, b.hash()), rendezvous.WeightOf(part, a.hash())); c != 0 {
-			return c
+	ranked := make([]weightedUpstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		ranked = append(ranked, weightedUpstream{u, rendezvous.WeightOf(part, u.hash())})
+	}
+	slices.SortFunc(ranked, func(a, b weightedUpstream) int {
+		if a.weight != b.weight {
+			return cmp.Compare(b.weight, a.weight)
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
-	return ranked[:min(n, len(ranked))]
+	out := make([]*Upstream, 0, n)
+	for _, u := range ranked[:min(n, len(ranked))] {
+		out = append(out, u.Upstream)
+	}
+	return out
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -17,6 +17,12 @@
 	return out
 }
 
+// pick returns the chosen upstream, or nil.
+func pick(now clock.Instant, r *Request, upstreams []*Upstream) *Upstream {
+	choice, _ := Pick(now, r, upstreams)
+	return choice.Upstream
+}
+
 // prefix returns the levels of a prompt with one shared part.
 func prefix(part string) []PrefixLevel { return []PrefixLevel{{Part: rendezvous.HashOf(part)}} }
 
@@ -24,17 +30,17 @@
 // their prefix caches, and against overloading the upstream of a popular prefix.
 func TestPrefixKeepsItsUpstream(t *testing.T) {
 	upstreams := newUpstreams(9)
-	first, _ := Pick(0, &Request{Prefix: prefix("p")}, upstreams)
+	first := pick(0, &Request{Prefix: prefix("p")}, upstreams)
 	for range 3 {
 		first.RecordStart(0)
-		if again, _ := Pick(0, &Request{Prefix: prefix("p")}, upstreams); again != first {
+		if again := pick(0, &Request{Prefix: prefix("p")}, upstreams); again != first {
 			t.Fatalf("prefix moved from %s to %s with %d requests in flight", first.ID, again.ID, first.InFlight)
 		}
 	}
 	for range 10 {
 		first.RecordStart(0)
 	}
-	if again, _ := Pick(0, &Request{Prefix: prefix("p")}, upstreams); again == first {
+	if again := pick(0, &Request{Prefix: prefix("p")}, upstreams); again == first {
 		t.Errorf("%s was chosen with %d requests in flight while others are idle", first.ID, first.InFlight)
 	}
 }
@@ -46,8 +52,8 @@
 	b[0], b[8], b[3] = b[8], b[3], b[0]
 	for i := range 50 {
 		request := &Request{Prefix: prefix(fmt.Sprint("p", i))}
-		first, _ := Pick(0, request, a)
-		second, _ := Pick(0, request, b)
+		first := pick(0, request, a)
+		second := pick(0, request, b)
 		if first.ID != second.ID {
 			t.Errorf("prefix %d: the VMs chose %s and %s", i, first.ID, second.ID)
 		}
@@ -60,7 +66,7 @@
 	u := &Upstream{ID: "u", ColdUntil: clock.Instant(10 * time.Second), ColdRateLimit: 2}
 	var starts []clock.Instant
 	for now := clock.Instant(0); now < clock.Instant(3*time.Second); now = now.Add(10 * time.Millisecond) {
-		if chosen, _ := Pick(now, &Request{}, []*Upstream{u}); chosen != nil {
+		if chosen := pick(now, &Request{}, []*Upstream{u}); chosen != nil {
 			chosen.RecordStart(now)
 			starts = append(starts, now)
 		}
@@ -92,7 +98,7 @@
 	} {
 		upstreams := newUpstreams(3)
 		fail(upstreams[0])
-		if chosen, _ := Pick(1, &Request{Zone: "z0"}, upstreams); chosen == upstreams[0] {
+		if chosen := pick(1, &Request{Zone: "z0"}, upstreams); chosen == upstreams[0] {
 			t.Errorf("%s: the upstream was chosen again", name)
 		}
 	}
@@ -103,7 +109,7 @@
 func TestUpstreamInBackoffIsFallback(t *testing.T) {
 	upstreams := newUpstreams(1)
 	upstreams[0].RecordUnreachable(0)
-	if chosen, _ := Pick(1, &Request{}, upstreams); chosen == nil {
+	if chosen := pick(1, &Request{}, upstreams); chosen == nil {
 		t.Error("no upstream was chosen")
 	}
 	if _, status := Pick(1, &Request{Tried: map[string]bool{"u0": true}}, upstreams); status != AllBusy {
@@ -120,13 +126,13 @@
 func TestPopularPrefixSpreadsInALargeFleet(t *testing.T) {
 	upstreams := newUpstreams(30)
 	request := &Request{Prefix: prefix("p"), FleetWeight: 10}
-	first, _ := Pick(0, request, upstreams)
+	first := pick(0, request, upstreams)
 	first.RecordStart(0)
-	if again, _ := Pick(0, request, upstreams); again != first {
+	if again := pick(0, request, upstreams); again != first {
 		t.Errorf("prefix moved away from %s after one request, which may be the only one of the fleet", first.ID)
 	}
 	first.RecordStart(0)
-	if again, _ := Pick(0, request, upstreams); again == first {
+	if again := pick(0, request, upstreams); again == first {
 		t.Errorf("%s was chosen again although the fleet has about twenty requests there", first.ID)
 	}
 }
--- a/pkg/placement/prefixselector_test.go
+++ b/pkg/placement/prefixselector_test.go
@@ -59,7 +59,7 @@
 		instruction := r.IntN(4)
 		subject := fmt.Sprint("subject", instruction, "-", r.IntN(40))
 		levels := selector.Choose([]string{fmt.Sprint("instruction", instruction), subject}, len(upstreams))
-		chosen, _ := Pick(0, &Request{Prefix: levels}, upstreams)
+		chosen := pick(0, &Request{Prefix: levels}, upstreams)
 		if i < warmUp {
 			continue
 		}
@@ -85,19 +85,19 @@
 func TestCacheSource(t *testing.T) {
 	upstreams := newUpstreams(6)
 	request := &Request{Prefix: prefix("p")}
-	home, _ := Pick(0, request, upstreams)
-	if source := CacheSource(0, request, home, upstreams); source != nil {
-		t.Errorf("the preferred upstream would copy from %s", source.ID)
+	first, _ := Pick(0, request, upstreams)
+	home := first.Upstream
+	if first.CacheSource != nil {
+		t.Errorf("the preferred upstream would copy from %s", first.CacheSource.ID)
 	}
 	for range 20 {
 		home.RecordStart(0)
 	}
-	chosen, _ := Pick(0, request, upstreams)
-	if source := CacheSource(0, request, chosen, upstreams); chosen == home || source != home {
-		t.Errorf("%s would copy from %v, expected %s", chosen.ID, source, home.ID)
+	if spilled, _ := Pick(0, request, upstreams); spilled.Upstream == home || spilled.CacheSource != home {
+		t.Errorf("%s would copy from %v, expected %s", spilled.Upstream.ID, spilled.CacheSource, home.ID)
 	}
 	home.RecordUnreachable(0)
-	if source := CacheSource(0, request, chosen, upstreams); source == home {
-		t.Errorf("%s would copy from %s, which is unreachable", chosen.ID, home.ID)
+	if choice, _ := Pick(0, request, upstreams); choice.CacheSource == home {
+		t.Errorf("%s would copy from %s, which is unreachable", choice.Upstream.ID, home.ID)
 	}
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -35,7 +35,8 @@
 }
 
 type record struct {
-	entry Entry
+	// entry is replaced, not changed, so that it can be shared.
+	entry *Entry
 	// removeAt is when a missing entry will be removed. It is zero while the entry is
 	// present.
 	removeAt clock.Instant
@@ -43,7 +44,9 @@
 
 // Registry holds the upstreams.
 type Registry struct {
-	records       map[string]*record
+	records map[string]*record
+	// ids holds the keys of records, sorted.
+	ids           []string
 	outageEndedAt clock.Instant
 	storeDown     bool
 }
@@ -61,13 +64,24 @@
 
 // Put adds or replaces an entry.
 func (r *Registry) Put(now clock.Instant, upstream catalog.Upstream) {
-	entry := Entry{Upstream: upstream, ColdUntil: now.Add(upstream.ColdRemaining), FirstSeen: now}
+	entry := &Entry{Upstream: upstream, ColdUntil: now.Add(upstream.ColdRemaining), FirstSeen: now}
 	if old := r.records[upstream.ID]; old != nil && old.entry.StartID == upstream.StartID {
 		entry.FirstSeen = old.entry.FirstSeen
 	}
+	if at, found := slices.BinarySearch(r.ids, upstream.ID); !found {
+		r.ids = slices.Insert(r.ids, at, upstream.ID)
+	}
 	r.records[upstream.ID] = &record{entry: entry}
 }
 
+// drop deletes an entry.
+func (r *Registry) drop(id string) {
+	delete(r.records, id)
+	if at, found := slices.BinarySearch(r.ids, id); found {
+		r.ids = slices.Delete(r.ids, at, at+1)
+	}
+}
+
 // Remove records that an entry is missing from the store.
 func (r *Registry) Remove(now clock.Instant, id string) {
 	rec := r.records[id]
@@ -75,7 +89,7 @@
 		return
 	}
 	if rec.entry.Draining || !r.mayHaveExpired(now) {
-		delete(r.records, id)
+		r.drop(id)
 		return
 	}
 	if rec.removeAt == 0 {
@@ -94,24 +108,18 @@
 	removed := false
 	for id, rec := range r.records {
 		if rec.removeAt != 0 && now >= rec.removeAt {
-			delete(r.records, id)
+			r.drop(id)
 			removed = true
 		}
 	}
 	return removed
 }
 
-// Entries returns all entries, sorted by ID.
-func (r *Registry) Entries() []Entry {
-	out := make([]Entry, 0, len(r.records))
-	for _, rec := range r.records {
-		out = append(out, rec.entry)
+// Entries returns all entries, sorted by ID. The caller must not change them.
+func (r *Registry) Entries() []*Entry {
+	out := make([]*Entry, 0, len(r.ids))
+	for _, id := range r.ids {
+		out = append(out, r.records[id].entry)
 	}
-	slices.SortFunc(out, func(a, b Entry) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -31,8 +31,20 @@
 	freshAt            clock.Instant
 	complete           bool
 	// tombstones holds the revisions of deleted items, so that a delayed response does
-	// not restore an item.
+	// not restore an item, and removals can be passed on.
 	tombstones map[string]uint64
+	// removalsSince is the revision after which tombstones holds all removals.
+	removalsSince uint64
+}
+
+// Changes are the differences between two revisions of a copy.
+type Changes struct {
+	// Items are the items that changed, sorted by key.
+	Items []Item
+	// IsDelta is set if Items also holds all removed items. Otherwise Keys holds all keys of the
+	// copy, and items with other keys were removed.
+	IsDelta bool
+	Keys    []string
 }
 
 // New returns an empty copy that is not complete.
@@ -73,16 +85,28 @@
 	return 0
 }
 
-// ChangesSince returns the items that changed after the revision, sorted by key, and
-// all keys.
-func (r *Replica) ChangesSince(revision uint64) (changed []Item, keys []string) {
-	for _, item := range r.Items() {
-		keys = append(keys, item.Key)
+// ChangesSince returns the changes after the revision, as a delta if the receiver understands it and
+// all removals after the revision are known.
+func (r *Replica) ChangesSince(revision uint64, asDelta bool) Changes {
+	changes := Changes{IsDelta: asDelta && r.complete && revision >= r.removalsSince}
+	for _, item := range r.items {
 		if item.Revision > revision {
-			changed = append(changed, item)
+			changes.Items = append(changes.Items, item)
+		}
+		if !changes.IsDelta {
+			changes.Keys = append(changes.Keys, item.Key)
 		}
 	}
-	return changed, keys
+	if changes.IsDelta {
+		for key, removed := range r.tombstones {
+			if removed > revision {
+				changes.Items = append(changes.Items, Item{Key: key, Revision: removed, Deleted: true})
+			}
+		}
+	}
+	slices.SortFunc(changes.Items, func(a, b Item) int { return compareKeys(a.Key, b.Key) })
+	slices.Sort(changes.Keys)
+	return changes
 }
 
 // Apply applies changes that complete the copy up to the revision, as returned for a
@@ -118,24 +142,23 @@
 	return changed
 }
 
-// Merge applies the state of a peer that is complete up to the revision: the peer's
-// items that changed after the revision of this copy, and all its keys. It returns the
-// items that changed.
-func (r *Replica) Merge(changes []Item, keys []string, revision uint64, freshAt clock.Instant) []Item {
+// Merge applies the state of a peer that is complete up to the revision: the peer's changes after
+// the revision of this copy. It returns the items that changed.
+func (r *Replica) Merge(changes Changes, revision uint64, freshAt clock.Instant) []Item {
 	if r.complete && revision < r.revision {
 		return nil
 	}
-	present := make(map[string]bool, len(keys))
-	for _, key := range keys {
-		present[key] = true
-	}
 	var changed []Item
-	for _, item := range changes {
+	for _, item := range changes.Items {
 		if r.put(item) {
 			changed = append(changed, item)
 		}
 	}
-	if revision > r.revision || !r.complete {
+	if !changes.IsDelta && (revision > r.revision || !r.complete) {
+		present := make(map[string]bool, len(changes.Keys))
+		for _, key := range changes.Keys {
+			present[key] = true
+		}
 		changed = append(changed, r.prune(present, revision)...)
 	}
 	r.advance(revision, freshAt, changed)
@@ -185,13 +208,16 @@
 		r.freshAt = freshAt
 	}
 	r.revision = max(r.revision, revision)
-	r.complete = true
+	if !r.complete {
+		r.complete, r.removalsSince = true, r.revision
+	}
 	if len(changed) > 0 {
 		r.lastChangeRevision = r.revision
 	}
 	if len(r.tombstones) > maxTombstones {
 		// Items deleted long ago cannot reappear in a delayed response.
 		clear(r.tombstones)
+		r.removalsSince = r.revision
 	}
 }
 
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -14,8 +15,7 @@
 }
 
 func keysOf(r *Replica) []string {
-	_, keys := r.ChangesSince(0)
-	return keys
+	return r.ChangesSince(0, false).Keys
 }
 
 // TestReplaceRemovesUnlistedItems guards against upstreams that stay in use although
@@ -73,7 +73,15 @@
 		leader.Replace([]Item{item("a", 1)}, 1, 1)
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now := clock.Instant(step + 2)
-			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 3:
+				// The history of changes was lost, and a listing shows the state.
+				revision++
+				listed := leader.Items()
+				if len(listed) > 0 && rapid.Bool().Draw(t, "removed") {
+					listed = listed[1:]
+				}
+				leader.Replace(listed, revision, now)
 			case 0:
 				revision++
 				leader.Apply([]Item{item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), revision)}, revision, now)
@@ -89,8 +97,7 @@
 				if requested := follower.Revision(); leader.LastChangeRevision() <= requested && follower.Complete() {
 					follower.Confirm(requested, leader.Revision(), leader.FreshAt())
 				} else {
-					changed, keys := leader.ChangesSince(requested)
-					follower.Merge(changed, keys, leader.Revision(), leader.FreshAt())
+					follower.Merge(leader.ChangesSince(requested, rapid.Bool().Draw(t, "delta")), leader.Revision(), leader.FreshAt())
 				}
 				if diff := cmp.Diff(leader.Items(), follower.Items()); diff != "" {
 					t.Fatal(diff)
@@ -102,3 +109,28 @@
 		}
 	})
 }
+
+// TestChangesAreSmall guards against sending all keys with each change: with thousands of
+// upstreams and hundreds of followers, that is most of what a reader of the store sends.
+func TestChangesAreSmall(t *testing.T) {
+	r := New()
+	var items []Item
+	for i := range 3000 {
+		items = append(items, item(fmt.Sprint("u", i), 1))
+	}
+	r.Replace(items, 5, 10)
+	r.Apply([]Item{item("u7", 6), {Key: "u9", Revision: 7, Deleted: true}}, 7, 20)
+	changes := r.ChangesSince(5, true)
+	if len(changes.Items) != 2 || len(changes.Keys) != 0 || !changes.IsDelta {
+		t.Errorf("%d items and %d keys for two changes", len(changes.Items), len(changes.Keys))
+	}
+	if changes := r.ChangesSince(4, true); len(changes.Keys) != 2999 || changes.IsDelta {
+		t.Errorf("%d keys for a peer whose state is older than all known removals, expected all 2999", len(changes.Keys))
+	}
+	for i := range uint64(maxTombstones + 1) {
+		r.Apply([]Item{{Key: fmt.Sprint("x", i), Revision: 8 + i, Deleted: true}}, 8+i, 30)
+	}
+	if changes := r.ChangesSince(7, true); changes.IsDelta {
+		t.Error("removals that were forgotten are missing in the changes")
+	}
+}
