Order stages by rank and slack, and find owners while directories differ

Under overload all ranks lost alike: the stages of a request worth a tenth took calls from urgent ones. The first stage used all slack, so each wait of a later one made the request late. The final call was taken to last 150 ms on all routes, and lasts 80 to 380 ms (p75).

Change: the queue of a pool orders by due time plus 300 ms a rank; slack is spread evenly over the levels; each VM learns the time of the final call by route (p75); admission keeps a margin of 100 ms; a redirect carries the owner's directory entry, and the search for an owner goes on after a pause until the stage is due.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -30,3 +30,12 @@
 	}
 	return entry
 }
+
+// redirectFromProto returns the owner that a peer named. A peer of an older version sends its name
+// alone.
+func redirectFromProto(name string, e *hoistv1.DirectoryEntry) fleet.Entry {
+	if e == nil {
+		return fleet.Entry{Name: name}
+	}
+	return entryFromProto(e)
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -430,11 +430,11 @@
 		}
 	}
 	called := others[0]
-	if got, isOwner := called.claimOrRedirect(context.Background(), "a", nil, nil); isOwner || got != owner {
-		t.Errorf("the call was redirected to %q, expected %s", got, owner)
+	if got, isOwner := called.claimOrRedirect(context.Background(), "a", nil, nil); isOwner || got.Name != owner {
+		t.Errorf("the call was redirected to %q, expected %s", got.Name, owner)
 	}
-	if got, isOwner := called.claimOrRedirect(context.Background(), "a", []string{owner}, nil); isOwner || got != owner {
-		t.Errorf("the call was redirected to %q although the owner %s is responsive", got, owner)
+	if got, isOwner := called.claimOrRedirect(context.Background(), "a", []string{owner}, nil); isOwner || got.Name != owner {
+		t.Errorf("the call was redirected to %q although the owner %s is responsive", got.Name, owner)
 	}
 	// The former owner said that it does not own the pool, and the directory of the called VM is
 	// out of date.
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -43,19 +43,22 @@
 		return nil, errPieceCount
 	}
 	if owner, isOwner := f.s.claimOrRedirect(ctx, r.GetPool(), r.GetLost(), r.GetNotOwners()); !isOwner {
-		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged], Owner: owner}, nil
+		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged], Owner: owner.Name, OwnerEntry: entryToProto(owner)}, nil
 	}
 	now := f.s.now()
 	job := stagepool.Job{
 		Request: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()), Key: r.GetKey(), Inputs: r.GetInputs(),
-		ResultBytes: int64(r.GetResultBytes()), Zone: r.GetZone(),
+		ResultBytes: int64(r.GetResultBytes()), Zone: r.GetZone(), Priority: int(r.GetPriority()),
 		Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond), Deadline: now.Add(time.Duration(r.GetLimitMs()) * time.Millisecond),
 	}
 	result := f.s.poolRunner(r.GetPool()).runJob(ctx, job, f.s.inputReleaser(job.Inputs, r.GetInputPools()))
-	return &hoistv1.RunStageResponse{
-		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(),
-		Owner: result.owner,
-	}, nil
+	response := &hoistv1.RunStageResponse{
+		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(), Owner: result.owner.Name,
+	}
+	if result.owner.Address != "" {
+		response.OwnerEntry = entryToProto(result.owner)
+	}
+	return response, nil
 }
 
 // Release releases results at the request of another VM, which regards this one as the owner of
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -24,7 +24,7 @@
 	if runner == nil || newOwner.Name == "" || newOwner.Name == s.settings.VM {
 		return
 	}
-	states := runner.handOverTo(newOwner.Name)
+	states := runner.handOverTo(newOwner)
 	s.logger.Info("pool handed over", zap.String("pool", pool), zap.String("owner", newOwner.Name), zap.Int("upstreams", len(states)))
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
@@ -43,14 +43,14 @@
 // HandOver makes this VM the owner of a pool and applies the state that the previous owner sent.
 func (f fleetServer) HandOver(_ context.Context, r *hoistv1.HandOverRequest) (*hoistv1.HandOverResponse, error) {
 	f.s.logger.Info("pool taken over", zap.String("pool", r.GetPool()), zap.Int("upstreams", len(r.GetUpstreams())))
-	f.s.gossip.recordOwnership(r.GetPool(), "", r.GetFrom())
+	f.s.gossip.recordNotOwners(r.GetPool(), r.GetFrom())
 	f.s.gossip.claim(r.GetPool())
 	f.s.poolRunner(r.GetPool()).takeOver(upstreamStatesFromProto(r.GetUpstreams()))
 	return &hoistv1.HandOverResponse{}, nil
 }
 
 // handOverTo gives the pool up to the new owner and returns the state to send to it.
-func (r *poolRunner) handOverTo(newOwner string) []stagepool.UpstreamState {
+func (r *poolRunner) handOverTo(newOwner fleet.Entry) []stagepool.UpstreamState {
 	var states []stagepool.UpstreamState
 	r.update(func() {
 		r.newOwner = newOwner
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -93,17 +93,29 @@
 	}
 }
 
-// recordOwnership records what a call returned: the VM that owns a pool, if known, and VMs that
-// do not own it.
-func (g *gossip) recordOwnership(pool, owner string, notOwners ...string) {
+// recordNotOwners records VMs that said that they do not own a pool.
+func (g *gossip) recordNotOwners(pool string, names ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, notOwner := range notOwners {
-		g.directory.RecordNotOwner(pool, notOwner)
+	for _, name := range names {
+		g.directory.RecordNotOwner(pool, name)
 	}
-	if owner != "" {
-		g.directory.RecordOwner(pool, owner)
+}
+
+// recordRedirect records that a VM does not own a pool, and the owner that it named, if any. The
+// owner may be new to this VM.
+func (g *gossip) recordRedirect(pool, from string, owner fleet.Entry) {
+	now := g.now()
+	g.mu.Lock()
+	g.directory.RecordNotOwner(pool, from)
+	if owner.Name != "" {
+		if g.directory.Merge(now, []fleet.Entry{owner}) {
+			g.membership.SetMembers(now, g.directory.Members())
+		}
+		g.directory.RecordOwner(pool, owner.Name)
 	}
+	g.mu.Unlock()
+	g.reportChanges()
 }
 
 // claimOrRedirect decides which VM handles a call that another VM sent to this one as the owner of
@@ -111,21 +123,21 @@
 // caller could not reach is checked first, since the membership protocol takes longer to detect
 // its loss than the call may take. If the directory names a VM that told the caller that it does
 // not own the pool, this VM claims the pool.
-func (s *Server) claimOrRedirect(ctx context.Context, pool string, unresponsive, notOwners []string) (owner string, isOwner bool) {
-	s.gossip.recordOwnership(pool, "", notOwners...)
+func (s *Server) claimOrRedirect(ctx context.Context, pool string, unresponsive, notOwners []string) (owner fleet.Entry, isOwner bool) {
+	s.gossip.recordNotOwners(pool, notOwners...)
 	for range maxOwnerChecks {
 		entry := s.gossip.owner(pool)
 		if entry.Name == s.settings.VM || slices.Contains(notOwners, entry.Name) {
 			s.gossip.claim(pool)
-			return "", true
+			return fleet.Entry{}, true
 		}
 		if !slices.Contains(unresponsive, entry.Name) || s.isResponsive(ctx, entry) {
-			return entry.Name, false
+			return entry, false
 		}
 		s.logger.Warn("owner of a pool lost", zap.String("pool", pool), zap.String("owner", entry.Name), zap.String("found_by", "a check"))
 		s.gossip.markUnresponsive(entry.Name)
 	}
-	return "", false
+	return fleet.Entry{}, false
 }
 
 // isResponsive reports whether a VM answers a ping within ownerCheckTimeout.
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -34,8 +35,9 @@
 	refusal stagepool.Refusal
 	// retryAfter is the time by which the expected end of a refused job exceeds its deadline.
 	retryAfter time.Duration
-	// owner is the VM that owns the pool now if the owner has changed; empty if it is not known.
-	owner string
+	// owner is the VM that owns the pool now if the owner has changed; its name is empty if it is
+	// not known.
+	owner fleet.Entry
 }
 
 // stageWaiter is notified when a job ends.
@@ -60,9 +62,9 @@
 	mu sync.Mutex
 	// batch and entries are the configuration that was last applied.
 	batch   catalog.Batch
-	entries []registry.Entry
+	entries []*registry.Entry
 	// newOwner is the VM to which the pool was last handed over.
-	newOwner        string
+	newOwner        fleet.Entry
 	scheduler       *stagepool.Pool
 	waiters         map[stagepool.JobID]*stageWaiter
 	addresses       map[string]string
@@ -109,7 +111,7 @@
 }
 
 // configure applies the batch settings of the pool and its upstreams in service.
-func (r *poolRunner) configure(batch catalog.Batch, entries []registry.Entry) {
+func (r *poolRunner) configure(batch catalog.Batch, entries []*registry.Entry) {
 	r.update(func() {
 		r.batch, r.entries = batch, entries
 		r.applyConfiguration()
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -19,9 +19,10 @@
 	// reserveTimeout bounds one reservation call. Without a response the request continues: the
 	// pool decides again when the stage is submitted.
 	reserveTimeout = 100 * time.Millisecond
-	// admissionSlack is how far beyond its objective a request may be expected to end when it
-	// arrives. Estimates are too long as often as too short.
-	admissionSlack = 250 * time.Millisecond
+	// admissionMargin is how long before the end of its objective a request must be expected to be
+	// answered when it arrives. Under overload, the pools take longer than they expect, since not
+	// all batches are full, and a request that ends late has taken the place of another one.
+	admissionMargin = 100 * time.Millisecond
 	// minAdmissionRetryDelay and admissionRetryJitter set the delay after which a refused caller
 	// should retry. A burst lasts seconds, and callers that retry together would cause the next
 	// one.
@@ -42,6 +43,8 @@
 	levels := t.route.Levels()
 	levelStart := t.s.now()
 	var reserved []reservation
+	t.levelDues = nil
+	expectedEnds := make([]clock.Instant, maxLevel(levels)+1)
 	for level := maxLevel(levels); level > 0; level-- {
 		levelEnd := levelStart
 		for stage := range t.route.Stages {
@@ -55,9 +58,10 @@
 			reserved = append(reserved, reservation{pool: t.route.Stages[stage].Pool, id: stagepool.StageID{Request: t.requestInfo.ID, Stage: stage}})
 			levelEnd = max(levelEnd, expected)
 		}
-		levelStart = levelEnd
+		levelStart, expectedEnds[level] = levelEnd, levelEnd
 	}
-	excess := levelStart.Add(finalCallReserve).Sub(min(t.due.Add(admissionSlack), t.deadline))
+	t.levelDues = stagepool.SpreadSlack(expectedEnds, t.due.Add(-t.finalCallTime()))
+	excess := levelStart.Add(t.finalCallTime()).Sub(min(t.due.Add(-admissionMargin), t.deadline))
 	if excess <= 0 {
 		return nil
 	}
@@ -80,7 +84,7 @@
 	s, definition := t.s, t.route.Stages[stage]
 	r := stagepool.Reservation{
 		StageID: stagepool.StageID{Request: t.requestInfo.ID, Stage: stage}, Pieces: t.pieces(stage), ResultBytes: definition.ResultBytes,
-		Arrives: arrives, Due: t.stageDue(level),
+		Arrives: arrives, Due: t.stageDue(level), Priority: t.priority(),
 	}
 	owner := s.gossip.owner(definition.Pool)
 	if owner.Name == s.settings.VM {
@@ -90,6 +94,7 @@
 	request := &hoistv1.ReserveRequest{
 		Pool: definition.Pool, Request: r.Request, Stage: uint32(stage), Pieces: uint32(r.Pieces), ResultBytes: uint64(r.ResultBytes),
 		ArrivesMs: r.Arrives.Sub(now).Milliseconds(), DueMs: r.Due.Sub(now).Milliseconds(),
+		Priority: uint32(max(r.Priority, 0)),
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, reserveTimeout)
 	defer cancel()
@@ -103,8 +108,8 @@
 			zap.String("owner", owner.Name), obs.ErrorField(err))
 		return 0, false
 	}
-	if newOwner := response.GetOwner(); newOwner != "" {
-		s.gossip.recordOwnership(definition.Pool, newOwner, owner.Name)
+	if response.GetOwner() != "" {
+		s.gossip.recordRedirect(definition.Pool, owner.Name, redirectFromProto(response.GetOwner(), response.GetOwnerEntry()))
 		return 0, false
 	}
 	return s.now().Add(time.Duration(response.GetEndMs()) * time.Millisecond), true
@@ -136,7 +141,7 @@
 // If another VM owns the pool, it returns that VM.
 func (f fleetServer) Reserve(_ context.Context, r *hoistv1.ReserveRequest) (*hoistv1.ReserveResponse, error) {
 	if owner := f.s.gossip.owner(r.GetPool()); owner.Name != f.s.settings.VM {
-		return &hoistv1.ReserveResponse{Owner: owner.Name}, nil
+		return &hoistv1.ReserveResponse{Owner: owner.Name, OwnerEntry: entryToProto(owner)}, nil
 	}
 	if !r.GetCancel() && !isPieceCount(int64(r.GetPieces())) {
 		return nil, errPieceCount
@@ -148,7 +153,7 @@
 		return &hoistv1.ReserveResponse{}, nil
 	}
 	end := runner.reserve(stagepool.Reservation{
-		StageID: id, Pieces: int(r.GetPieces()), ResultBytes: int64(r.GetResultBytes()),
+		StageID: id, Pieces: int(r.GetPieces()), ResultBytes: int64(r.GetResultBytes()), Priority: int(r.GetPriority()),
 		Arrives: now.Add(time.Duration(r.GetArrivesMs()) * time.Millisecond), Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond),
 	})
 	return &hoistv1.ReserveResponse{EndMs: end.Sub(now).Milliseconds()}, nil
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -44,9 +44,10 @@
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		return attemptFailed, response, http.StatusText(response.status)
 	}
-	elapsed := float64(t.s.now().Sub(upstreamLease.started))
+	elapsed := t.s.now().Sub(upstreamLease.started)
+	t.s.durations.recordFinalCall(t.route.Name, elapsed)
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, time.Millisecond))
-	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, elapsed/expected) })
+	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
 	response.writeTo(t)
 	return attemptDone, nil, ""
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -205,7 +205,7 @@
 		t.s.durations.record(t.route.Name, elapsed)
 		t.s.metrics.recordRequest(t, "ok", elapsed)
 		t.s.logger.Info("request answered", append(t.logFields(), zap.String("upstream", t.upstream), zap.Int("sends", len(t.tried)),
-			zap.Duration("stages", t.stageTime), zap.Int("events", t.events))...)
+			zap.Duration("stages", t.stageTime), zap.Duration("first_event", t.firstEvent), zap.Int("events", t.events))...)
 		return
 	}
 	kind := failure.Kind.String()
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -18,8 +18,11 @@
 	// maxUnresponsiveOwners bounds the unresponsive VMs that are tried as the owner of a pool for
 	// one stage.
 	maxUnresponsiveOwners = 3
-	// maxOwnerRedirects bounds the redirects to another owner for one stage.
+	// maxOwnerRedirects bounds the redirects to another owner for one stage before a pause. After
+	// a restart of many VMs their directories take up to some seconds to agree.
 	maxOwnerRedirects = 4
+	// ownerSearchPause is the pause after too many redirects.
+	ownerSearchPause = 60 * time.Millisecond
 )
 
 // ownerSearch finds the owner of a pool for one stage.
@@ -30,20 +33,34 @@
 	unresponsive []string
 	notOwners    []string
 	redirects    int
+	// giveUpAt is when the search ends.
+	giveUpAt clock.Instant
 }
 
-// isExhausted reports whether a limit of the search is reached.
-func (o *ownerSearch) isExhausted() bool {
-	return len(o.unresponsive) >= maxUnresponsiveOwners || o.redirects >= maxOwnerRedirects
+// next reports whether the search goes on. After too many redirects it pauses, since VMs that do
+// not agree on the owner yet redirect in circles.
+func (o *ownerSearch) next(ctx context.Context) bool {
+	if len(o.unresponsive) >= maxUnresponsiveOwners {
+		return false
+	}
+	if o.redirects < maxOwnerRedirects {
+		return true
+	}
+	if o.s.now().Add(ownerSearchPause).After(o.giveUpAt) {
+		return false
+	}
+	sleep(ctx, ownerSearchPause)
+	o.redirects, o.notOwners = 0, nil
+	return ctx.Err() == nil
 }
 
 // followRedirect records that a VM is not the owner, and the owner that it named, if any.
-func (o *ownerSearch) followRedirect(from, to string) {
+func (o *ownerSearch) followRedirect(from string, to fleet.Entry) {
 	o.redirects++
 	if from != o.s.settings.VM {
 		o.notOwners = append(o.notOwners, from)
 	}
-	o.s.gossip.recordOwnership(o.pool, to, from)
+	o.s.gossip.recordRedirect(o.pool, from, to)
 }
 
 // recordUnresponsive records that a VM did not respond.
@@ -57,8 +74,8 @@
 func (t *transaction) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
 	s, pool := t.s, t.route.Stages[stage].Pool
 	job := t.stageJob(stage, level, inputs)
-	search := &ownerSearch{s: s, pool: pool}
-	for !search.isExhausted() {
+	search := &ownerSearch{s: s, pool: pool, giveUpAt: job.Due}
+	for search.next(ctx) {
 		owner := s.gossip.owner(pool)
 		started := s.now()
 		result, err := s.runStageAt(ctx, owner, job, inputPools, search)
@@ -86,7 +103,7 @@
 	followUpTime := t.timeAfterStage(level)
 	job := stagepool.Job{
 		Request: t.requestInfo.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: t.route.Stages[stage].ResultBytes,
-		Zone: t.preferredZone(stage, inputs), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
+		Zone: t.preferredZone(stage, inputs), Priority: t.priority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
 	}
 	if len(inputs) == 0 {
 		job.Key = t.requestInfo.ContentKey
@@ -95,11 +112,16 @@
 }
 
 // stageDue returns when a stage of the level should be done so that the request can end on time.
-func (t *transaction) stageDue(level int) clock.Instant { return t.due.Add(-t.timeAfterStage(level)) }
+func (t *transaction) stageDue(level int) clock.Instant {
+	if level < len(t.levelDues) {
+		return t.levelDues[level]
+	}
+	return t.due.Add(-t.timeAfterStage(level))
+}
 
 // timeAfterStage returns the time kept for what follows a stage of the level.
 func (t *transaction) timeAfterStage(level int) time.Duration {
-	return finalCallReserve + time.Duration(level-1)*t.longestBatchTime()
+	return t.finalCallTime() + time.Duration(level-1)*t.longestBatchTime()
 }
 
 // longestBatchTime returns the duration of a full batch at the slowest pool of the request's
@@ -124,7 +146,7 @@
 	request := &hoistv1.RunStageRequest{
 		Request: job.Request, Pool: search.pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
 		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Deadline.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
-		Zone: job.Zone, InputPools: inputPools, Lost: search.unresponsive, NotOwners: search.notOwners,
+		Zone: job.Zone, Priority: uint32(max(job.Priority, 0)), InputPools: inputPools, Lost: search.unresponsive, NotOwners: search.notOwners,
 	}
 	var result stageResult
 	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
@@ -135,7 +157,7 @@
 		result = stageResult{
 			handles: response.GetHandles(), refusal: parseRefusal(response.GetRefusal()),
 			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
-			owner:      response.GetOwner(),
+			owner:      redirectFromProto(response.GetOwner(), response.GetOwnerEntry()),
 		}
 		return nil
 	})
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -13,8 +13,13 @@
 	// its stages are refused. Responses that are later than this are of little value and delay
 	// requests that can be on time.
 	maxExpectedLateness = time.Second
-	// finalCallReserve is the time kept for the request itself after its last stage.
-	finalCallReserve = 150 * time.Millisecond
+	// defaultFinalCallTime is the time kept for the request itself after its last stage as long
+	// as too few requests of the route have shown how long it takes.
+	defaultFinalCallTime = 150 * time.Millisecond
+	// finalCallQuantile is the quantile of the measured times that is kept, and maxFinalCallShare
+	// the largest share of the objective.
+	finalCallQuantile = 0.75
+	maxFinalCallShare = 0.4
 	// stageRerunLimit bounds how often the stages run if their results are lost meanwhile, and
 	// how often they run again after an upstream has reported missing inputs.
 	stageRerunLimit = 2
@@ -70,8 +75,15 @@
 // extendDue extends the due time of the request to allow its stages to run again. Lost results
 // alone are no reason to refuse the request while its caller waits.
 func (t *transaction) extendDue() {
-	rerunTime := time.Duration(slices.Max(t.route.Levels()))*t.longestBatchTime() + finalCallReserve
+	rerunTime := time.Duration(slices.Max(t.route.Levels()))*t.longestBatchTime() + t.finalCallTime()
 	t.due = max(t.due, min(t.s.now().Add(rerunTime), t.deadline))
+	t.levelDues = nil
+}
+
+// finalCallTime returns the time kept for the request itself after its last stage.
+func (t *transaction) finalCallTime() time.Duration {
+	expected := t.s.durations.expectedFinalCall(t.route.Name, finalCallQuantile, defaultFinalCallTime)
+	return min(expected, time.Duration(maxFinalCallShare*float64(t.route.Objective)))
 }
 
 // releaseInputs releases the stage results that the request holds.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -104,8 +104,13 @@
 
 // recordFirstEvent records the time to the first event.
 func (t *transaction) recordFirstEvent(upstreamLease *lease) {
-	elapsed := t.s.now().Sub(upstreamLease.started)
+	now := t.s.now()
+	elapsed := now.Sub(upstreamLease.started)
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, 1))
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
-	t.s.metrics.firstEvent.WithLabelValues(t.pool).Observe(t.s.now().Sub(t.arrived).Seconds())
+	t.s.durations.recordFinalCall(t.route.Name, elapsed)
+	if t.firstEvent == 0 {
+		t.firstEvent = now.Sub(t.arrived)
+		t.s.metrics.firstEvent.WithLabelValues(t.pool).Observe(t.firstEvent.Seconds())
+	}
 }
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -38,6 +38,10 @@
 	due      clock.Instant
 	deadline clock.Instant
 
+	// levelDues holds for each level when its stages should be done; it is empty until the
+	// stages are reserved, and after they must run again.
+	levelDues []clock.Instant
+
 	// tried holds the IDs of the upstreams to which the request was sent.
 	tried map[string]bool
 	// mayHaveRun is set once an upstream may have started to run the request.
@@ -47,9 +51,11 @@
 	stageTime time.Duration
 	// responseStarted is set once part of the response has been written.
 	responseStarted bool
-	lastEventID     string
-	events          int
-	upstream        string
+	// firstEvent is the time from the arrival of the request to its first event; 0 before it.
+	firstEvent  time.Duration
+	lastEventID string
+	events      int
+	upstream    string
 	// retryAfter is the delay after which a refused caller should retry; 0 means the default of
 	// the refusal's kind.
 	retryAfter time.Duration
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -1,6 +1,10 @@
 package stagepool
 
-import "github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+import (
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
 
 // Job is one stage of one request.
 type Job struct {
@@ -17,10 +21,25 @@
 	Zone string
 	// Due is when the stage should be done for the request to meet its latency objective.
 	Due clock.Instant
+	// Priority is the rank of the request; 0 is the highest.
+	Priority int
 	// Deadline is when the results of the stage become useless.
 	Deadline clock.Instant
 }
 
+// priorityStep is how much later than its due time a job counts in the order of the queue, for
+// each rank below the highest. Without waiting jobs it has no effect; under overload the jobs of
+// lower rank are the ones that cannot be on time, and only jobs that wait for long overtake.
+const priorityStep = 300 * time.Millisecond
+
+// maxPriority bounds the ranks that are told apart.
+const maxPriority = 9
+
+// orderTime returns the time by which a stage is ordered in the queue.
+func orderTime(due clock.Instant, priority int) clock.Instant {
+	return due.Add(time.Duration(min(max(priority, 0), maxPriority)) * priorityStep)
+}
+
 // JobID identifies a job of one Pool.
 type JobID uint64
 
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -7,7 +7,7 @@
 //
 // Most of the duration of a call does not depend on the number of its pieces, so full batches
 // determine the maximum throughput of a pool. The pieces of all requests wait in one queue,
-// ordered by due time. Each batch goes to the upstream that is expected to finish it first,
+// ordered by due time and priority. Each batch goes to the upstream that is expected to finish it first,
 // which avoids upstreams that have become slow. A job that cannot end before its deadline is
 // refused on arrival, or dropped later before it wastes work.
 //
@@ -131,10 +131,11 @@
 		return 0, now, NoUpstream
 	}
 	late := false
-	expectedEnd := p.estimateEnd(now, p.piecesAhead(submitted.Due, false), submitted.Pieces, submitted.ResultBytes)
+	order := orderTime(submitted.Due, submitted.Priority)
+	expectedEnd := p.estimateEnd(now, p.piecesAhead(order, false), submitted.Pieces, submitted.ResultBytes)
 	if expectedEnd.After(submitted.Due) {
 		late = true
-		expectedEnd = p.estimateEnd(now, p.piecesAhead(submitted.Due, true), submitted.Pieces, submitted.ResultBytes)
+		expectedEnd = p.estimateEnd(now, p.piecesAhead(order, true), submitted.Pieces, submitted.ResultBytes)
 	}
 	if expectedEnd.After(submitted.Deadline) && !hasReservation {
 		return 0, expectedEnd, Overloaded
@@ -157,7 +158,7 @@
 		}
 		return -1
 	}
-	if c := cmp.Compare(a.Due, b.Due); c != 0 {
+	if c := cmp.Compare(orderTime(a.Due, a.Priority), orderTime(b.Due, b.Priority)); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.id, b.id)
--- a/pkg/stagepool/reserve.go
+++ b/pkg/stagepool/reserve.go
@@ -27,8 +27,9 @@
 	ResultBytes int64
 	// Arrives is when the preceding stages are expected to be done.
 	Arrives clock.Instant
-	// Due has the same meaning as in Job.
-	Due clock.Instant
+	// Due and Priority have the same meaning as in Job.
+	Due      clock.Instant
+	Priority int
 }
 
 // Reserve returns when a stage is expected to be done, and reserves capacity for it until it is
@@ -36,12 +37,13 @@
 func (p *Pool) Reserve(now clock.Instant, r Reservation) clock.Instant {
 	// Late jobs are queued behind this stage, but they are counted as well: they would starve
 	// if each new reservation could overtake them.
-	ahead := p.piecesAhead(r.Due, false) + p.lateWaitingPieces()
+	order := orderTime(r.Due, r.Priority)
+	ahead := p.piecesAhead(order, false) + p.lateWaitingPieces()
 	for id, other := range p.reservations {
 		switch {
 		case now.Sub(other.Arrives) > reservationSlack:
 			delete(p.reservations, id)
-		case !other.Due.After(r.Due):
+		case !orderTime(other.Due, other.Priority).After(order):
 			ahead += other.Pieces
 		}
 	}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -108,13 +108,13 @@
 	return p.memoryBoundAt != 0 && now.Sub(p.memoryBoundAt) < memoryBoundDuration
 }
 
-// piecesAhead returns the number of waiting pieces in front of a job with the given due time. A
-// late job is queued after all jobs that are not late, and after late ones that are due
-// earlier.
-func (p *Pool) piecesAhead(due clock.Instant, late bool) int {
+// piecesAhead returns the number of waiting pieces in front of a job with the given order time. A
+// late job is queued after all jobs that are not late, and after late ones with an earlier
+// order time.
+func (p *Pool) piecesAhead(order clock.Instant, late bool) int {
 	ahead := 0
 	for _, j := range p.queue {
-		if j.late && !late || j.late == late && j.Due.After(due) {
+		if j.late && !late || j.late == late && orderTime(j.Due, j.Priority).After(order) {
 			break
 		}
 		ahead += j.waitingPieces()
