--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -68,6 +68,7 @@
 	}
 	defer exchange.Close()
 	t.tried[upstreamLease.entry.ID] = true
+	upstreamLease.recordResponse()
 	info := t.s.dialect.DecodeResponse(exchange.Status, exchange.Header)
 	if info.RequestID == "" {
 		// A late second copy of this response could not be told from the response to the next
@@ -140,6 +141,9 @@
 	}
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
 	if errors.Is(err, outbound.ErrNotSent) {
+		if outbound.IsTimeout(err) {
+			upstreamLease.recordTimeout()
+		}
 		return attemptNotSent, nil, err.Error()
 	}
 	t.tried[upstreamLease.entry.ID] = true
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -31,6 +31,9 @@
 // errPieceCount reports a call with a number of pieces that no request has.
 var errPieceCount = status.Errorf(codes.InvalidArgument, "the number of pieces is not between 1 and %d", maxStagePieces)
 
+// errUnknownShard reports a call for a shard that does not exist in this VM's tables.
+var errUnknownShard = status.Error(codes.FailedPrecondition, "the shard is not known")
+
 // fleetServer implements the gRPC service for other VMs.
 type fleetServer struct {
 	hoistv1.UnimplementedFleetServer
@@ -42,18 +45,24 @@
 	if !isPieceCount(int64(r.GetPieces())) {
 		return nil, errPieceCount
 	}
-	if owner, isOwner := f.s.claimOrRedirect(ctx, r.GetPool(), r.GetLost(), r.GetNotOwners()); !isOwner {
+	if owner, isOwner := f.s.claimOrRedirect(ctx, f.s.resourceOf(r.GetPool()), r.GetLost(), r.GetNotOwners()); !isOwner {
 		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged], Owner: owner.Name, OwnerEntry: entryToProto(owner)}, nil
 	}
+	runner := f.s.poolRunner(r.GetPool())
+	if runner == nil {
+		// The requester's tables are newer, or older, and divide the pool in another way.
+		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged]}, nil
+	}
 	now := f.s.now()
 	job := stagepool.Job{
-		Request: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()), Key: r.GetKey(), Inputs: r.GetInputs(),
+		Request: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()), Key: r.GetKey(), Inputs: r.GetInputs(), KeepInputs: r.GetKeepInputs(),
 		ResultBytes: int64(r.GetResultBytes()), Zone: r.GetZone(), Priority: int(r.GetPriority()),
 		Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond), Deadline: now.Add(time.Duration(r.GetLimitMs()) * time.Millisecond),
 	}
-	result := f.s.poolRunner(r.GetPool()).runJob(ctx, job, f.s.inputReleaser(job.Inputs, r.GetInputPools()))
+	result := runner.runJob(ctx, job, f.s.inputReleaser(job.Inputs, r.GetReleaseInputs() || len(r.GetInputPools()) > 0))
 	response := &hoistv1.RunStageResponse{
 		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(), Owner: result.owner.Name,
+		MemoryShort: result.memoryShort,
 	}
 	if result.owner.Address != "" {
 		response.OwnerEntry = entryToProto(result.owner)
@@ -64,7 +73,9 @@
 // Release releases results at the request of another VM, which regards this one as the owner of
 // their pool.
 func (f fleetServer) Release(_ context.Context, r *hoistv1.ReleaseRequest) (*hoistv1.ReleaseResponse, error) {
-	f.s.poolRunner(r.GetPool()).release(r.GetHandles())
+	if runner := f.s.poolRunner(r.GetPool()); runner != nil {
+		runner.release(r.GetHandles())
+	}
 	return &hoistv1.ReleaseResponse{}, nil
 }
 
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -45,7 +45,9 @@
 	f.s.logger.Info("pool taken over", zap.String("pool", r.GetPool()), zap.Int("upstreams", len(r.GetUpstreams())))
 	f.s.gossip.recordNotOwners(r.GetPool(), r.GetFrom())
 	f.s.gossip.claim(r.GetPool())
-	f.s.poolRunner(r.GetPool()).takeOver(upstreamStatesFromProto(r.GetUpstreams()))
+	if runner := f.s.poolRunner(r.GetPool()); runner != nil {
+		runner.takeOver(upstreamStatesFromProto(r.GetUpstreams()))
+	}
 	return &hoistv1.HandOverResponse{}, nil
 }
 
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -22,12 +22,12 @@
 	maxOwnerChecks = 3
 )
 
-// owner returns the VM that owns a pool according to the directory of this VM, or this VM if the
-// directory names no owner. So a VM that shuts down and knows no other VM remains the owner.
-func (g *gossip) owner(pool string) fleet.Entry {
+// owner returns the VM that owns a resource according to the directory of this VM, or this VM if
+// the directory names no owner. So a VM that shuts down and knows no other VM remains the owner.
+func (g *gossip) owner(resource fleet.Resource) fleet.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if entry, ok := g.directory.Owner(g.now(), pool); ok {
+	if entry, ok := g.directory.Owner(g.now(), resource); ok {
 		return entry
 	}
 	return g.directory.Self()
@@ -37,7 +37,22 @@
 func (g *gossip) ranking(resource string) []fleet.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.directory.Ranking(g.now(), resource)
+	return g.directory.Ranking(g.now(), fleet.Resource{Name: resource})
+}
+
+// hasClaimed reports whether this VM claims a resource.
+func (g *gossip) hasClaimed(resource string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.directory.Self()
+	return self.Claimed(fleet.KeyOf(resource))
+}
+
+// unreachableZones returns the zones of which VMs are known but none is reachable.
+func (g *gossip) unreachableZones() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.directory.UnreachableZones(g.now())
 }
 
 // claim makes this VM the owner of a pool and announces it to the other VMs.
@@ -53,12 +68,16 @@
 
 // updateClaims claims the pools that have no owner and that this VM should own, and returns the
 // claims that it released.
-func (g *gossip) updateClaims(pools []string) []fleet.ReleasedClaim {
+func (g *gossip) updateClaims(resources []fleet.Resource) []fleet.ReleasedClaim {
 	g.mu.Lock()
-	claimed, released := g.directory.UpdateClaims(g.now(), pools)
+	claimed, released := g.directory.UpdateClaims(g.now(), resources)
 	g.mu.Unlock()
 	if len(claimed) > 0 {
-		g.logger.Info("pools claimed", zap.Strings("pools", claimed))
+		names := make([]string, 0, len(claimed))
+		for _, resource := range claimed {
+			names = append(names, resource.Name)
+		}
+		g.logger.Info("pools claimed", zap.Strings("pools", names))
 	}
 	if len(claimed)+len(released) > 0 {
 		g.announce()
@@ -123,18 +142,18 @@
 // caller could not reach is checked first, since the membership protocol takes longer to detect
 // its loss than the call may take. If the directory names a VM that told the caller that it does
 // not own the pool, this VM claims the pool.
-func (s *Server) claimOrRedirect(ctx context.Context, pool string, unresponsive, notOwners []string) (owner fleet.Entry, isOwner bool) {
-	s.gossip.recordNotOwners(pool, notOwners...)
+func (s *Server) claimOrRedirect(ctx context.Context, resource fleet.Resource, unresponsive, notOwners []string) (owner fleet.Entry, isOwner bool) {
+	s.gossip.recordNotOwners(resource.Name, notOwners...)
 	for range maxOwnerChecks {
-		entry := s.gossip.owner(pool)
+		entry := s.gossip.owner(resource)
 		if entry.Name == s.settings.VM || slices.Contains(notOwners, entry.Name) {
-			s.gossip.claim(pool)
+			s.gossip.claim(resource.Name)
 			return fleet.Entry{}, true
 		}
 		if !slices.Contains(unresponsive, entry.Name) || s.isResponsive(ctx, entry) {
 			return entry, false
 		}
-		s.logger.Warn("owner of a pool lost", zap.String("pool", pool), zap.String("owner", entry.Name), zap.String("found_by", "a check"))
+		s.logger.Warn("owner of a pool lost", zap.String("pool", resource.Name), zap.String("owner", entry.Name), zap.String("found_by", "a check"))
 		s.gossip.markUnresponsive(entry.Name)
 	}
 	return fleet.Entry{}, false
@@ -159,8 +178,8 @@
 	if view == nil || view.Catalog == nil || s.now().Sub(s.startedAt) < discoveryTimeout {
 		return
 	}
-	pools := view.stagePoolNames()
-	for _, released := range s.gossip.updateClaims(pools) {
-		s.handOver(released.Resource, released.NewOwner)
+	s.updateZones()
+	for _, released := range s.gossip.updateClaims(s.ownableResources(view)) {
+		s.handOver(released.Resource.Name, released.NewOwner)
 	}
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -15,10 +15,11 @@
 
 const (
 	// pingInterval is the time between two pings of a peer with pending calls.
-	pingInterval = 150 * time.Millisecond
+	pingInterval = 120 * time.Millisecond
 	// pingTimeout is the timeout of a ping, after which the pending calls to the peer are
-	// cancelled. A call can then still be sent to another VM within its objective.
-	pingTimeout = 450 * time.Millisecond
+	// cancelled. A call can then still be sent to another VM within its objective. An owner that
+	// is only slow is found again at once, since the next VM asks it before it takes over.
+	pingTimeout = 300 * time.Millisecond
 )
 
 // errPeerUnresponsive reports that a peer with pending calls did not answer a ping.
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -38,6 +38,8 @@
 	// owner is the VM that owns the pool now if the owner has changed; its name is empty if it is
 	// not known.
 	owner fleet.Entry
+	// memoryShort is set if the pool needs the memory of the results back as soon as possible.
+	memoryShort bool
 }
 
 // stageWaiter is notified when a job ends.
@@ -47,8 +49,8 @@
 	onInputsRead func()
 }
 
-// poolRunner runs the stages of one pool on the VM that owns the pool. It performs the calls that
-// its scheduler decides on.
+// poolRunner runs the stages of one shard of a pool on the VM that owns the shard. It performs the
+// calls that its scheduler decides on.
 type poolRunner struct {
 	pool    string
 	dialect Dialect
@@ -208,7 +210,7 @@
 	for _, outcome := range r.scheduler.Outcomes() {
 		if waiter := r.waiters[outcome.Job]; waiter != nil {
 			delete(r.waiters, outcome.Job)
-			result := stageResult{handles: outcome.Handles, refusal: outcome.Refusal}
+			result := stageResult{handles: outcome.Handles, refusal: outcome.Refusal, memoryShort: outcome.MemoryShort}
 			if outcome.Refusal == stagepool.OwnerChanged {
 				result.owner = r.newOwner
 			}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -19,6 +19,8 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
@@ -80,9 +82,14 @@
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
 	view         atomic.Pointer[View]
-	fleetSize    atomic.Int64
-	inFlight     atomic.Int64
-	stopping     atomic.Bool
+	// unreachableZones holds the zones that this VM cannot reach by the membership protocol, and
+	// ownerZones those whose owners did not respond, which shows sooner.
+	unreachableZones atomic.Pointer[map[string]bool]
+	ownerZonesMu     sync.Mutex
+	ownerZones       placement.ZoneHealth
+	fleetSize        atomic.Int64
+	inFlight         atomic.Int64
+	stopping         atomic.Bool
 	// stopAt is when requests that still run are cut off; it is set before stopping.
 	stopAt atomic.Int64
 	// durations estimates how long requests take.
@@ -120,10 +127,15 @@
 	s.upstreams.update(view, &s.settings, s.gossip.vmNames())
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
-	for pool, runner := range s.poolRunners {
-		if batch, ok := view.batchConfig(pool); ok {
-			runner.configure(batch, view.InService[pool])
+	for name, runner := range s.poolRunners {
+		if shard := view.Shards[name]; shard != nil {
+			runner.configure(shard.batch, shard.entries)
+			continue
 		}
+		// The pool is divided in another way now, or was removed. Jobs that have not begun go to
+		// the owners of the new shards; the others end here.
+		runner.handOverTo(fleet.Entry{})
+		delete(s.poolRunners, name)
 	}
 }
 
@@ -137,20 +149,23 @@
 	s.updatePoolClaims()
 }
 
-// poolRunner returns the runner of a pool on this VM. It creates the runner if there is none.
-func (s *Server) poolRunner(pool string) *poolRunner {
+// poolRunner returns the runner of a shard on this VM. It creates the runner if there is none, and
+// returns nil if the shard does not exist.
+func (s *Server) poolRunner(name string) *poolRunner {
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
-	runner := s.poolRunners[pool]
-	if runner == nil {
-		runner = newPoolRunner(pool, s)
-		s.poolRunners[pool] = runner
-		if view := s.view.Load(); view != nil {
-			if batch, ok := view.batchConfig(pool); ok {
-				runner.configure(batch, view.InService[pool])
-			}
-		}
+	runner := s.poolRunners[name]
+	if runner != nil {
+		return runner
+	}
+	view := s.view.Load()
+	if view == nil || view.Shards[name] == nil {
+		return nil
 	}
+	shard := view.Shards[name]
+	runner = newPoolRunner(shard.pool, s)
+	runner.configure(shard.batch, shard.entries)
+	s.poolRunners[name] = runner
 	return runner
 }
 
--- /dev/null
+++ b/internal/edge/shards_test.go
@@ -0,0 +1,169 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+)
+
+const testZones = 3
+
+// zoneName returns the zone of the i-th VM or upstream.
+func zoneName(i int) string { return fmt.Sprint("zone-", i%testZones) }
+
+// startZonedFleet starts VMs in three zones, and publishes a route with two stages in pools of five
+// upstreams a zone.
+func startZonedFleet(t *testing.T, vms int) (f *testFleet, model *testUpstream, stages []*testUpstream) {
+	t.Helper()
+	started := 0
+	f = startFleet(t, vms, func(s *Settings) {
+		s.Zone = zoneName(started)
+		started++
+	})
+	model = newTestUpstream(t, "m", nil)
+	upstreams := catalogUpstreams("p", model)
+	for i := range 5 * testZones * 2 {
+		u := newTestUpstream(t, fmt.Sprint("s", i), nil)
+		entry := catalogUpstreams([]string{"a", "b"}[i/(5*testZones)], u)[0]
+		entry.Zone = zoneName(i)
+		stages, upstreams = append(stages, u), append(upstreams, entry)
+	}
+	batch := testBatch
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}, "b": {Name: "b", Batch: &batch}},
+		Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) {
+			r.Stages = []catalog.Stage{{Pool: "a"}, {Pool: "b", DependsOn: []int{0}}}
+		})},
+	}, upstreams...)
+	return f, model, stages
+}
+
+// TestZonesOwnTheirStages guards against stages that leave the zone of their request although it
+// has free upstreams, and against an owner of a zone's stages in another zone: a zone that is cut
+// off could not run its stages.
+func TestZonesOwnTheirStages(t *testing.T) {
+	f, model, stages := startZonedFleet(t, 2*testZones)
+	for zone := range testZones {
+		for _, pool := range []string{"a", "b"} {
+			name := pool + "/" + zoneName(zone)
+			await(t, "an owner of "+name+" in its zone", func() bool {
+				owner := f.servers[zone].gossip.owner(f.servers[zone].resourceOf(name))
+				return owner.Zone == zoneName(zone)
+			})
+		}
+	}
+	var wg sync.WaitGroup
+	for i := range 24 {
+		wg.Go(func() {
+			id := fmt.Sprint("r", i)
+			response, _, err := f.send(i%len(f.servers), id, "/x/", map[string]string{"Pieces": "2,2"})
+			if err != nil || response.StatusCode != http.StatusOK || model.runCount(id) != 1 {
+				t.Errorf("%s: %v, error %v, %d runs", id, response, err, model.runCount(id))
+			}
+		})
+	}
+	wg.Wait()
+	for i, u := range stages {
+		for _, call := range u.calls {
+			for _, piece := range call.Pieces {
+				var request int
+				if _, err := fmt.Sscanf(piece.Request, "r%d", &request); err != nil {
+					t.Fatal(err)
+				}
+				if zoneName(request) != zoneName(i) {
+					t.Errorf("a stage of %s ran in %s, its request was in %s", piece.Request, zoneName(i), zoneName(request))
+				}
+			}
+		}
+		await(t, "all results released", func() bool {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return len(u.released) == u.resultCount
+		})
+	}
+}
+
+// TestZoneWithoutVMs stops all VMs of a zone. It guards against a VM of another zone that sends its
+// stages to owners which are gone.
+func TestZoneWithoutVMs(t *testing.T) {
+	f, _, _ := startZonedFleet(t, testZones)
+	f.stops[1]()
+	<-f.done[1]
+	for _, vm := range []int{0, 2} {
+		response, _, err := f.send(vm, fmt.Sprint("r", vm), "/x/", map[string]string{"Pieces": "2,2"})
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("VM %d: %v, error %v", vm, response, err)
+		}
+	}
+	await(t, "the VMs know that the zone has no VM", func() bool {
+		return !f.servers[0].isZoneReachable(zoneName(1)) && !f.servers[2].isZoneReachable(zoneName(1))
+	})
+}
+
+// TestZoneWithoutUpstreams takes a zone out of service. It guards against requests of that zone
+// which find no upstream for their stages although other zones have some.
+func TestZoneWithoutUpstreams(t *testing.T) {
+	f, _, stages := startZonedFleet(t, testZones)
+	f.store.put("out/"+zoneName(1), ZoneOut(zoneName(1)))
+	await(t, "the zone is out of service on all VMs", func() bool {
+		for _, s := range f.servers {
+			if !s.view.Load().ZonesOut[zoneName(1)] {
+				return false
+			}
+		}
+		return true
+	})
+	for vm := range f.servers {
+		id := fmt.Sprint("r", vm)
+		response, _, err := f.send(vm, id, "/x/", map[string]string{"Pieces": "2,2"})
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("VM %d: %v, error %v", vm, response, err)
+		}
+	}
+	for i, u := range stages {
+		if zoneName(i) == zoneName(1) && len(u.calls) > 0 {
+			t.Errorf("%d stage calls in the zone that is out of service", len(u.calls))
+		}
+	}
+}
+
+// TestFailedPieceRunsAgain lets one piece of a stage fail once. It guards against releasing the
+// inputs of a stage before it has ended: all stages of the request would have to run again.
+func TestFailedPieceRunsAgain(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	batch := testBatch
+	first, second := newTestUpstream(t, "s1", nil), newTestUpstream(t, "s2", nil)
+	calls := 0
+	second.results = func(_ stagepool.Call, results []stagepool.PieceResult) []stagepool.PieceResult {
+		first.mu.Lock()
+		released := len(first.released)
+		first.mu.Unlock()
+		if released > 0 {
+			t.Errorf("%d inputs were released before the stage had ended", released)
+		}
+		if calls++; calls == 1 {
+			results[0] = stagepool.PieceResult{Outcome: stagepool.PieceFailed}
+		}
+		return results
+	}
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}, "b": {Name: "b", Batch: &batch}},
+		Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) {
+			r.Stages = []catalog.Stage{{Pool: "a"}, {Pool: "b", DependsOn: []int{0}}}
+		})},
+	}, append(append(catalogUpstreams("p", newTestUpstream(t, "m", nil)), catalogUpstreams("a", first)...), catalogUpstreams("b", second)...)...)
+	response, _, err := f.send(0, "r", "/x/", map[string]string{"Pieces": "1,2"})
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%v, error %v", response, err)
+	}
+	if n := len(first.calls); n != 1 {
+		t.Errorf("the first stage ran %d times, expected once", n)
+	}
+	if n := len(second.calls); n != 2 {
+		t.Errorf("the second stage took %d calls, expected that the failed piece alone ran again", n)
+	}
+}
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -27,8 +27,8 @@
 
 // ownerSearch finds the owner of a pool for one stage.
 type ownerSearch struct {
-	s    *Server
-	pool string
+	s        *Server
+	resource fleet.Resource
 	// unresponsive are the VMs that did not respond, and notOwners those that are not the owner.
 	unresponsive []string
 	notOwners    []string
@@ -60,7 +60,7 @@
 	if from != o.s.settings.VM {
 		o.notOwners = append(o.notOwners, from)
 	}
-	o.s.gossip.recordRedirect(o.pool, from, to)
+	o.s.gossip.recordRedirect(o.resource.Name, from, to)
 }
 
 // recordUnresponsive records that a VM did not respond.
@@ -69,43 +69,73 @@
 	o.s.gossip.markUnresponsive(name)
 }
 
-// runStage runs one stage at the owner of its pool. If the owner does not respond, the VM that
-// becomes the owner instead is tried.
-func (t *transaction) runStage(ctx context.Context, stage, level int, inputs, inputPools []string) stageResult {
+// runStage runs one stage at the owner of a shard of its pool. If the owner does not respond, the
+// VM that becomes the owner instead is tried.
+func (t *transaction) runStage(ctx context.Context, stage, level int, inputs stageInputs) stageResult {
 	s, pool := t.s, t.route.Stages[stage].Pool
 	job := t.stageJob(stage, level, inputs)
-	search := &ownerSearch{s: s, pool: pool, giveUpAt: job.Due}
+	shard := t.shardFor(stage, job.Zone)
+	if shard == nil {
+		return stageResult{refusal: stagepool.NoUpstream}
+	}
+	search := &ownerSearch{s: s, resource: shard.resource(), giveUpAt: job.Due}
 	for search.next(ctx) {
-		owner := s.gossip.owner(pool)
+		owner := s.gossip.owner(search.resource)
 		started := s.now()
-		result, err := s.runStageAt(ctx, owner, job, inputPools, search)
+		result, err := s.runStageAt(ctx, owner, job, inputs, search)
 		switch {
 		case err == nil && result.refusal == stagepool.OwnerChanged:
 			search.followRedirect(owner.Name, result.owner)
+			if current := t.shardFor(stage, job.Zone); current != nil {
+				search.resource = current.resource()
+			}
 		case err == nil:
+			s.recordOwnerResponse(owner, true)
 			s.logger.Info("stage ended", zap.String("request", t.requestInfo.ID), zap.Int("stage", stage), zap.String("pool", pool),
-				zap.String("owner", owner.Name), zap.Int("pieces", job.Pieces), zap.String("refusal", refusalNames[result.refusal]),
-				zap.Duration("took", s.now().Sub(started)), zap.Duration("due", job.Due.Sub(started)), zap.Duration("limit", job.Deadline.Sub(started)))
+				zap.String("shard", search.resource.Name), zap.String("owner", owner.Name), zap.Int("pieces", job.Pieces),
+				zap.String("refusal", refusalNames[result.refusal]), zap.Duration("took", s.now().Sub(started)),
+				zap.Duration("due", job.Due.Sub(started)), zap.Duration("limit", job.Deadline.Sub(started)))
 			return result
 		case ctx.Err() != nil:
 			return stageResult{refusal: stagepool.Overloaded}
 		default:
 			search.recordUnresponsive(owner.Name)
+			s.recordOwnerResponse(owner, false)
 			s.logger.Warn("owner of a pool lost", zap.String("request", t.requestInfo.ID), zap.String("pool", pool),
-				zap.String("owner", owner.Name), zap.Int("lost", len(search.unresponsive)), zap.Duration("waited", s.now().Sub(started)), obs.ErrorField(err))
+				zap.String("shard", search.resource.Name), zap.String("owner", owner.Name), zap.Int("lost", len(search.unresponsive)),
+				zap.Duration("waited", s.now().Sub(started)), obs.ErrorField(err))
+			if search.resource.Zone != s.settings.Zone {
+				// The other zone may be cut off as a whole.
+				t.shards[stage] = ""
+				if own := t.shardFor(stage, s.settings.Zone); own != nil {
+					search.resource = own.resource()
+				}
+			}
 		}
 	}
 	return stageResult{refusal: stagepool.Failed}
 }
 
+// shardFor returns the shard in which the stage was reserved, or another one if that does not exist
+// any more. It returns nil if no upstream of the pool is in service.
+func (t *transaction) shardFor(stage int, zone string) *poolShard {
+	view := t.s.view.Load()
+	if name := t.shards[stage]; name != "" {
+		if shard := view.Shards[name]; shard != nil && len(shard.entries) > 0 && t.s.isZoneReachable(shard.Zone) {
+			return shard
+		}
+	}
+	return t.s.chooseShard(view, t.route.Stages[stage].Pool, zone, t.requestInfo.ID)
+}
+
 // stageJob returns the job of a stage for the owner of its pool.
-func (t *transaction) stageJob(stage, level int, inputs []string) stagepool.Job {
+func (t *transaction) stageJob(stage, level int, inputs stageInputs) stagepool.Job {
 	followUpTime := t.timeAfterStage(level)
 	job := stagepool.Job{
-		Request: t.requestInfo.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs, ResultBytes: t.route.Stages[stage].ResultBytes,
-		Zone: t.preferredZone(stage, inputs), Priority: t.priority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
+		Request: t.requestInfo.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs.handles, KeepInputs: !inputs.memoryShort,
+		ResultBytes: t.route.Stages[stage].ResultBytes, Zone: t.preferredZone(stage, inputs.handles), Priority: t.priority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
 	}
-	if len(inputs) == 0 {
+	if len(inputs.handles) == 0 {
 		job.Key = t.requestInfo.ContentKey
 	}
 	return job
@@ -137,16 +167,21 @@
 }
 
 // runStageAt runs a job at a VM. An error means that the call to the VM failed.
-func (s *Server) runStageAt(ctx context.Context, entry fleet.Entry, job stagepool.Job, inputPools []string, search *ownerSearch) (stageResult, error) {
+func (s *Server) runStageAt(ctx context.Context, entry fleet.Entry, job stagepool.Job, inputs stageInputs, search *ownerSearch) (stageResult, error) {
 	if entry.Name == s.settings.VM {
-		s.gossip.claim(search.pool)
-		return s.poolRunner(search.pool).runJob(ctx, job, s.inputReleaser(job.Inputs, inputPools)), nil
+		runner := s.poolRunner(search.resource.Name)
+		if runner == nil {
+			return stageResult{refusal: stagepool.OwnerChanged}, nil
+		}
+		s.gossip.claim(search.resource.Name)
+		return runner.runJob(ctx, job, s.inputReleaser(job.Inputs, inputs.isOnlyConsumer)), nil
 	}
 	now := s.now()
 	request := &hoistv1.RunStageRequest{
-		Request: job.Request, Pool: search.pool, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
+		Request: job.Request, Pool: search.resource.Name, Stage: uint32(job.Stage), Pieces: uint32(job.Pieces), Key: job.Key, Inputs: job.Inputs,
 		DueMs: job.Due.Sub(now).Milliseconds(), LimitMs: job.Deadline.Sub(now).Milliseconds(), ResultBytes: uint64(job.ResultBytes),
-		Zone: job.Zone, Priority: uint32(max(job.Priority, 0)), InputPools: inputPools, Lost: search.unresponsive, NotOwners: search.notOwners,
+		Zone: job.Zone, Priority: uint32(max(job.Priority, 0)), ReleaseInputs: inputs.isOnlyConsumer, KeepInputs: job.KeepInputs,
+		Lost: search.unresponsive, NotOwners: search.notOwners,
 	}
 	var result stageResult
 	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
@@ -157,7 +192,7 @@
 		result = stageResult{
 			handles: response.GetHandles(), refusal: parseRefusal(response.GetRefusal()),
 			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
-			owner:      redirectFromProto(response.GetOwner(), response.GetOwnerEntry()),
+			owner:      redirectFromProto(response.GetOwner(), response.GetOwnerEntry()), memoryShort: response.GetMemoryShort(),
 		}
 		return nil
 	})
@@ -165,42 +200,53 @@
 }
 
 // inputReleaser returns a function that releases the inputs of a job once they have been read. It
-// returns nil if there are no inputs or their pools are not known.
-func (s *Server) inputReleaser(inputs, pools []string) func() {
-	if len(inputs) == 0 || len(pools) != len(inputs) {
+// returns nil if there are no inputs or other stages need them too.
+func (s *Server) inputReleaser(inputs []string, isOnlyConsumer bool) func() {
+	if len(inputs) == 0 || !isOnlyConsumer {
 		return nil
 	}
-	return func() {
-		byPool := map[string][]string{}
-		for i, handle := range inputs {
-			byPool[pools[i]] = append(byPool[pools[i]], handle)
-		}
-		for pool, handles := range byPool {
-			s.releaseResults(pool, handles)
+	return func() { s.releaseResults(inputs) }
+}
+
+// releaseResults releases results at the owners of their shards without waiting. Results of
+// upstreams that are not known any more are gone.
+func (s *Server) releaseResults(handles []string) {
+	view := s.view.Load()
+	byShard := map[*poolShard][]string{}
+	for _, handle := range handles {
+		if shard := view.ShardAt[s.dialect.HandleAddress(handle)]; shard != nil {
+			byShard[shard] = append(byShard[shard], handle)
 		}
 	}
+	for shard, part := range byShard {
+		s.releaseAt(shard, part)
+	}
 }
 
-// releaseResults releases results at the owner of their pool without waiting.
-func (s *Server) releaseResults(pool string, handles []string) {
-	if len(handles) == 0 {
-		return
-	}
-	owner := s.gossip.owner(pool)
+// releaseAt releases results of one shard at its owner.
+func (s *Server) releaseAt(shard *poolShard, handles []string) {
+	owner := s.gossip.owner(shard.resource())
 	if owner.Name == s.settings.VM {
-		s.poolRunner(pool).release(handles)
+		s.releaseHere(shard, handles)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		err := s.peers.call(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) error {
-			_, err := client.Release(ctx, &hoistv1.ReleaseRequest{Pool: pool, Handles: handles})
+			_, err := client.Release(ctx, &hoistv1.ReleaseRequest{Pool: shard.Name, Handles: handles})
 			return err
 		})
 		if err != nil && !errors.Is(err, context.Canceled) {
-			s.logger.Info("failed to send a release to the owner; releasing at the upstreams", zap.String("pool", pool), zap.String("owner", owner.Name), obs.ErrorField(err))
-			s.poolRunner(pool).release(handles)
+			s.logger.Info("failed to send a release to the owner; releasing at the upstreams", zap.String("pool", shard.Name), zap.String("owner", owner.Name), obs.ErrorField(err))
+			s.releaseHere(shard, handles)
 		}
 	}()
 }
+
+// releaseHere releases results without their owner, or as their owner.
+func (s *Server) releaseHere(shard *poolShard, handles []string) {
+	if runner := s.poolRunner(shard.Name); runner != nil {
+		runner.release(handles)
+	}
+}
--- a/internal/edge/stagerun.go
+++ b/internal/edge/stagerun.go
@@ -21,6 +21,18 @@
 	// releaseDelegated marks the stages whose results the owner of the next stage's pool
 	// releases.
 	releaseDelegated []bool
+	// memoryShort marks the stages whose pool needs the memory of the results back soon.
+	memoryShort []bool
+}
+
+// stageInputs are the results that a stage reads.
+type stageInputs struct {
+	handles []string
+	// isOnlyConsumer is set if no other stage reads them. The owner of the stage's pool then
+	// releases them.
+	isOnlyConsumer bool
+	// memoryShort is set if a pool that made them needs their memory back as soon as possible.
+	memoryShort bool
 }
 
 // stageCompletion reports the result of a stage to its stageRun.
@@ -37,7 +49,7 @@
 	defer cancel()
 	n := len(t.route.Stages)
 	run := &stageRun{
-		t: t, ctx: ctx, levels: t.route.Levels(), started: make([]bool, n), done: make([]bool, n), releaseDelegated: make([]bool, n),
+		t: t, ctx: ctx, levels: t.route.Levels(), started: make([]bool, n), done: make([]bool, n), releaseDelegated: make([]bool, n), memoryShort: make([]bool, n),
 		completions: make(chan stageCompletion, n), inputs: &inputSet{byStage: make([][]string, n)},
 	}
 	for stage := range t.route.Stages {
@@ -59,6 +71,7 @@
 		}
 		run.done[completion.stage] = true
 		run.inputs.byStage[completion.stage] = completion.result.handles
+		run.memoryShort[completion.stage] = completion.result.memoryShort
 		run.releaseConsumed()
 	}
 	run.collectInputs()
@@ -82,8 +95,8 @@
 		}
 		run.started[stage] = true
 		run.running++
-		inputs, pools := run.inputsOf(stage)
-		if pools != nil {
+		inputs := run.inputsOf(stage)
+		if inputs.isOnlyConsumer {
 			// The owner of this stage's pool has the inputs released once they have been read.
 			for _, dependency := range run.t.route.Stages[stage].DependsOn {
 				run.releaseDelegated[dependency] = true
@@ -91,7 +104,7 @@
 		}
 		go func() {
 			result := stageResult{refusal: stagepool.Failed}
-			run.t.s.contain.run("stage", func() { result = run.t.runStage(run.ctx, stage, run.levels[stage], inputs, pools) })
+			run.t.s.contain.run("stage", func() { result = run.t.runStage(run.ctx, stage, run.levels[stage], inputs) })
 			run.completions <- stageCompletion{stage: stage, result: result}
 		}()
 	}
@@ -112,21 +125,15 @@
 	return true
 }
 
-// inputsOf returns the handles of the inputs of a stage, and the pool of each if no other stage
-// uses them.
-func (run *stageRun) inputsOf(stage int) (inputs, pools []string) {
-	isOnlyConsumer := true
+// inputsOf returns the inputs of a stage.
+func (run *stageRun) inputsOf(stage int) stageInputs {
+	inputs := stageInputs{isOnlyConsumer: true}
 	for _, dependency := range run.t.route.Stages[stage].DependsOn {
-		inputs = append(inputs, run.inputs.byStage[dependency]...)
-		for range run.inputs.byStage[dependency] {
-			pools = append(pools, run.t.route.Stages[dependency].Pool)
-		}
-		isOnlyConsumer = isOnlyConsumer && run.t.dependentCount(dependency) == 1
-	}
-	if !isOnlyConsumer {
-		return inputs, nil
+		inputs.handles = append(inputs.handles, run.inputs.byStage[dependency]...)
+		inputs.isOnlyConsumer = inputs.isOnlyConsumer && run.t.dependentCount(dependency) == 1
+		inputs.memoryShort = inputs.memoryShort || run.memoryShort[dependency]
 	}
-	return inputs, pools
+	return inputs
 }
 
 // dependentCount returns the number of stages that use the results of a stage.
@@ -147,7 +154,7 @@
 			continue
 		}
 		if !run.releaseDelegated[stage] {
-			run.t.s.releaseResults(run.t.route.Stages[stage].Pool, run.inputs.byStage[stage])
+			run.t.s.releaseResults(run.inputs.byStage[stage])
 		}
 		run.inputs.byStage[stage] = nil
 	}
@@ -165,16 +172,15 @@
 
 // collectInputs gathers the handles that are the inputs of the request itself.
 func (run *stageRun) collectInputs() {
-	for stage, handles := range run.inputs.byStage {
+	for _, handles := range run.inputs.byStage {
 		run.inputs.final = append(run.inputs.final, handles...)
-		run.inputs.pools = append(run.inputs.pools, run.t.route.Stages[stage].Pool)
 	}
 }
 
 // releaseAll releases all results, including those of stages that are still running.
 func (run *stageRun) releaseAll() {
-	for stage, handles := range run.inputs.byStage {
-		run.t.s.releaseResults(run.t.route.Stages[stage].Pool, handles)
+	for _, handles := range run.inputs.byStage {
+		run.t.s.releaseResults(handles)
 	}
 	running := run.running
 	if running == 0 {
@@ -183,7 +189,7 @@
 	go func() {
 		for range running {
 			completion := <-run.completions
-			run.t.s.releaseResults(run.t.route.Stages[completion.stage].Pool, completion.result.handles)
+			run.t.s.releaseResults(completion.result.handles)
 		}
 	}()
 }
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -37,8 +37,6 @@
 	byStage [][]string
 	// final are the handles that the request itself reads: results that no other stage uses.
 	final []string
-	// pools holds the pool of each stage.
-	pools []string
 }
 
 // prepareInputs runs the stages of the request, which produce its inputs.
@@ -91,8 +89,8 @@
 	if t.inputs == nil {
 		return
 	}
-	for stage, handles := range t.inputs.byStage {
-		t.s.releaseResults(t.inputs.pools[stage], handles)
+	for _, handles := range t.inputs.byStage {
+		t.s.releaseResults(handles)
 	}
 	t.inputs = nil
 }
--- a/internal/edge/stagezone.go
+++ b/internal/edge/stagezone.go
@@ -9,11 +9,7 @@
 func (t *transaction) preferredZone(stage int, inputs []string) string {
 	definition := t.route.Stages[stage]
 	if len(definition.DependsOn) > 0 {
-		var transferBytes int64
-		for _, dependency := range definition.DependsOn {
-			transferBytes += t.route.Stages[dependency].ResultBytes * int64(t.pieces(dependency)*t.pieces(stage))
-		}
-		if transferBytes < minZoneTransferBytes {
+		if t.inputBytes(stage) < minZoneTransferBytes {
 			return ""
 		}
 		return t.view.mostCommonZone(inputs, t.s.dialect)
@@ -24,6 +20,15 @@
 	return t.s.upstreams.pickZone(t.view, t.pool, t.placementRequest())
 }
 
+// inputBytes returns how much data the pieces of a stage read: each piece reads all inputs.
+func (t *transaction) inputBytes(stage int) int64 {
+	var n int64
+	for _, dependency := range t.route.Stages[stage].DependsOn {
+		n += t.route.Stages[dependency].ResultBytes * int64(t.pieces(dependency)*t.pieces(stage))
+	}
+	return n
+}
+
 // mostCommonZone returns the zone that holds the most results.
 func (v *View) mostCommonZone(handles []string, dialect Dialect) string {
 	counts := map[string]int{}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -41,6 +41,8 @@
 	// levelDues holds for each level when its stages should be done; it is empty until the
 	// stages are reserved, and after they must run again.
 	levelDues []clock.Instant
+	// shards holds for each stage the name of the shard in which it is reserved; "" if it is not.
+	shards []string
 
 	// tried holds the IDs of the upstreams to which the request was sent.
 	tried map[string]bool
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -31,6 +31,8 @@
 	refillPerSecond float64
 	// tokensPerRequest is what a first attempt adds to the retry budget of its pool.
 	tokensPerRequest float64
+	// zones infers which zones are cut off from this VM.
+	zones placement.ZoneHealth
 	// coldShare divides the rate limits of cold upstreams among the VMs.
 	coldShare *coldShare
 }
@@ -93,6 +95,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
+	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) }
 	choice, status := placement.Pick(now, request, u.candidates(view, pool))
 	if status != placement.Found {
 		return nil, status
@@ -128,7 +131,9 @@
 func (u *upstreams) pickZone(view *View, pool string, request *placement.Request) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	choice, status := placement.Pick(u.now(), request, u.candidates(view, pool))
+	now := u.now()
+	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) }
+	choice, status := placement.Pick(now, request, u.candidates(view, pool))
 	if status != placement.Found {
 		return ""
 	}
@@ -154,6 +159,16 @@
 	change(l.upstreams.now(), &l.state.Upstream)
 }
 
+// recordTimeout records that a connection to the leased upstream timed out.
+func (l *lease) recordTimeout() {
+	l.update(func(now clock.Instant, u *placement.Upstream) { l.upstreams.zones.RecordTimeout(now, u.Zone, u.ID) })
+}
+
+// recordResponse records that the leased upstream responded.
+func (l *lease) recordResponse() {
+	l.update(func(_ clock.Instant, u *placement.Upstream) { l.upstreams.zones.RecordResponse(u.Zone) })
+}
+
 // release counts the request as ended.
 func (l *lease) release() {
 	l.update(func(_ clock.Instant, u *placement.Upstream) { u.RecordEnd() })
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
 // View is an immutable snapshot of the published items as a request sees them.
@@ -19,15 +22,33 @@
 	ByID map[string]*registry.Entry
 	// ZoneOf holds the zone of each upstream by its address.
 	ZoneOf map[string]string
+	// Shards holds the shards of all pools that run stages by name, ShardsOf by pool and in a fixed
+	// order, and ShardAt by the addresses of their upstreams.
+	Shards   map[string]*poolShard
+	ShardsOf map[string][]*poolShard
+	ShardAt  map[string]*poolShard
 	// ZonesOut holds the zones that are out of service.
 	ZonesOut map[string]bool
 }
 
+// poolShard is the part of a pool of stages that one VM owns.
+type poolShard struct {
+	stagepool.Shard
+	pool  string
+	batch catalog.Batch
+	// entries are the upstreams in service.
+	entries []*registry.Entry
+}
+
+// resource returns the shard as a resource that a VM owns.
+func (p *poolShard) resource() fleet.Resource { return fleet.Resource{Name: p.Name, Zone: p.Zone} }
+
 // newView builds a view from the published items.
 func newView(revision uint64, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool) *View {
 	view := &View{
 		Revision: revision, Catalog: c, ZonesOut: zonesOut,
 		InService: map[string][]*registry.Entry{}, ByID: make(map[string]*registry.Entry, len(entries)), ZoneOf: make(map[string]string, len(entries)),
+		Shards: map[string]*poolShard{}, ShardsOf: map[string][]*poolShard{}, ShardAt: map[string]*poolShard{},
 	}
 	for _, entry := range entries {
 		view.ByID[entry.ID] = entry
@@ -37,25 +58,48 @@
 		}
 		view.InService[entry.Pool] = append(view.InService[entry.Pool], entry)
 	}
+	view.addShards(entries)
 	return view
 }
 
-// stagePoolNames returns the sorted names of the pools that run stages.
-func (v *View) stagePoolNames() []string {
-	var names []string
-	for name, pool := range v.Catalog.Pools {
-		if pool.Batch != nil {
-			names = append(names, name)
+// addShards divides the pools that run stages into shards. Upstreams that are draining or out of
+// service belong to a shard as well, since they hold results, and since the shards then do not
+// change when a zone leaves or returns.
+func (v *View) addShards(entries []*registry.Entry) {
+	if v.Catalog == nil {
+		return
+	}
+	byPool := map[string][]*registry.Entry{}
+	for _, entry := range entries {
+		if pool := v.Catalog.Pools[entry.Pool]; pool != nil && pool.Batch != nil {
+			byPool[entry.Pool] = append(byPool[entry.Pool], entry)
 		}
 	}
-	slices.Sort(names)
-	return names
+	for pool, members := range byPool {
+		upstreams := make([]stagepool.Upstream, 0, len(members))
+		for _, entry := range members {
+			upstreams = append(upstreams, stagepool.Upstream{ID: entry.ID, Zone: entry.Zone})
+		}
+		for i, shard := range stagepool.Partition(pool, upstreams) {
+			v.addToShard(shard, members[i])
+		}
+	}
+	for _, shard := range v.Shards {
+		v.ShardsOf[shard.pool] = append(v.ShardsOf[shard.pool], shard)
+	}
+	for _, shards := range v.ShardsOf {
+		slices.SortFunc(shards, func(a, b *poolShard) int { return cmp.Compare(a.Name, b.Name) })
+	}
 }
 
-// batchConfig returns the batch settings of a pool that runs stages.
-func (v *View) batchConfig(pool string) (catalog.Batch, bool) {
-	if v == nil || v.Catalog == nil || v.Catalog.Pools[pool] == nil || v.Catalog.Pools[pool].Batch == nil {
-		return catalog.Batch{}, false
+func (v *View) addToShard(id stagepool.Shard, entry *registry.Entry) {
+	shard := v.Shards[id.Name]
+	if shard == nil {
+		shard = &poolShard{Shard: id, pool: entry.Pool, batch: *v.Catalog.Pools[entry.Pool].Batch}
+		v.Shards[id.Name] = shard
+	}
+	v.ShardAt[entry.Address] = shard
+	if !entry.Draining && !v.ZonesOut[entry.Zone] {
+		shard.entries = append(shard.entries, entry)
 	}
-	return *v.Catalog.Pools[pool].Batch, true
 }
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -53,6 +53,13 @@
 // ErrNotSent marks the error of a request of which no byte was sent.
 var ErrNotSent = errors.New("the request was not sent")
 
+// IsTimeout reports whether the error is a timeout of the network, such as an address that does not
+// respond at all.
+func IsTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // Stats counts events of a Client.
 type Stats struct {
 	Dials  atomic.Int64
--- a/internal/outbound/client_test.go
+++ b/internal/outbound/client_test.go
@@ -142,6 +142,19 @@
 	}
 }
 
+// TestTimeoutIsTold guards against taking a refused connection, as of an upstream that restarts, for
+// an address that does not respond, or the reverse.
+func TestTimeoutIsTold(t *testing.T) {
+	dialer := net.Dialer{Timeout: time.Nanosecond}
+	_, err := dialer.Dial("tcp4", "127.0.0.1:1")
+	if wrapped := errors.Mark(errors.Wrap(err, "connect"), ErrNotSent); !IsTimeout(wrapped) {
+		t.Errorf("error %v is no timeout", wrapped)
+	}
+	if _, err := NewClient("").Do(context.Background(), "127.0.0.1:1", newGetRequest(), 1); IsTimeout(err) {
+		t.Errorf("error %v is a timeout", err)
+	}
+}
+
 // TestContextCancelClosesConnection guards against an upstream that keeps working on a
 // request whose caller has disconnected.
 func TestContextCancelClosesConnection(t *testing.T) {
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -243,6 +243,20 @@
 	return true
 }
 
+// UnreachableZones returns the zones of which VMs are known but none is reachable.
+func (d *Directory) UnreachableZones(now clock.Instant) map[string]bool {
+	out := map[string]bool{}
+	for _, entry := range d.entries {
+		out[entry.Zone] = true
+	}
+	for _, entry := range d.entries {
+		if d.isReachable(now, entry) {
+			delete(out, entry.Zone)
+		}
+	}
+	return out
+}
+
 func (d *Directory) isReachable(now clock.Instant, entry *trackedEntry) bool {
 	return !entry.Leaving && now.Sub(entry.lastReachableAt) <= reachableMaxAge
 }
--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -60,11 +60,17 @@
 
 // compareClaimants orders VMs that claim the same resource; the first one keeps it. The
 // order only depends on data that is the same on all VMs.
-func compareClaimants(resource string, a, b *Entry) int {
+func compareClaimants(resource Resource, a, b *Entry) int {
+	if inZone := a.Zone == resource.Zone; resource.Zone != "" && inZone != (b.Zone == resource.Zone) {
+		if inZone {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
 		return c
 	}
-	return compareWeights(resource, a, b)
+	return compareWeights(resource.Name, a, b)
 }
 
 func compareWeights(resource string, a, b *Entry) int {
--- a/pkg/fleet/ownership.go
+++ b/pkg/fleet/ownership.go
@@ -25,29 +25,44 @@
 	preferredCapacityRatio = 0.5
 )
 
+// Resource is something that one VM owns.
+type Resource struct {
+	Name string
+	// Zone is the zone whose VMs should own the resource, since it has to do with that zone alone;
+	// empty if VMs of all zones are equal. VMs of other zones own it only if none of that zone is
+	// reachable.
+	Zone string
+}
+
 // ReleasedClaim is a resource whose claim this VM released.
 type ReleasedClaim struct {
-	Resource string
+	Resource Resource
 	// NewOwner is the VM that should own the resource now. It is empty if there is none.
 	NewOwner Entry
 }
 
 // Owner returns the VM that owns the resource as far as this VM knows: a reachable VM that
 // claims it, or otherwise the one that should claim it. It returns false if there is none.
-func (d *Directory) Owner(now clock.Instant, resource string) (Entry, bool) {
-	if claimant := d.claimant(now, resource); claimant != nil {
+func (d *Directory) Owner(now clock.Instant, resource Resource) (Entry, bool) {
+	claimant := d.claimant(now, resource)
+	if claimant != nil && (resource.Zone == "" || claimant.Zone == resource.Zone) {
 		return *claimant, true
 	}
 	candidates := d.candidates(now, resource)
 	if len(candidates) == 0 {
 		return Entry{}, false
 	}
-	return slices.MinFunc(candidates, func(a, b candidate) int { return a.compare(&b) }).entry, true
+	best := slices.MinFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
+	if claimant != nil && best.tier > maxPreferredTier {
+		// No settled VM of the resource's zone could take it over.
+		return *claimant, true
+	}
+	return best.entry, true
 }
 
 // claimant returns the reachable VM that claims the resource, or nil.
-func (d *Directory) claimant(now clock.Instant, resource string) *Entry {
-	key := KeyOf(resource)
+func (d *Directory) claimant(now clock.Instant, resource Resource) *Entry {
+	key := KeyOf(resource.Name)
 	var best *Entry
 	if d.self.Claimed(key) && !d.self.Leaving {
 		best = &d.self
@@ -64,10 +79,22 @@
 	return best
 }
 
+// Tiers of candidates; a lower one is preferred.
+const (
+	tierPreferred = iota
+	tierSmall
+	tierRecentlyStarted
+	tierUnresponsive
+	// tierOtherZone is added for a VM that is not in the zone of the resource.
+	tierOtherZone
+
+	// maxPreferredTier is the highest tier to which a claim moves while the claimant is reachable.
+	maxPreferredTier = tierSmall
+)
+
 // candidate is a VM that may own a resource, with what decides the order of the candidates.
 type candidate struct {
-	entry Entry
-	// tier is 0 for preferred VMs and larger for others.
+	entry  Entry
 	tier   int
 	weight uint64
 }
@@ -85,7 +112,7 @@
 
 // Ranking returns the VMs that may own a resource in order of preference. VMs with the same
 // directory return the same order; unresponsive VMs come last.
-func (d *Directory) Ranking(now clock.Instant, resource string) []Entry {
+func (d *Directory) Ranking(now clock.Instant, resource Resource) []Entry {
 	candidates := d.candidates(now, resource)
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	out := make([]Entry, 0, len(candidates))
@@ -96,7 +123,7 @@
 }
 
 // candidates returns the VMs that may own a resource, in no particular order.
-func (d *Directory) candidates(now clock.Instant, resource string) []candidate {
+func (d *Directory) candidates(now clock.Instant, resource Resource) []candidate {
 	out := make([]candidate, 0, len(d.names)+1)
 	for _, name := range d.names {
 		if entry := d.entries[name]; d.isReachable(now, entry) {
@@ -113,17 +140,20 @@
 		}
 		largest = max(largest, out[i].entry.Capacity)
 	}
-	key := rendezvous.HashOf(resource)
+	key := rendezvous.HashOf(resource.Name)
 	for i := range out {
 		c := &out[i]
 		c.weight = rendezvous.WeightOf(key, rendezvous.HashOf(c.entry.Name))
 		switch {
 		case d.isUnresponsive(c.entry.Name):
-			c.tier = 3
+			c.tier = tierUnresponsive
 		case c.entry.Started > oldest+uint64(claimDelay.Milliseconds()) && d.startedRecently(now, c.entry.Name):
-			c.tier = 2
+			c.tier = tierRecentlyStarted
 		case float64(c.entry.Capacity) < preferredCapacityRatio*float64(largest):
-			c.tier = 1
+			c.tier = tierSmall
+		}
+		if resource.Zone != "" && c.entry.Zone != resource.Zone {
+			c.tier += tierOtherZone
 		}
 	}
 	return out
@@ -141,10 +171,13 @@
 }
 
 // UpdateClaims claims the resources that no VM claims and this VM should own, and releases
-// claims to resources that another VM should own. It returns both.
-func (d *Directory) UpdateClaims(now clock.Instant, resources []string) (claimed []string, released []ReleasedClaim) {
+// claims to resources that another VM should own. It returns both. Claims to other resources,
+// which do not exist any more, are dropped.
+func (d *Directory) UpdateClaims(now clock.Instant, resources []Resource) (claimed []Resource, released []ReleasedClaim) {
+	existing := make(map[Key]bool, len(resources))
 	for _, resource := range resources {
-		key := KeyOf(resource)
+		key := KeyOf(resource.Name)
+		existing[key] = true
 		owner, ok := d.Owner(now, resource)
 		isSelf := ok && owner.Name == d.self.Name
 		switch {
@@ -152,10 +185,16 @@
 			d.self = d.self.withoutClaim(key)
 			d.bumpVersion()
 			released = append(released, ReleasedClaim{Resource: resource, NewOwner: owner})
-		case isSelf && d.Claim(resource):
+		case isSelf && d.Claim(resource.Name):
 			claimed = append(claimed, resource)
 		}
 	}
+	for _, key := range d.self.Claims {
+		if !existing[key] {
+			d.self = d.self.withoutClaim(key)
+			d.bumpVersion()
+		}
+	}
 	return claimed, released
 }
 
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -41,6 +41,9 @@
 	FleetWeight float64
 	// Tried is the set of upstreams that must not be chosen again.
 	Tried map[string]bool
+	// IsZoneSuspect reports whether a zone is probably cut off; its upstreams then count as in
+	// backoff. It may be nil.
+	IsZoneSuspect func(zone string) bool
 }
 
 // PickStatus says whether Pick found an upstream, and if not, why.
@@ -92,7 +95,7 @@
 	// the upstream. Its weight alone must not rule out the upstream.
 	limit := cheapest.cost(now, r.FleetWeight)*preferredCostRatio + preferredCostSlack + max(r.FleetWeight-1, 0)
 	choice := Choice{Upstream: cheapest}
-	preferred := preferredByPrefix(now, r.Prefix, upstreams)
+	preferred := preferredByPrefix(now, r, upstreams)
 	for _, u := range preferred {
 		if r.isAvailable(now, u) && u.cost(now, r.FleetWeight) <= limit {
 			choice.Upstream = u
@@ -110,11 +113,16 @@
 	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
 }
 
+// inBackoff reports whether the upstream, or its whole zone, failed a short time ago.
+func (r *Request) inBackoff(now clock.Instant, u *Upstream) bool {
+	return u.inBackoff(now) || (r.IsZoneSuspect != nil && u.Zone != r.Zone && r.IsZoneSuspect(u.Zone))
+}
+
 func candidates(now clock.Instant, r *Request, upstreams []*Upstream) (available, inBackoff []*Upstream) {
 	for _, u := range upstreams {
 		switch {
 		case !r.isAvailable(now, u):
-		case u.inBackoff(now):
+		case r.inBackoff(now, u):
 			inBackoff = append(inBackoff, u)
 		default:
 			available = append(available, u)
@@ -141,7 +149,8 @@
 // preferredByPrefix returns the upstreams that the prefix prefers, by rendezvous hashing. Each level
 // narrows the upstreams down to a subset. It includes those at a limit, so that the subset stays
 // the same meanwhile; those in backoff are left out.
-func preferredByPrefix(now clock.Instant, levels []PrefixLevel, upstreams []*Upstream) []*Upstream {
+func preferredByPrefix(now clock.Instant, r *Request, upstreams []*Upstream) []*Upstream {
+	levels := r.Prefix
 	for _, level := range levels[:len(levels)-1] {
 		if level.Upstreams > 0 && level.Upstreams < len(upstreams) {
 			upstreams = top(level.Part, upstreams, level.Upstreams)
@@ -149,7 +158,7 @@
 	}
 	reachable := make([]*Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
-		if !u.inBackoff(now) {
+		if !r.inBackoff(now, u) {
 			reachable = append(reachable, u)
 		}
 	}
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -15,6 +15,10 @@
 	Key string
 	// Inputs are the handles of all results that the stage needs.
 	Inputs []string
+	// KeepInputs is set if the inputs are kept until the job has ended, so that a piece that
+	// failed can run again. Otherwise they count as read soon after the calls have begun, since
+	// the pool that made them is short of memory.
+	KeepInputs bool
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
 	// Zone is the zone that holds the inputs or needs the results; empty if any zone will do.
@@ -66,6 +70,8 @@
 	Job     JobID
 	Handles []string
 	Refusal Refusal
+	// MemoryShort is set if the pool needs the memory of the results back as soon as possible.
+	MemoryShort bool
 }
 
 // pieceState is the state of a piece of a job.
--- a/pkg/stagepool/load_test.go
+++ b/pkg/stagepool/load_test.go
@@ -257,3 +257,32 @@
 		t.Error("the inputs were released although the call to u may still be queued")
 	}
 }
+
+// TestInputsAreKeptForAnotherAttempt lets a piece fail at the end of its call. It guards against
+// inputs that were released by then: all stages of the request would have to run again. A pool
+// that is short of memory gets its results back early all the same.
+func TestInputsAreKeptForAnotherAttempt(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		p := newTwoPiecePool(t, Upstream{ID: "u"})
+		now := clock.Instant(0)
+		p.Submit(now, Job{Pieces: 2, KeepInputs: keep, Due: now.Add(time.Second), Deadline: now.Add(2 * time.Second)})
+		call := p.Dispatch(now)[0]
+		now = now.Add(250 * time.Millisecond)
+		p.Dispatch(now)
+		if released := len(p.InputsRead()) > 0; released == keep {
+			t.Errorf("keep %v: inputs released during the call: %v", keep, released)
+		}
+		now = now.Add(50 * time.Millisecond)
+		results := []PieceResult{{Outcome: PieceSucceeded, Handle: "h1"}, {Outcome: PieceFailed}}
+		p.FinishCall(now, "u", call.ID, CallAnswered, results, nil)
+		again := p.Dispatch(now)
+		if len(again) != 1 || len(again[0].Pieces) != 1 {
+			t.Fatalf("keep %v: calls %v, expected one of the failed piece", keep, again)
+		}
+		now = now.Add(300 * time.Millisecond)
+		p.FinishCall(now, "u", again[0].ID, CallAnswered, []PieceResult{{Outcome: PieceSucceeded, Handle: "h2"}}, nil)
+		if released := len(p.InputsRead()) > 0; released != keep {
+			t.Errorf("keep %v: inputs released at the end of the job: %v", keep, released)
+		}
+	}
+}
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -80,6 +80,7 @@
 	meanCallTime time.Duration
 	// memoryBoundAt is when a shortage of memory last limited a call.
 	memoryBoundAt clock.Instant
+	lastDispatch  clock.Instant
 	completed     throughput
 	// previousCallsUntil is when calls of the previous owner have ended at the latest.
 	previousCallsUntil clock.Instant
@@ -273,7 +274,7 @@
 		}
 	}
 	if reportOutcome {
-		outcome := JobOutcome{Job: j.id, Refusal: refusal}
+		outcome := JobOutcome{Job: j.id, Refusal: refusal, MemoryShort: p.isMemoryShort(p.lastDispatch)}
 		if refusal == NoRefusal {
 			outcome.Handles = handles
 		}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -126,7 +126,7 @@
 // that NextDispatch returns.
 func (p *Pool) Dispatch(now clock.Instant) []Call {
 	p.retryBudget.AddTokens(retryRefillPerSecond * now.Sub(p.budgetRefilledAt).Seconds())
-	p.budgetRefilledAt = now
+	p.budgetRefilledAt, p.lastDispatch = now, now
 	p.expireResults(now)
 	p.dropExpiredJobs(now)
 	p.demoteLateJobs(now)
@@ -366,7 +366,7 @@
 // recordInputsRead collects the jobs whose inputs have been read.
 func (p *Pool) recordInputsRead(now clock.Instant) {
 	for _, j := range p.queue {
-		if !j.inputsReadReported && j.inputsReadAt != 0 && now >= j.inputsReadAt && !j.hasWaitingPieces() {
+		if !j.KeepInputs && !j.inputsReadReported && j.inputsReadAt != 0 && now >= j.inputsReadAt && !j.hasWaitingPieces() {
 			j.inputsReadReported = true
 			p.inputsRead = append(p.inputsRead, j.id)
 		}
@@ -402,7 +402,7 @@
 	}
 	next := now.Add(maxDispatchInterval)
 	for _, j := range p.queue {
-		if !j.inputsReadReported && j.inputsReadAt > now {
+		if !j.KeepInputs && !j.inputsReadReported && j.inputsReadAt > now {
 			next = min(next, j.inputsReadAt)
 		}
 	}
@@ -420,6 +420,16 @@
 	return next, true
 }
 
+// isMemoryShort reports whether results should be released before the stages that read them have
+// ended.
+func (p *Pool) isMemoryShort(now clock.Instant) bool {
+	return p.memoryBoundAt != 0 && now.Sub(p.memoryBoundAt) < memoryShortDuration
+}
+
+// memoryShortDuration is how long after a shortage of memory results are released early. It is
+// longer than the results of one call stay.
+const memoryShortDuration = 3 * time.Second
+
 // memoryBoundDuration is how long the pool counts as memory-bound after a shortage of memory
 // limited a call.
 const memoryBoundDuration = 500 * time.Millisecond
