Always name another engine as the source of a cached prompt; compare directories after a start

An engine that is new, or preferred again after its return, read the prompts of its subjects although the engine that served them before had them.

Change: the most preferred other engine is named as the source also when the preferred one was chosen. While its directory grows, a VM compares digests with a random VM twice a second and gets the whole directory where they differ, within a budget of datagrams.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -58,7 +58,8 @@
 	lastHello             clock.Instant
 	lastUnresponsiveCheck clock.Instant
 	// alone is set while no other VM is reachable.
-	alone bool
+	alone         bool
+	directorySync directorySync
 }
 
 func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, contain *containment, onMembershipChange, onClaimChange func()) (*gossip, error) {
@@ -119,7 +120,7 @@
 func (g *gossip) handleDatagram(datagram *hoistv1.Datagram, from *net.UDPAddr) {
 	g.sendMessages(g.applyDatagram(datagram))
 	if datagram.GetHello() {
-		g.writeDatagram(&hoistv1.Datagram{}, from)
+		g.answerHello(datagram, from)
 	}
 	g.reportChanges()
 }
@@ -140,6 +141,7 @@
 	}
 	if g.directory.Merge(now, entries) {
 		g.membership.SetMembers(now, g.directory.Members())
+		g.directorySync.grownAt = now
 	}
 	var out []membership.Message
 	if p := datagram.GetProbe(); p != nil {
@@ -161,6 +163,7 @@
 	g.mu.Unlock()
 	g.sendMessages(out)
 	g.sendHellos(now)
+	g.compareDirectories(now)
 	g.sendHelloToUnresponsive(now)
 	g.reportChanges()
 }
@@ -185,7 +188,7 @@
 	}
 	for _, seed := range g.seeds {
 		if seed != own {
-			g.writeDatagram(&hoistv1.Datagram{Hello: true}, g.gossipAddress(seed))
+			g.writeDatagram(g.newHello(), g.gossipAddress(seed))
 		}
 	}
 }
@@ -229,6 +232,11 @@
 		datagram.Directory = append(datagram.Directory, entryToProto(e))
 	}
 	g.mu.Unlock()
+	g.sendDatagram(datagram, to)
+}
+
+// sendDatagram sends a datagram as it is.
+func (g *gossip) sendDatagram(datagram *hoistv1.Datagram, to *net.UDPAddr) {
 	data, err := proto.Marshal(datagram)
 	if err != nil {
 		g.logger.Error("failed to encode a membership datagram", obs.ErrorField(err))
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -207,6 +207,27 @@
 	return out
 }
 
+// Digest identifies the set of known process starts. Two directories with the same set have the
+// same digest; a different set has the same one only by chance.
+func (d *Directory) Digest() uint64 {
+	digest := d.self.startHash()
+	for _, entry := range d.entries {
+		digest ^= entry.startHash()
+	}
+	// 0 stands for an unknown digest.
+	return max(digest, 1)
+}
+
+// Entries returns the entries of all known VMs, this one first and the others sorted by name.
+func (d *Directory) Entries() []Entry {
+	out := make([]Entry, 0, len(d.names)+1)
+	out = append(out, d.self)
+	for _, name := range d.names {
+		out = append(out, d.entries[name].Entry)
+	}
+	return out
+}
+
 // Size returns the number of VMs that may be running, including this one.
 func (d *Directory) Size() int { return len(d.names) + 1 }
 
--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -44,6 +44,11 @@
 	return e.Version > old.Version
 }
 
+// startHash identifies the process start of the VM.
+func (e *Entry) startHash() uint64 {
+	return rendezvous.WeightOf(rendezvous.HashOf(e.Name), rendezvous.Hash(e.Started))
+}
+
 // withClaim returns the entry with the key added to the claims.
 func (e Entry) withClaim(key Key) Entry {
 	if !e.Claimed(key) {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -62,9 +62,8 @@
 type Choice struct {
 	// Upstream is nil if none was found.
 	Upstream *Upstream
-	// CacheSource is an upstream from which the chosen one can copy the prefix of the request: the
-	// one that the prefix prefers most, which has probably cached it. It is nil if that is the
-	// chosen one or not usable.
+	// CacheSource is an upstream from which the chosen one can copy what it lacks of the prefix of
+	// the request: the most preferred other one. It is nil if there is none.
 	CacheSource *Upstream
 }
 
@@ -102,8 +101,13 @@
 			break
 		}
 	}
-	if len(preferred) > 0 && preferred[0] != choice.Upstream {
-		choice.CacheSource = preferred[0]
+	// The first preferred upstream that is not the chosen one has probably cached the prefix: the
+	// chosen one may be new, or take the place of one at a limit.
+	for _, u := range preferred {
+		if u != choice.Upstream {
+			choice.CacheSource = u
+			break
+		}
 	}
 	return choice
 }
