Pass the tables on within zones, and end pulls when they are confirmed

Change: where a reader would have more than twelve followers, two VMs of each zone pull from the readers and the others from these; a VM without tables also asks another VM of its zone. A pull ends when the source's tables are confirmed as current, so an additional hop adds no age.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -59,14 +59,14 @@
 	failures int
 	// lossLogged is set after the loss of the store was logged, until its return.
 	lossLogged bool
-	// change is closed at the next change of the items, and when a read fails.
-	change chan struct{}
+	// refreshed is closed when the items are next known to be current, and when a read fails.
+	refreshed chan struct{}
 }
 
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View)) *follower {
 	return &follower{
 		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange,
-		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{}, change: make(chan struct{}),
+		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{}, refreshed: make(chan struct{}),
 	}
 }
 
@@ -115,6 +115,7 @@
 	defer f.mu.Unlock()
 	f.recordOutage()
 	f.applyItems(f.replica.Replace(items, revision, sentAt))
+	f.wakeWaiters()
 	return nil
 }
 
@@ -131,6 +132,7 @@
 	defer f.mu.Unlock()
 	f.recordOutage()
 	f.applyItems(f.replica.Apply(items, revision, sentAt))
+	f.wakeWaiters()
 	f.hasChanges = len(items) > 0
 	return nil
 }
@@ -231,14 +233,14 @@
 	}
 }
 
-// wakeWaiters wakes the pulls of peers that wait for changes. The caller holds the lock.
+// wakeWaiters wakes the pulls of peers that wait for newer tables, or for the news that this VM
+// cannot read the store. The caller holds the lock.
 func (f *follower) wakeWaiters() {
-	close(f.change)
-	f.change = make(chan struct{})
+	close(f.refreshed)
+	f.refreshed = make(chan struct{})
 }
 
 func (f *follower) publishView() {
-	f.wakeWaiters()
 	zones := make(map[string]bool, len(f.zonesOut))
 	for zone := range f.zonesOut {
 		zones[zone] = true
@@ -274,17 +276,18 @@
 	changes   replica.Changes
 }
 
-// changesAfter returns the changes for a peer whose items are complete up to the revision. It
-// waits for a change after the revision, at most for the given time.
+// changesAfter returns the changes for a peer whose items are complete up to the revision. If there
+// are none, it waits until the items are next known to be current, at most for the given time: a
+// peer then learns of changes at once, and that there are none as soon as this VM does.
 func (f *follower) changesAfter(ctx context.Context, revision uint64, wait time.Duration, asDelta bool) peerChanges {
 	f.mu.Lock()
-	change, changed := f.change, f.replica.LastChangeRevision() > revision || !f.replica.Complete() || f.failures > 0
+	refreshed, isNews := f.refreshed, f.replica.LastChangeRevision() > revision || !f.replica.Complete() || f.failures > 0
 	f.mu.Unlock()
-	if wait > 0 && !changed {
+	if wait > 0 && !isNews {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
-		case <-change:
+		case <-refreshed:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -307,11 +310,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordOutage()
+	before := f.replica.FreshAt()
 	if changes.unchanged {
 		f.replica.Confirm(requested, changes.revision, freshAt)
-		return
+	} else {
+		f.applyItems(f.replica.Merge(changes.changes, changes.revision, freshAt))
+	}
+	if f.replica.FreshAt() > before {
+		f.wakeWaiters()
 	}
-	f.applyItems(f.replica.Merge(changes.changes, changes.revision, freshAt))
 }
 
 // revision returns the revision up to which the items are complete, or 0.
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -303,6 +303,7 @@
 	servers []*Server
 	stops   []context.CancelFunc
 	done    []chan struct{}
+	prepare func(*Server)
 }
 
 // Ports of the VMs. They are below the kernel's range of ephemeral ports, so that no outgoing
@@ -320,7 +321,13 @@
 // startFleet starts n VMs on their own loopback subnet.
 func startFleet(t *testing.T, n int, change func(*Settings)) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: newTestStore()}
+	return startFleetWith(t, n, change, func(*Server) {})
+}
+
+// startFleetWith is startFleet with a function that changes each server before it runs.
+func startFleetWith(t *testing.T, n int, change func(*Settings), prepare func(*Server)) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, store: newTestStore(), prepare: prepare}
 	subnet := fmt.Sprintf("127.%d.%d.", 201+os.Getpid()%50, fleetCount.Add(1)%250)
 	for i := range n {
 		ip := fmt.Sprint(subnet, i+2)
@@ -357,6 +364,7 @@
 		f.t.Fatal(err)
 	}
 	server.balancerDelay = 50 * time.Millisecond
+	f.prepare(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	f.servers, f.stops, f.done = append(f.servers, server), append(f.stops, cancel), append(f.done, done)
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -35,9 +35,13 @@
 
 // ranking returns the VMs that may own a resource in order of preference.
 func (g *gossip) ranking(resource string) []fleet.Entry {
+	return g.rankingOf(fleet.Resource{Name: resource})
+}
+
+func (g *gossip) rankingOf(resource fleet.Resource) []fleet.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.directory.Ranking(g.now(), fleet.Resource{Name: resource})
+	return g.directory.Ranking(g.now(), resource)
 }
 
 // hasClaimed reports whether this VM claims a resource.
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -67,7 +67,6 @@
 	registry *prometheus.Registry
 	metrics  *metrics
 	contain  *containment
-	random   *rand.Rand
 
 	follower  *follower
 	gossip    *gossip
@@ -81,7 +80,10 @@
 	balancerDelay time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
-	view         atomic.Pointer[View]
+	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
+	// relays.
+	maxDirectFollowers int
+	view               atomic.Pointer[View]
 	// unreachableZones holds the zones that this VM cannot reach by the membership protocol, and
 	// ownerZones those whose owners did not respond, which shows sooner.
 	unreachableZones atomic.Pointer[map[string]bool]
@@ -107,13 +109,13 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
-		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), balancerDelay: balancerDelay,
-		upstreams: newUpstreams(options.Now), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
+		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), balancerDelay: balancerDelay, maxDirectFollowers: maxDirectFollowers,
+		upstreams: newUpstreams(options.Now),
+		peers:     newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
-	s.startedAt, s.readerOffset = options.Now(), s.random.IntN(storeReaderCount)
+	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
 	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView)
 	var err error
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,19 +19,28 @@
 	// pull the tables from these, since each read is charged and the rate limits of the store
 	// grow more slowly than the fleet.
 	storeReaderCount = 3
-	// readerRankingKey is the key of the ranking that selects the readers.
+	// readerRankingKey is the key of the ranking that selects the readers, and relayRankingKey that
+	// of the relays of a zone.
 	readerRankingKey = "store readers"
+	relayRankingKey  = "table relays"
+	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
+	// relays.
+	maxDirectFollowers = 12
+	// relaysPerZone is the number of VMs of a zone that pull from the readers for the others of
+	// the zone. Then a change crosses to each zone a few times, however many VMs it has.
+	relaysPerZone = 2
 	// readerAgeStep is the additional age of the tables at which each further VM in the ranking
 	// starts to read the store, so that after an outage they do not all start at once.
 	readerAgeStep = 40 * time.Millisecond
 	// discoveryTimeout is how long a VM waits after its start to discover other VMs before it
 	// acts as the only one.
 	discoveryTimeout = 500 * time.Millisecond
-	// pullHoldTime is how long a reader holds a pull (a long poll) of a VM that already has the
-	// latest tables.
-	pullHoldTime = 500 * time.Millisecond
-	// staleReaderAge is the age of a reader's tables at which VMs switch to another reader.
-	staleReaderAge = 1100 * time.Millisecond
+	// pullHoldTime is how long a pull (a long poll) of a VM that already has the latest tables is
+	// held. A reader is current again before that, which ends the pull.
+	pullHoldTime = time.Second
+	// staleReaderAge is the additional age of a source's tables, beyond that of a watch, at which VMs
+	// switch to another source.
+	staleReaderAge = watchTimeout + 800*time.Millisecond
 	// pullTimeoutMargin is added to the hold time of a pull for its timeout.
 	pullTimeoutMargin = 400 * time.Millisecond
 	// pullRetryDelay is the delay after a pull that did not bring this VM up to date.
@@ -38,26 +48,27 @@
 )
 
 // followTables keeps the tables current until the context ends. A reader of the store reads
-// them from there; any other VM pulls them from a reader.
+// them from there; any other VM pulls them from a reader or a relay.
 func (s *Server) followTables(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; {
-		readers, isReader := s.storeReaders()
+		sources, isReader := s.tableSources()
 		switch {
 		case isReader:
 			s.follower.readStore(ctx)
-		case len(readers) == 0:
+		case len(sources) == 0:
 			sleep(ctx, pullRetryDelay)
-		case !s.pullFrom(ctx, readers[(next+s.readerOffset)%len(readers)], pullHoldTime):
+		case !s.pullFrom(ctx, sources[(next+s.readerOffset)%len(sources)], pullHoldTime):
 			next++
 			sleep(ctx, pullRetryDelay)
 		}
 	}
 }
 
-// storeReaders returns the other VMs that read the store, and whether this one reads it.
-func (s *Server) storeReaders() ([]fleet.Entry, bool) {
+// tableSources returns the VMs from which this one may pull the tables, and whether it reads the
+// store instead.
+func (s *Server) tableSources() ([]fleet.Entry, bool) {
 	ranking := s.gossip.ranking(readerRankingKey)
-	rank := slices.IndexFunc(ranking, func(e fleet.Entry) bool { return e.Name == s.settings.VM })
+	rank := s.indexOfSelf(ranking)
 	uptime := s.now().Sub(s.startedAt)
 	if len(ranking) <= 1 {
 		return nil, uptime > discoveryTimeout || len(s.settings.Seeds) == 0
@@ -67,9 +78,40 @@
 		age = uptime
 	}
 	overdue := age > staleTablesAge+time.Duration(max(rank, 0))*readerAgeStep
-	isReader := (rank >= 0 && rank < storeReaderCount) || overdue
-	ranking = slices.DeleteFunc(ranking[:min(storeReaderCount+1, len(ranking))], func(e fleet.Entry) bool { return e.Name == s.settings.VM })
-	return ranking[:min(storeReaderCount, len(ranking))], isReader
+	if (rank >= 0 && rank < storeReaderCount) || overdue {
+		return nil, true
+	}
+	readers := ranking[:min(storeReaderCount, len(ranking))]
+	if len(ranking) <= storeReaderCount*(s.maxDirectFollowers+1) {
+		return readers, false
+	}
+	return s.zoneSources(ranking, readers, complete), false
+}
+
+// zoneSources returns the sources of a VM in a large fleet: the readers for a relay, and otherwise
+// the relays of its zone. A VM without tables also asks others of its zone, since the tables as a
+// whole are large, and after a start of all VMs many want them at the same time.
+func (s *Server) zoneSources(ranking, readers []fleet.Entry, complete bool) []fleet.Entry {
+	var others []fleet.Entry
+	for _, entry := range ranking {
+		if entry.Zone == s.settings.Zone && entry.Name != s.settings.VM {
+			others = append(others, entry)
+		}
+	}
+	relays := s.gossip.rankingOf(fleet.Resource{Name: relayRankingKey + " " + s.settings.Zone, Zone: s.settings.Zone})
+	relays = relays[:min(relaysPerZone, len(relays))]
+	switch {
+	case len(others) < relaysPerZone || s.indexOfSelf(relays) >= 0:
+		return readers
+	case complete:
+		return relays
+	}
+	return append(relays, others[rand.IntN(len(others))])
+}
+
+// indexOfSelf returns the index of this VM, or -1.
+func (s *Server) indexOfSelf(entries []fleet.Entry) int {
+	return slices.IndexFunc(entries, func(e fleet.Entry) bool { return e.Name == s.settings.VM })
 }
 
 // refreshStaleTables pulls the tables from random peers while they are stale. It also removes
@@ -84,7 +126,7 @@
 		}
 		reachable := s.gossip.reachable()
 		for range min(peersPerPull, len(reachable)) {
-			i := s.random.IntN(len(reachable))
+			i := rand.IntN(len(reachable))
 			entry := reachable[i]
 			reachable = slices.Delete(reachable, i, i+1)
 			go s.pullFrom(ctx, entry, 0)
