--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -50,7 +50,8 @@
 	pools := map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}, "b": {Name: "b", Batch: &batch}}
 	stages := []catalog.Stage{{Pool: "a"}, {Pool: "b", DependsOn: []int{0}}}
 	f.publish(&catalog.Catalog{Version: 1, Pools: pools, Routes: []catalog.Route{
-		testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) { r.Stages = stages }),
+		// The objective is so long that no request is refused because the machine is slow.
+		testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) { r.Stages, r.Objective, r.Timeout = stages, time.Minute, time.Minute }),
 	}}, append(append(catalogUpstreams("p", model), catalogUpstreams("a", first)...), catalogUpstreams("b", second)...)...)
 
 	var wg sync.WaitGroup
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -292,20 +292,22 @@
 }
 
 // TestCallerLimits guards against callers that use too many resources: large bodies, large
-// headers and requests that are never completed.
+// headers and requests that are never completed. The time to read a request is short only where it
+// is to end: a sender that gets no processor time for that long would be refused for it otherwise.
 func TestCallerLimits(t *testing.T) {
-	limits := defaultLimits()
-	limits.MaxBodyBytes, limits.ReadTimeout = 1000, 50*time.Millisecond
-	f := newFixture(t, nil, limits)
 	for _, test := range []struct {
 		name, request string
+		readTimeout   time.Duration
 		kind          errkind.Kind
 	}{
-		{"body", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), errkind.BodyTooLarge},
-		{"headers", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", errkind.BadRequest},
-		{"slow sender", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nx", errkind.BadRequest},
+		{"body", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), time.Minute, errkind.BodyTooLarge},
+		{"headers", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", time.Minute, errkind.BadRequest},
+		{"slow sender", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nx", 50 * time.Millisecond, errkind.BadRequest},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			limits := defaultLimits()
+			limits.MaxBodyBytes, limits.ReadTimeout = 1000, test.readTimeout
+			f := newFixture(t, nil, limits)
 			conn, err := net.Dial("tcp", f.address)
 			if err != nil {
 				t.Fatal(err)
@@ -318,11 +320,11 @@
 			if !bytes.Contains(answer, []byte(test.kind.String())) || !bytes.Contains(answer, []byte("not_run")) {
 				t.Errorf("answer without the expected kind or not_run: %.300q", answer)
 			}
+			if f.gateway.inFlight.Load() != 0 {
+				t.Error("the refused request is still counted as running")
+			}
 		})
 	}
-	if f.gateway.inFlight.Load() != 0 {
-		t.Error("refused requests are still counted as running")
-	}
 }
 
 // TestOlderSnapshotIsIgnored guards against going back to an older revision that an agent
