--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -370,6 +370,8 @@
 		{"long event", "Transfer-Encoding: chunked", chunk("data: "+strings.Repeat("x", 10000)+"\n\n") + "0\r\n\r\n", 1, dispatch.OutcomeSuccess},
 		{"truncated after an event", "Transfer-Encoding: chunked", chunk("data: a\n\n"), 1, dispatch.OutcomeReset},
 		{"truncated within an event", "Transfer-Encoding: chunked", chunk("data: a\n\ndata: b"), 1, dispatch.OutcomeReset},
+		{"truncated after an event, with a length", "Content-Length: 100", "data: a\n\n", 1, dispatch.OutcomeReset},
+		{"whole, with a length", "Content-Length: 9", "data: a\n\n", 1, dispatch.OutcomeSuccess},
 		{"closed without chunked encoding", "Connection: close", "data: a\n\n", 1, dispatch.OutcomeReset},
 		{"closed after [DONE]", "Connection: close", "data: a\n\ndata: [DONE]\n\n", 1, dispatch.OutcomeSuccess},
 	} {
@@ -397,6 +399,51 @@
 	}
 }
 
+// TestResponseWithoutEnd guards against a response that takes memory without bound: a head, a body or
+// an event that goes on until the client closes the connection.
+func TestResponseWithoutEnd(t *testing.T) {
+	const maxWritten = 8 << 20
+	for name, test := range map[string]struct {
+		start, unit string
+		stream      bool
+	}{
+		"status line":           {"HTTP/1.1 200 ", "x", false},
+		"one header":            {"HTTP/1.1 200 OK\r\nA: ", "x", false},
+		"many headers":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n", false},
+		"noise":                 {"", "\x00\xff", false},
+		"body without length":   {"HTTP/1.1 200 OK\r\n\r\n", "x", false},
+		"body in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nxxxxxxxx\r\n", false},
+		"chunk length":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", false},
+		"event of short lines":  {"HTTP/1.1 200 OK\r\nHoist-Request: request-x\r\nHoist-Stage: stage\r\nHoist-Attempt: 1\r\n\r\n", "data: x\n", true},
+		"event of one line":     {"HTTP/1.1 200 OK\r\nHoist-Request: request-x\r\nHoist-Stage: stage\r\nHoist-Attempt: 1\r\n\r\n", "x", true},
+		"many headers, streams": {"HTTP/1.1 200 OK\r\n", "A: b\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var written atomic.Int64
+			block := strings.Repeat(test.unit, (16<<10)/len(test.unit))
+			s := newServer(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				for _, err := io.WriteString(c, test.start); err == nil; {
+					var n int
+					n, err = io.WriteString(c, block)
+					written.Add(int64(n))
+				}
+				return false
+			})
+			options := testOptions()
+			options.MaxResponseBytes = 1 << 20
+			call := s.call("x")
+			call.Stream, call.OnEvent = test.stream, func([]byte, bool) {}
+			if result := NewClient(options).Do(&CancelHandle{}, call); result.Outcome == dispatch.OutcomeSuccess || result.Outcome == dispatch.OutcomeTimeout {
+				t.Errorf("outcome %d: %s", result.Outcome, result.Detail)
+			}
+			if n := written.Load(); n > maxWritten {
+				t.Errorf("%d bytes were accepted, expected at most %d", n, maxWritten)
+			}
+		})
+	}
+}
+
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
 // TestHeaderInjection guards against a header value of a caller that adds headers to the
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -33,11 +33,12 @@
 	}
 	var body io.Reader
 	length := response.Header.ContentLength()
+	limited := &io.LimitedReader{R: cn.reader, N: int64(length)}
 	switch {
 	case length == contentLengthChunked:
 		body = httputil.NewChunkedReader(cn.reader)
 	case length >= 0:
-		body = io.LimitReader(cn.reader, int64(length))
+		body = limited
 	default:
 		body = cn.reader
 	}
@@ -46,8 +47,8 @@
 		return Result{}, false, err
 	}
 	// Without chunked encoding, the end of the connection does not prove that the response is
-	// complete.
-	if length == contentLengthIdentity && !done {
+	// complete, and before the announced length it proves the opposite.
+	if length == contentLengthIdentity && !done || length >= 0 && limited.N > 0 {
 		return Result{}, false, io.ErrUnexpectedEOF
 	}
 	return result, length == contentLengthChunked && readTrailer(cn.reader), nil
