Keep large inputs in their zone, fill calls by splitting jobs, spill by waiting time

In a burst all upstreams of a pool are busy with calls that are 80 in 100 full, since a job that does not fit as a whole waits.

Change: with large inputs the engine is one of their zone, if that is not clearly more loaded, and copies the prompt from the preferred one; a job is split to fill a call if memory for another full call is left; other shards are asked when a stage would wait half a call, and used if they are a quarter of a call sooner.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -139,7 +139,7 @@
 // placementRequest describes the request for the placement on an upstream.
 func (t *transaction) placementRequest() *placement.Request {
 	return &placement.Request{
-		Prefix: t.sharedPrefix(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
+		Prefix: t.sharedPrefix(), InputZone: t.inputZone(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
 		FleetWeight: float64(t.s.fleetSize.Load()) / smallFleetSize,
 	}
 }
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -15,10 +15,13 @@
 	// answered when it arrives. Under overload, the pools take longer than they expect, since not
 	// all batches are full, and a request that ends late has taken the place of another one.
 	admissionMargin = 100 * time.Millisecond
-	// spillMarginDivisor sets when other shards are asked: if a stage is expected to end less than a
-	// full call divided by it before it is due. maxSpillShards is how many are asked.
-	spillMarginDivisor = 2
-	maxSpillShards     = 2
+	// spillWaitDivisor sets when other shards are asked: if a stage is expected to wait longer than a
+	// full call divided by it, or to end less than that before it is due. maxSpillShards is how
+	// many are asked, and spillGainDivisor how much sooner one of them must be, as a part of a full
+	// call, since the results may have to cross zones.
+	spillWaitDivisor = 2
+	maxSpillShards   = 2
+	spillGainDivisor = 4
 	// minAdmissionRetryDelay and admissionRetryJitter set the delay after which a refused caller
 	// should retry. A burst lasts seconds, and callers that retry together would cause the next
 	// one.
@@ -75,9 +78,9 @@
 // reserveStage reserves capacity for a stage in a shard of its pool, and returns the shard and when
 // the stage is expected to be done. The shard is nil if its owner did not respond or has changed.
 //
-// The shard is that of the zone in which the stage belongs. If the stage would hardly be in time
-// there, the best of that and some others is used: load differs between zones, and the shards of a
-// zone that has lost upstreams are overloaded while others are not.
+// The shard is that of the zone in which the stage belongs. If the stage would wait there, or hardly
+// be in time, the best of that and some others is used: load differs between zones, and the shards
+// of a zone that has lost upstreams are overloaded while others are not.
 func (t *transaction) reserveStage(stage, level int, arrives clock.Instant) (*poolShard, clock.Instant) {
 	view := t.s.view.Load()
 	chosen := t.s.chooseShard(view, t.route.Stages[stage].Pool, t.reserveZone(stage), t.requestInfo.ID)
@@ -93,8 +96,9 @@
 	if !ok {
 		return nil, 0
 	}
-	margin := (chosen.batch.CallTime + time.Duration(chosen.batch.MaxPieces)*chosen.batch.PieceTime) / spillMarginDivisor
-	if !expected.Add(margin).After(r.Due) {
+	fullCall := chosen.batch.CallTime + time.Duration(chosen.batch.MaxPieces)*chosen.batch.PieceTime
+	maxWait := fullCall / spillWaitDivisor
+	if !expected.After(min(r.Due.Add(-maxWait), arrives.Add(fullCall+maxWait))) {
 		return chosen, expected
 	}
 	var unused []reservation
@@ -102,7 +106,7 @@
 		end, ok := t.s.reserveAt(t.ctx, other.resource(), r)
 		switch {
 		case !ok:
-		case end.Before(expected):
+		case end.Add(fullCall / spillGainDivisor).Before(expected):
 			unused = append(unused, reservation{shard: chosen.resource(), id: r.StageID})
 			chosen, expected = other, end
 		default:
--- a/internal/edge/stagezone.go
+++ b/internal/edge/stagezone.go
@@ -29,6 +29,29 @@
 	return n
 }
 
+// inputZone returns the zone that holds most of the inputs of the request itself, or "" if they are
+// not there yet or so small that their zone does not matter.
+func (t *transaction) inputZone() string {
+	if t.inputs == nil {
+		return ""
+	}
+	bytesIn := map[string]int64{}
+	largest := ""
+	for stage, handles := range t.inputs.byStage {
+		for _, handle := range handles {
+			zone := t.view.ZoneOf[t.s.dialect.HandleAddress(handle)]
+			bytesIn[zone] += t.route.Stages[stage].ResultBytes
+			if bytesIn[zone] > bytesIn[largest] {
+				largest = zone
+			}
+		}
+	}
+	if bytesIn[largest] < minZoneTransferBytes {
+		return ""
+	}
+	return largest
+}
+
 // mostCommonZone returns the zone that holds the most results.
 func (v *View) mostCommonZone(handles []string, dialect Dialect) string {
 	counts := map[string]int{}
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -34,6 +34,9 @@
 	Prefix []PrefixLevel
 	// Zone is the zone of this VM.
 	Zone string
+	// InputZone is the zone that holds large inputs of the request; empty if there are none. Copying
+	// a cached prefix to that zone costs less than moving the inputs out of it.
+	InputZone string
 	// MaxInFlight bounds the requests of this VM at one upstream; 0 means no limit.
 	MaxInFlight int
 	// FleetWeight is the number of requests in the whole fleet that one request of this VM
@@ -88,19 +91,24 @@
 }
 
 // pickByPrefix returns the first preferred upstream that is not clearly more expensive than the
-// cheapest one, or else the cheapest one.
+// cheapest one, or else the cheapest one. With large inputs it stays in their zone, if that has an
+// upstream that is not clearly more expensive.
 func pickByPrefix(now clock.Instant, r *Request, upstreams []*Upstream, cheapest *Upstream) Choice {
 	// With a high fleet weight, a single request of this VM may be the only one of the fleet at
 	// the upstream. Its weight alone must not rule out the upstream.
 	limit := cheapest.cost(now, r.FleetWeight)*preferredCostRatio + preferredCostSlack + max(r.FleetWeight-1, 0)
-	choice := Choice{Upstream: cheapest}
 	preferred := preferredByPrefix(now, r, upstreams)
-	for _, u := range preferred {
-		if r.isAvailable(now, u) && u.cost(now, r.FleetWeight) <= limit {
-			choice.Upstream = u
-			break
+	chosen := r.firstBelow(now, preferred, limit)
+	if r.InputZone != "" && (chosen == nil || chosen.Zone != r.InputZone) {
+		inZone := preferredByPrefix(now, r, upstreamsIn(r.InputZone, upstreams))
+		if local := r.firstBelow(now, inZone, limit); local != nil {
+			chosen = local
 		}
 	}
+	if chosen == nil {
+		chosen = cheapest
+	}
+	choice := Choice{Upstream: chosen}
 	// The first preferred upstream that is not the chosen one has probably cached the prefix: the
 	// chosen one may be new, or take the place of one at a limit.
 	for _, u := range preferred {
@@ -112,6 +120,27 @@
 	return choice
 }
 
+// firstBelow returns the first of the upstreams that is available at a cost up to the limit, or nil.
+func (r *Request) firstBelow(now clock.Instant, upstreams []*Upstream, limit float64) *Upstream {
+	for _, u := range upstreams {
+		if r.isAvailable(now, u) && u.cost(now, r.FleetWeight) <= limit {
+			return u
+		}
+	}
+	return nil
+}
+
+// upstreamsIn returns the upstreams of a zone.
+func upstreamsIn(zone string, upstreams []*Upstream) []*Upstream {
+	var out []*Upstream
+	for _, u := range upstreams {
+		if u.Zone == zone {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // isAvailable reports whether the upstream may take the request within all limits.
 func (r *Request) isAvailable(now clock.Instant, u *Upstream) bool {
 	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
--- a/pkg/placement/prefixselector_test.go
+++ b/pkg/placement/prefixselector_test.go
@@ -108,3 +108,28 @@
 		}
 	}
 }
+
+// TestInputsKeepTheirZone guards against moving large inputs to another zone because the engine that
+// the prompt prefers is there, and against overloading the zone of the inputs.
+func TestInputsKeepTheirZone(t *testing.T) {
+	upstreams := newUpstreams(9)
+	for i := range 20 {
+		request := &Request{Prefix: prefix(fmt.Sprint("p", i)), InputZone: "z1"}
+		choice, _ := Pick(0, request, upstreams)
+		home := pick(0, &Request{Prefix: request.Prefix}, upstreams)
+		if choice.Upstream.Zone != "z1" {
+			t.Errorf("prefix %d: %s in %s was chosen, expected one of z1", i, choice.Upstream.ID, choice.Upstream.Zone)
+		}
+		if choice.Upstream != home && choice.CacheSource != home {
+			t.Errorf("prefix %d: %s would copy from %v, expected %s", i, choice.Upstream.ID, choice.CacheSource, home.ID)
+		}
+	}
+	for _, u := range upstreamsIn("z1", upstreams) {
+		for range 20 {
+			u.RecordStart(0)
+		}
+	}
+	if choice, _ := Pick(0, &Request{Prefix: prefix("p"), InputZone: "z1"}, upstreams); choice.Upstream.Zone == "z1" {
+		t.Errorf("%s was chosen although its zone is overloaded", choice.Upstream.ID)
+	}
+}
--- a/pkg/stagepool/load_test.go
+++ b/pkg/stagepool/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -286,3 +287,25 @@
 		}
 	}
 }
+
+// TestCallsAreFull guards against calls that go out with a third of their places empty because the
+// next job does not fit as a whole, while a full queue waits; and against partial results that
+// take the memory of the next batch.
+func TestCallsAreFull(t *testing.T) {
+	for memory, want := range map[int64][]int{0: {16, 14}, 100: {16, 14}, 20: {10, 10}} {
+		p := New(0)
+		p.Configure(0, catalog.Batch{Concurrency: 1, MaxPieces: 16, CallTime: 300 * time.Millisecond, ResultMemoryBytes: memory},
+			[]Upstream{{ID: "u"}, {ID: "v"}})
+		p.TakeOver(0, []UpstreamState{{ID: "u"}, {ID: "v"}})
+		for range 3 {
+			p.Submit(0, Job{Pieces: 10, ResultBytes: 1, Due: clock.Instant(time.Second), Deadline: clock.Instant(2 * time.Second)})
+		}
+		var got []int
+		for _, call := range p.Dispatch(0) {
+			got = append(got, len(call.Pieces))
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("memory for %d results: calls of %v pieces, expected %v", memory, got, want)
+		}
+	}
+}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -180,9 +180,9 @@
 
 // selectPieces takes jobs in queue order up to the limits of a call and the free memory of the
 // upstream. Each piece fetches all inputs of its job, so jobs of the upstream's zone are taken
-// first, and others only if their own zone cannot finish them in time. A job is not split
-// unless it is too large for one call: partial results would occupy the memory that the next
-// batch needs.
+// first, and others only if their own zone cannot finish them in time. A job is split only if it is
+// too large for one call, or if there is memory to spare: partial results would occupy the memory
+// that the next batch needs.
 func (p *Pool) selectPieces(now clock.Instant, s *slot, slots []slot) []pieceRef {
 	var selected []pieceRef
 	freeBytes := s.freeBytes
@@ -226,7 +226,7 @@
 		}
 		maxPieces = min(maxPieces, fitInMemory)
 	}
-	if n > maxPieces && (len(selected) > 0 || !p.isLargeJob(j, n)) {
+	if n > maxPieces && (len(selected) > 0 || !p.isLargeJob(j, n)) && !p.maySplit(j, maxPieces, freeBytes) {
 		return selected, freeBytes
 	}
 	for i := range j.pieces {
@@ -242,6 +242,13 @@
 	return selected, freeBytes
 }
 
+// maySplit reports whether the first pieces of a job may fill a call up, so that the rest waits for
+// the next one. The job ends no later: without them it would wait for the next call as a whole. But
+// its first results occupy memory meanwhile, so there must be enough for another full call.
+func (p *Pool) maySplit(j *job, pieces int, freeBytes int64) bool {
+	return p.batch.ResultMemoryBytes == 0 || freeBytes >= int64(pieces+p.batch.MaxPieces)*j.ResultBytes
+}
+
 // lateMinFreeFraction is the fraction of the memory that late jobs leave free for jobs that can
 // still be on time.
 const lateMinFreeFraction = 0.5
