Let requests wait half a second for the first configuration of a VM that has just started

Change: within 0.5 s of the start, requests wait for it. Reservations in other shards are made at the same time, and zones whose owners did not respond to two are left out for a second: VMs of a zone that was cut off made 50 each in 3 s, with 100 ms of waiting for each. A request that may have run is admitted until its deadline, since its caller cannot send it again.

--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -58,7 +58,7 @@
 		levelStart, expectedEnds[level] = levelEnd, levelEnd
 	}
 	t.levelDues = stagepool.SpreadSlack(expectedEnds, t.due.Add(-t.finalCallTime()))
-	excess := levelStart.Add(t.finalCallTime()).Sub(min(t.due.Add(-admissionMargin), t.deadline))
+	excess := levelStart.Add(t.finalCallTime()).Sub(t.admissionLimit())
 	if excess <= 0 {
 		return nil
 	}
@@ -67,6 +67,15 @@
 	return t.newError(errkind.Overloaded, "the stages would take "+levelStart.Sub(t.s.now()).String())
 }
 
+// admissionLimit returns by when the request must be expected to be answered to be admitted. Once an
+// upstream may have run it, its caller cannot safely send it again, so that only its deadline counts.
+func (t *transaction) admissionLimit() clock.Instant {
+	if t.mayHaveRun {
+		return t.deadline
+	}
+	return min(t.due.Add(-admissionMargin), t.deadline)
+}
+
 func maxLevel(levels []int) int {
 	highest := 0
 	for _, level := range levels {
@@ -101,21 +110,48 @@
 	if !expected.After(min(r.Due.Add(-maxWait), arrives.Add(fullCall+maxWait))) {
 		return chosen, expected
 	}
+	best := shardOffer{shard: chosen, end: expected}
 	var unused []reservation
-	for _, other := range t.s.otherShards(view, chosen, maxSpillShards) {
-		end, ok := t.s.reserveAt(t.ctx, other.resource(), r)
-		switch {
-		case !ok:
-		case end.Add(fullCall / spillGainDivisor).Before(expected):
-			unused = append(unused, reservation{shard: chosen.resource(), id: r.StageID})
-			chosen, expected = other, end
-		default:
-			unused = append(unused, reservation{shard: other.resource(), id: r.StageID})
+	for _, offer := range t.reserveAtAll(t.s.otherShards(view, chosen, maxSpillShards), r) {
+		worse := offer
+		if offer.end.Add(fullCall / spillGainDivisor).Before(best.end) {
+			best, worse = offer, best
 		}
+		unused = append(unused, reservation{shard: worse.shard.resource(), id: r.StageID})
 	}
-	t.shards[stage] = chosen.Name
+	t.shards[stage] = best.shard.Name
 	t.s.cancelReservations(unused)
-	return chosen, expected
+	return best.shard, best.end
+}
+
+// shardOffer says when a shard expects a reserved stage to be done.
+type shardOffer struct {
+	shard *poolShard
+	end   clock.Instant
+}
+
+// reserveAtAll reserves capacity for a stage in all of the shards at the same time, and returns the
+// responses.
+func (t *transaction) reserveAtAll(shards []*poolShard, r stagepool.Reservation) []shardOffer {
+	responses := make(chan *shardOffer, len(shards))
+	for _, shard := range shards {
+		go func() {
+			var offer *shardOffer
+			defer func() { responses <- offer }()
+			t.s.contain.run("reservation", func() {
+				if end, ok := t.s.reserveAt(t.ctx, shard.resource(), r); ok {
+					offer = &shardOffer{shard: shard, end: end}
+				}
+			})
+		}()
+	}
+	var offers []shardOffer
+	for range shards {
+		if offer := <-responses; offer != nil {
+			offers = append(offers, *offer)
+		}
+	}
+	return offers
 }
 
 // reserveZone returns the zone in which a stage belongs before its inputs exist: for large inputs
--- a/internal/edge/reserveclient.go
+++ b/internal/edge/reserveclient.go
@@ -29,7 +29,7 @@
 		}
 		return runner.reserve(r), true
 	}
-	now := s.now()
+	now, requestCtx := s.now(), ctx
 	request := &hoistv1.ReserveRequest{
 		Pool: shard.Name, Request: r.Request, Stage: uint32(r.Stage), Pieces: uint32(r.Pieces), ResultBytes: uint64(r.ResultBytes),
 		ArrivesMs: r.Arrives.Sub(now).Milliseconds(), DueMs: r.Due.Sub(now).Milliseconds(),
@@ -42,6 +42,9 @@
 		response, err = client.Reserve(ctx, request)
 		return err
 	})
+	if err == nil || requestCtx.Err() == nil {
+		s.recordReservation(owner, err == nil)
+	}
 	if err != nil {
 		s.logger.Info("failed to reserve a stage", zap.String("request", r.Request), zap.String("pool", shard.Name),
 			zap.String("owner", owner.Name), obs.ErrorField(err))
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return errkind.New(errkind.BadRequest, err.Error())
 	}
+	t.awaitConfiguration()
 	if t.view == nil || t.view.Catalog == nil {
 		return errkind.New(errkind.NotConfigured, "no configuration is known yet")
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -76,6 +76,8 @@
 	requestMemory  *bodyMemory
 	responseMemory *bodyMemory
 	startedAt      clock.Instant
+	startup        *startup
+	startupWait    time.Duration
 	// balancerDelay is how long new requests are accepted after a stop signal.
 	balancerDelay time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
@@ -89,6 +91,9 @@
 	unreachableZones atomic.Pointer[map[string]bool]
 	ownerZonesMu     sync.Mutex
 	ownerZones       placement.ZoneHealth
+	// reservationZones is like ownerZones for reservations. These time out sooner, so they do not
+	// decide which zone's shards this VM may own.
+	reservationZones placement.ZoneHealth
 	fleetSize        atomic.Int64
 	inFlight         atomic.Int64
 	stopping         atomic.Bool
@@ -110,6 +115,7 @@
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
 		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), balancerDelay: balancerDelay, maxDirectFollowers: maxDirectFollowers,
+		startup: newStartup(), startupWait: startupWait,
 		upstreams: newUpstreams(options.Now),
 		peers:     newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
@@ -126,6 +132,9 @@
 // applyView makes a view current and updates the upstreams and pools from it.
 func (s *Server) applyView(view *View) {
 	s.view.Store(view)
+	if view.Catalog != nil {
+		s.startup.setConfigured()
+	}
 	s.upstreams.update(view, &s.settings, s.gossip.vmNames())
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
--- a/internal/edge/shards.go
+++ b/internal/edge/shards.go
@@ -48,11 +48,11 @@
 }
 
 // otherShards returns up to n other shards of the pool in random order, of zones that can be
-// reached.
+// reached and whose owners respond to reservations.
 func (s *Server) otherShards(view *View, chosen *poolShard, n int) []*poolShard {
 	var out []*poolShard
 	for _, shard := range view.ShardsOf[chosen.pool] {
-		if shard != chosen && len(shard.entries) > 0 && s.isZoneReachable(shard.Zone) {
+		if shard != chosen && len(shard.entries) > 0 && s.isZoneReachable(shard.Zone) && s.respondsToReservations(shard.Zone) {
 			out = append(out, shard)
 		}
 	}
@@ -86,6 +86,27 @@
 	s.ownerZones.RecordTimeout(s.now(), owner.Zone, owner.Name)
 }
 
+// respondsToReservations reports whether the owners of a zone responded to the last reservations.
+func (s *Server) respondsToReservations(zone string) bool {
+	if zone == s.settings.Zone {
+		return true
+	}
+	s.ownerZonesMu.Lock()
+	defer s.ownerZonesMu.Unlock()
+	return !s.reservationZones.IsSuspect(s.now(), zone)
+}
+
+// recordReservation records whether an owner responded to a reservation.
+func (s *Server) recordReservation(owner fleet.Entry, responded bool) {
+	s.ownerZonesMu.Lock()
+	defer s.ownerZonesMu.Unlock()
+	if responded {
+		s.reservationZones.RecordResponse(owner.Zone)
+		return
+	}
+	s.reservationZones.RecordTimeout(s.now(), owner.Zone, owner.Name)
+}
+
 // updateZones records which zones have VMs of which none is reachable.
 func (s *Server) updateZones() {
 	unreachable := s.gossip.unreachableZones()
--- a/internal/edge/shards_test.go
+++ b/internal/edge/shards_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
@@ -111,6 +113,38 @@
 	})
 }
 
+// TestSilentZoneGetsNoReservations guards against a VM of a zone that is cut off which goes on
+// asking the owners of other zones to take stages, and waits for each of them.
+func TestSilentZoneGetsNoReservations(t *testing.T) {
+	f, _, _ := startZonedFleet(t, testZones)
+	s := f.servers[0]
+	view := s.view.Load()
+	hasShardOf := func(zone string) bool {
+		for _, shard := range s.otherShards(view, s.chooseShard(view, "a", zoneName(0), "r"), testZones) {
+			if shard.Zone == zone {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range 2 {
+		if !hasShardOf(zoneName(1)) {
+			t.Fatalf("no shard of the zone after %d reservations without response", i)
+		}
+		s.recordReservation(fleet.Entry{Name: fmt.Sprint("vm-of-zone-1-", i), Zone: zoneName(1)}, false)
+	}
+	if hasShardOf(zoneName(1)) || !hasShardOf(zoneName(2)) {
+		t.Error("the shards of the silent zone should be left out, and those of the other one not")
+	}
+	if !s.isZoneReachable(zoneName(1)) {
+		t.Error("reservations that time out decide who may own the shards of the zone")
+	}
+	s.recordReservation(fleet.Entry{Name: "vm-of-zone-1-0", Zone: zoneName(1)}, true)
+	if !hasShardOf(zoneName(1)) {
+		t.Error("no shard of the zone although one of its owners responded")
+	}
+}
+
 // TestZoneWithoutUpstreams takes a zone out of service. It guards against requests of that zone
 // which find no upstream for their stages although other zones have some.
 func TestZoneWithoutUpstreams(t *testing.T) {
@@ -174,3 +208,16 @@
 		t.Errorf("the second stage took %d calls, expected that the failed piece alone ran again", n)
 	}
 }
+
+// TestRerunIsAdmittedUntilItsDeadline guards against giving up a request whose answer was lost, as
+// if its caller could send it again, because its stages would end after its objective.
+func TestRerunIsAdmittedUntilItsDeadline(t *testing.T) {
+	run := &transaction{due: clock.Instant(2 * time.Second), deadline: clock.Instant(10 * time.Second)}
+	if limit := run.admissionLimit(); limit.After(run.due) {
+		t.Errorf("a new request is admitted until %v, expected no later than its objective %v", limit, run.due)
+	}
+	run.mayHaveRun = true
+	if limit := run.admissionLimit(); limit != run.deadline {
+		t.Errorf("a request that may have run is admitted until %v, expected its deadline %v", limit, run.deadline)
+	}
+}
