--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -30,7 +30,7 @@
 	storeOutageAge = 2 * time.Second
 	// changeBatchDelay is the delay after a watch that returned changes, so that a series of
 	// changes takes few calls. It is far below the time within which changes must apply.
-	changeBatchDelay = 80 * time.Millisecond
+	changeBatchDelay = 200 * time.Millisecond
 	// peerPullInterval is the time between two rounds of pulling stale tables from peers.
 	peerPullInterval = 400 * time.Millisecond
 	// peersPerPull is the number of peers in a round.
