Let membership tell all VMs of a zone that is cut off within a second or two

A zone of which more than half of the VMs are suspect or worse, and all zones if none was heard of for a second, are avoided by engines, shards and reservations. Who owns the shards of a zone is still decided by reachability.

--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -59,6 +59,13 @@
 	return g.directory.UnreachableZones(g.now())
 }
 
+// suspectZones returns the zones that are probably cut off from this VM.
+func (g *gossip) suspectZones() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.SuspectZones(g.now(), g.directory.Self().Zone)
+}
+
 // claim makes this VM the owner of a pool and announces it to the other VMs.
 func (g *gossip) claim(pool string) {
 	g.mu.Lock()
--- a/internal/edge/reserveclient.go
+++ b/internal/edge/reserveclient.go
@@ -43,7 +43,7 @@
 		return err
 	})
 	if err == nil || requestCtx.Err() == nil {
-		s.recordReservation(owner, err == nil)
+		s.reservationResponses.record(s.now(), owner, err == nil)
 	}
 	if err != nil {
 		s.logger.Info("failed to reserve a stage", zap.String("request", r.Request), zap.String("pool", shard.Name),
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -20,7 +20,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
@@ -87,16 +86,17 @@
 	maxDirectFollowers int
 	view               atomic.Pointer[View]
 	// unreachableZones holds the zones that this VM cannot reach by the membership protocol, and
-	// ownerZones those whose owners did not respond, which shows sooner.
+	// suspectZones those that it probably cannot reach.
 	unreachableZones atomic.Pointer[map[string]bool]
-	ownerZonesMu     sync.Mutex
-	ownerZones       placement.ZoneHealth
-	// reservationZones is like ownerZones for reservations. These time out sooner, so they do not
-	// decide which zone's shards this VM may own.
-	reservationZones placement.ZoneHealth
-	fleetSize        atomic.Int64
-	inFlight         atomic.Int64
-	stopping         atomic.Bool
+	suspectZones     atomic.Pointer[map[string]bool]
+	// stageResponses and reservationResponses show which zones' owners do not respond, sooner than
+	// membership does. Reservations time out early, so they do not decide which shards this VM may
+	// own.
+	stageResponses       zoneResponses
+	reservationResponses zoneResponses
+	fleetSize            atomic.Int64
+	inFlight             atomic.Int64
+	stopping             atomic.Bool
 	// stopAt is when requests that still run are cut off; it is set before stopping.
 	stopAt atomic.Int64
 	// durations estimates how long requests take.
@@ -116,9 +116,9 @@
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
 		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), balancerDelay: balancerDelay, maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
-		upstreams: newUpstreams(options.Now),
-		peers:     newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
+		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
+	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
--- a/internal/edge/shards.go
+++ b/internal/edge/shards.go
@@ -11,7 +11,7 @@
 // none in service or cannot be reached, of this VM's zone or of any. It returns nil if no upstream
 // of the pool is in service.
 func (s *Server) chooseShard(view *View, pool, zone, request string) *poolShard {
-	if zone == "" || !s.isZoneReachable(zone) {
+	if zone == "" || !s.isZoneReachable(zone) || s.isZoneSuspect(zone) {
 		zone = s.settings.Zone
 	}
 	var inZone, reachable, others []*poolShard
@@ -20,7 +20,7 @@
 		case len(shard.entries) == 0:
 		case shard.Zone == "" || shard.Zone == zone:
 			inZone = append(inZone, shard)
-		case s.isZoneReachable(shard.Zone):
+		case s.isZoneReachable(shard.Zone) && !s.isZoneSuspect(shard.Zone):
 			reachable = append(reachable, shard)
 		default:
 			others = append(others, shard)
@@ -52,7 +52,7 @@
 func (s *Server) otherShards(view *View, chosen *poolShard, n int) []*poolShard {
 	var out []*poolShard
 	for _, shard := range view.ShardsOf[chosen.pool] {
-		if shard != chosen && len(shard.entries) > 0 && s.isZoneReachable(shard.Zone) && s.respondsToReservations(shard.Zone) {
+		if shard != chosen && len(shard.entries) > 0 && s.takesReservations(shard.Zone) {
 			out = append(out, shard)
 		}
 	}
@@ -60,59 +60,6 @@
 	return out[:min(n, len(out))]
 }
 
-// isZoneReachable reports whether this VM can reach a zone: its own, one with a VM that is
-// reachable, or one without any known VM. A zone whose owners did not respond a moment ago counts
-// as unreachable.
-func (s *Server) isZoneReachable(zone string) bool {
-	if zone == "" || zone == s.settings.Zone {
-		return true
-	}
-	if unreachable := s.unreachableZones.Load(); unreachable != nil && (*unreachable)[zone] {
-		return false
-	}
-	s.ownerZonesMu.Lock()
-	defer s.ownerZonesMu.Unlock()
-	return !s.ownerZones.IsSuspect(s.now(), zone)
-}
-
-// recordOwnerResponse records whether an owner responded.
-func (s *Server) recordOwnerResponse(owner fleet.Entry, responded bool) {
-	s.ownerZonesMu.Lock()
-	defer s.ownerZonesMu.Unlock()
-	if responded {
-		s.ownerZones.RecordResponse(owner.Zone)
-		return
-	}
-	s.ownerZones.RecordTimeout(s.now(), owner.Zone, owner.Name)
-}
-
-// respondsToReservations reports whether the owners of a zone responded to the last reservations.
-func (s *Server) respondsToReservations(zone string) bool {
-	if zone == s.settings.Zone {
-		return true
-	}
-	s.ownerZonesMu.Lock()
-	defer s.ownerZonesMu.Unlock()
-	return !s.reservationZones.IsSuspect(s.now(), zone)
-}
-
-// recordReservation records whether an owner responded to a reservation.
-func (s *Server) recordReservation(owner fleet.Entry, responded bool) {
-	s.ownerZonesMu.Lock()
-	defer s.ownerZonesMu.Unlock()
-	if responded {
-		s.reservationZones.RecordResponse(owner.Zone)
-		return
-	}
-	s.reservationZones.RecordTimeout(s.now(), owner.Zone, owner.Name)
-}
-
-// updateZones records which zones have VMs of which none is reachable.
-func (s *Server) updateZones() {
-	unreachable := s.gossip.unreachableZones()
-	s.unreachableZones.Store(&unreachable)
-}
-
 // ownableResources returns the shards that this VM may own: those of its own zone, undivided
 // pools, those of zones that have no reachable VM, and those that it has claimed.
 func (s *Server) ownableResources(view *View) []fleet.Resource {
--- a/internal/edge/shards_test.go
+++ b/internal/edge/shards_test.go
@@ -131,7 +131,7 @@
 		if !hasShardOf(zoneName(1)) {
 			t.Fatalf("no shard of the zone after %d reservations without response", i)
 		}
-		s.recordReservation(fleet.Entry{Name: fmt.Sprint("vm-of-zone-1-", i), Zone: zoneName(1)}, false)
+		s.reservationResponses.record(s.now(), fleet.Entry{Name: fmt.Sprint("vm-of-zone-1-", i), Zone: zoneName(1)}, false)
 	}
 	if hasShardOf(zoneName(1)) || !hasShardOf(zoneName(2)) {
 		t.Error("the shards of the silent zone should be left out, and those of the other one not")
@@ -139,7 +139,7 @@
 	if !s.isZoneReachable(zoneName(1)) {
 		t.Error("reservations that time out decide who may own the shards of the zone")
 	}
-	s.recordReservation(fleet.Entry{Name: "vm-of-zone-1-0", Zone: zoneName(1)}, true)
+	s.reservationResponses.record(s.now(), fleet.Entry{Name: "vm-of-zone-1-0", Zone: zoneName(1)}, true)
 	if !hasShardOf(zoneName(1)) {
 		t.Error("no shard of the zone although one of its owners responded")
 	}
--- a/internal/edge/size_bench_test.go
+++ b/internal/edge/size_bench_test.go
@@ -44,7 +44,7 @@
 	}
 	s := &Server{
 		settings: Settings{VM: "vm-0", Zone: "zone-0", RetryWindow: time.Second, ColdRateFactor: 1.5, ColdRateBurst: 5}, now: testNow, logger: zap.NewNop(),
-		poolRunners: map[string]*poolRunner{}, upstreams: newUpstreams(testNow),
+		poolRunners: map[string]*poolRunner{}, upstreams: newUpstreams(testNow, func(string) bool { return false }),
 	}
 	self := fleet.Entry{Name: "vm-0", Zone: "zone-0", Address: "10.1.0.0:1"}
 	s.gossip = &gossip{
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -90,7 +90,7 @@
 				search.resource = current.resource()
 			}
 		case err == nil:
-			s.recordOwnerResponse(owner, true)
+			s.stageResponses.record(s.now(), owner, true)
 			s.logger.Info("stage ended", zap.String("request", t.requestInfo.ID), zap.Int("stage", stage), zap.String("pool", pool),
 				zap.String("shard", search.resource.Name), zap.String("owner", owner.Name), zap.Int("pieces", job.Pieces),
 				zap.String("refusal", refusalNames[result.refusal]), zap.Duration("took", s.now().Sub(started)),
@@ -100,7 +100,7 @@
 			return stageResult{refusal: stagepool.Overloaded}
 		default:
 			search.recordUnresponsive(owner.Name)
-			s.recordOwnerResponse(owner, false)
+			s.stageResponses.record(s.now(), owner, false)
 			s.logger.Warn("owner of a pool lost", zap.String("request", t.requestInfo.ID), zap.String("pool", pool),
 				zap.String("shard", search.resource.Name), zap.String("owner", owner.Name), zap.Int("lost", len(search.unresponsive)),
 				zap.Duration("waited", s.now().Sub(started)), obs.ErrorField(err))
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -33,6 +33,8 @@
 	tokensPerRequest float64
 	// zones infers which zones are cut off from this VM.
 	zones placement.ZoneHealth
+	// isZoneSuspect reports whether the membership protocol suspects that a zone is cut off.
+	isZoneSuspect func(zone string) bool
 	// coldShare divides the rate limits of cold upstreams among the VMs.
 	coldShare *coldShare
 }
@@ -44,9 +46,9 @@
 	share *coldShare
 }
 
-func newUpstreams(now func() clock.Instant) *upstreams {
+func newUpstreams(now func() clock.Instant, isZoneSuspect func(zone string) bool) *upstreams {
 	return &upstreams{
-		now: now, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
+		now: now, isZoneSuspect: isZoneSuspect, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
 		prefixSelectors: map[string]*placement.PrefixSelector{}, refilledAt: now(),
 	}
 }
@@ -95,7 +97,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) }
+	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
 	choice, status := placement.Pick(now, request, u.candidates(view, pool))
 	if status != placement.Found {
 		return nil, status
@@ -132,7 +134,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) }
+	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
 	choice, status := placement.Pick(now, request, u.candidates(view, pool))
 	if status != placement.Found {
 		return ""
--- a/pkg/membership/machine.go
+++ b/pkg/membership/machine.go
@@ -45,7 +45,11 @@
 	// fill a message with updates about members that are not alive.
 	notAliveCursor int
 
+	// lastHeard is when a message of a member of each zone last arrived.
+	lastHeard map[string]clock.Instant
+
 	nextProbeAt clock.Instant
+	lastProbeAt clock.Instant
 	lastCallAt  clock.Instant
 	catchingUp  bool
 	version     uint64
@@ -72,6 +76,7 @@
 		members:     map[string]*member{},
 		probes:      map[uint64]*probe{},
 		relays:      map[uint64]*relay{},
+		lastHeard:   map[string]clock.Instant{},
 		nextProbeAt: now,
 		lastCallAt:  now,
 		catchingUp:  true,
@@ -127,12 +132,23 @@
 	out = m.expireRelays(now, out)
 	m.expireSuspicions(now)
 	out = m.advanceProbes(now, out)
-	if !now.Before(m.nextProbeAt) {
-		out = m.startProbe(now, out)
-		m.nextProbeAt = m.nextProbeAt.Add(m.options.ProbeInterval)
-		if m.nextProbeAt.Before(now) {
-			m.nextProbeAt = now.Add(m.options.ProbeInterval)
-		}
+	urgent := m.queue.hasFreshSuspicion(freshSendCount)
+	interval := m.options.ProbeInterval
+	if urgent {
+		interval /= urgentRateFactor
+		m.nextProbeAt = min(m.nextProbeAt, m.lastProbeAt.Add(interval))
+	}
+	if now.Before(m.nextProbeAt) {
+		return out
+	}
+	if urgent {
+		out = m.spreadUpdates(out)
+	}
+	out = m.startProbe(now, out)
+	m.lastProbeAt = now
+	m.nextProbeAt = m.nextProbeAt.Add(interval)
+	if m.nextProbeAt.Before(now) {
+		m.nextProbeAt = now.Add(interval)
 	}
 	return out
 }
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -13,6 +13,7 @@
 // the incarnation in the message.
 func (m *Machine) recordAlive(now clock.Instant, name string, incarnation Incarnation) {
 	if known := m.members[name]; known != nil {
+		m.lastHeard[known.Zone] = now
 		m.apply(now, known, Update{VM: name, Incarnation: incarnation, Status: Alive})
 	}
 }
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -22,6 +22,11 @@
 
 	// indirectProbes is the number of members asked to probe a target that did not answer.
 	indirectProbes = 3
+	// freshSendCount is how often a suspicion is sent before it stops to raise the rate of
+	// messages, and urgentRateFactor how much it raises the rate. The failure of a zone is then
+	// known everywhere within about a second, at the cost of some messages each time.
+	freshSendCount   = 4
+	urgentRateFactor = 4
 	// maxUpdates bounds the updates in one message. When a partition heals, every
 	// member refutes a suspicion; at about 25 bytes each, four messages per second then
 	// take 2.4 KB/s.
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -32,6 +32,16 @@
 	return append(out, m.newProbe(target, "", m.sequence))
 }
 
+// spreadUpdates sends the queued updates to a member that is alive, since most targets of probes
+// are not if a zone has failed. The response brings the updates of that member.
+func (m *Machine) spreadUpdates(out []Message) []Message {
+	for _, member := range m.Pick(1, func(s MemberState) bool { return s.Status == Alive }) {
+		m.sequence++
+		out = append(out, m.newProbe(member.Name, "", m.sequence))
+	}
+	return out
+}
+
 // nextTarget returns a priority target or the next member of the round. Unreachable members
 // stay in the round, so that a healed partition is detected without additional traffic.
 func (m *Machine) nextTarget() string {
--- a/pkg/membership/queue.go
+++ b/pkg/membership/queue.go
@@ -35,3 +35,8 @@
 	q.entries = slices.DeleteFunc(q.entries, func(e queuedUpdate) bool { return e.sendCount >= limit })
 	return updates
 }
+
+// hasFreshSuspicion reports whether a suspicion was sent fewer than limit times.
+func (q *queue) hasFreshSuspicion(limit int) bool {
+	return slices.ContainsFunc(q.entries, func(e queuedUpdate) bool { return e.update.Status == Suspect && e.sendCount < limit })
+}
