Leave out upstreams of suspect zones in undivided pools

Change: membership's suspect zones are passed to the schedulers, which leave their upstreams out while there are others. Test: TestSuspectZoneGetsNoCalls.

--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -68,6 +68,7 @@
 	// newOwner is the VM to which the pool was last handed over.
 	newOwner        fleet.Entry
 	scheduler       *stagepool.Pool
+	suspectZones    map[string]bool
 	waiters         map[stagepool.JobID]*stageWaiter
 	addresses       map[string]string
 	pendingReleases map[string][]string
@@ -120,6 +121,14 @@
 	})
 }
 
+// setSuspectZones sets the zones that are probably cut off.
+func (r *poolRunner) setSuspectZones(zones map[string]bool) {
+	r.update(func() {
+		r.suspectZones = zones
+		r.scheduler.SetSuspectZones(zones)
+	})
+}
+
 // applyConfiguration passes the configuration to the scheduler. The caller holds the lock.
 func (r *poolRunner) applyConfiguration() {
 	upstreams := make([]stagepool.Upstream, 0, len(r.entries))
@@ -128,6 +137,7 @@
 		r.addresses[entry.ID] = entry.Address
 	}
 	r.scheduler.Configure(r.now(), r.batch, upstreams)
+	r.scheduler.SetSuspectZones(r.suspectZones)
 }
 
 // runJob runs a job to its end. If the context ends first, the job is cancelled. onInputsRead, if
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -176,6 +176,9 @@
 	shard := view.Shards[name]
 	runner = newPoolRunner(shard.pool, s)
 	runner.configure(shard.batch, shard.entries)
+	if suspect := s.suspectZones.Load(); suspect != nil {
+		runner.setSuspectZones(*suspect)
+	}
 	s.poolRunners[name] = runner
 	return runner
 }
--- a/internal/edge/zones.go
+++ b/internal/edge/zones.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -63,5 +64,13 @@
 func (s *Server) updateZones() {
 	unreachable, suspect := s.gossip.unreachableZones(), s.gossip.suspectZones()
 	s.unreachableZones.Store(&unreachable)
-	s.suspectZones.Store(&suspect)
+	previous := s.suspectZones.Swap(&suspect)
+	if previous != nil && maps.Equal(*previous, suspect) {
+		return
+	}
+	s.poolRunnersMu.Lock()
+	defer s.poolRunnersMu.Unlock()
+	for _, runner := range s.poolRunners {
+		runner.setSuspectZones(suspect)
+	}
 }
--- a/pkg/stagepool/load_test.go
+++ b/pkg/stagepool/load_test.go
@@ -109,6 +109,44 @@
 	}
 }
 
+// TestSuspectZoneGetsNoCalls guards against calls to the upstreams of a zone that is cut off, each of
+// which delays its pieces until the connection times out, and against a pool that stops if all of
+// its zones are suspect.
+func TestSuspectZoneGetsNoCalls(t *testing.T) {
+	s := newSimulation(t, testBatch, zoneNames(6)...)
+	cutOff := s.zones["u0"]
+	countIn := func(zones map[string]bool) (inside, all int) {
+		s.pool.SetSuspectZones(zones)
+		s.sentTo = map[string]int{}
+		for i := range 12 {
+			s.after(time.Duration(i)*300*time.Millisecond, func() {
+				s.submit(Job{Pieces: 20, Due: s.now.Add(time.Second), Deadline: s.now.Add(2 * time.Second)})
+			})
+		}
+		s.run(time.Duration(s.now) + 6*time.Second)
+		for id, n := range s.sentTo {
+			all += n
+			if s.zones[id] == cutOff {
+				inside += n
+			}
+		}
+		return inside, all
+	}
+	if inside, all := countIn(map[string]bool{cutOff: true}); inside > 0 || all == 0 {
+		t.Errorf("%d of %d pieces went to the suspect zone", inside, all)
+	}
+	suspects := map[string]bool{}
+	for _, zone := range s.zones {
+		suspects[zone] = true
+	}
+	if _, all := countIn(suspects); all == 0 {
+		t.Error("no call although all zones are suspect")
+	}
+	if inside, _ := countIn(nil); inside == 0 {
+		t.Error("no call to the zone that is no longer suspect")
+	}
+}
+
 // TestSlowUpstreamIsAvoided guards against jobs that wait for an upstream that became five
 // times slower while the others have capacity, and against never trying that upstream again.
 func TestSlowUpstreamIsAvoided(t *testing.T) {
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -62,7 +62,9 @@
 	batch     catalog.Batch
 	upstreams map[string]*upstream
 	// upstreamIDs is sorted so that iteration is deterministic.
-	upstreamIDs      []string
+	upstreamIDs []string
+	// suspectZones holds the zones that are probably cut off.
+	suspectZones     map[string]bool
 	jobs             map[JobID]*job
 	queue            []*job
 	heldResults      map[string]heldResult
@@ -122,6 +124,11 @@
 	slices.Sort(p.upstreamIDs)
 }
 
+// SetSuspectZones sets the zones that are probably cut off from the owner. Their upstreams get no
+// work as long as there are others: each call would take until its connection times out, and then
+// wait for another upstream.
+func (p *Pool) SetSuspectZones(zones map[string]bool) { p.suspectZones = zones }
+
 // Submit adds a job, or refuses it at once if it cannot end before its deadline. A job with a
 // reservation is not refused for this reason, since other pools have already done work for its
 // request. The second result is the expected end of the job.
@@ -166,9 +173,13 @@
 	return cmp.Compare(a.id, b.id)
 }
 
-func (p *Pool) hasUpstream() bool {
+// hasUpstream reports whether an upstream is in service.
+func (p *Pool) hasUpstream() bool { return p.hasUpstreamOutside(nil) }
+
+// hasUpstreamOutside reports whether an upstream outside of the zones is in service.
+func (p *Pool) hasUpstreamOutside(zones map[string]bool) bool {
 	for _, u := range p.upstreams {
-		if u.inService {
+		if u.inService && !zones[u.Zone] {
 			return true
 		}
 	}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -28,9 +28,10 @@
 // slowness; the others are ordered by free memory, most first.
 func (p *Pool) slots(now clock.Instant) []slot {
 	var out []slot
+	useSuspects := !p.hasUpstreamOutside(p.suspectZones)
 	for _, id := range p.upstreamIDs {
 		u := p.upstreams[id]
-		if !u.inService {
+		if !u.inService || (p.suspectZones[u.Zone] && !useSuspects) {
 			continue
 		}
 		freeBytes := int64(float64(p.batch.ResultMemoryBytes)*usableMemoryFraction) - u.usedBytes - u.currentExternalBytes(now)
--- a/pkg/stagepool/sim_test.go
+++ b/pkg/stagepool/sim_test.go
@@ -40,10 +40,12 @@
 	crossZonePieces int
 	memoryQueries   int
 	sentPieces      int
-	lastHandle      int
-	resultSizes     map[string]int64
-	jobZones        map[string]string
-	nextDispatch    clock.Instant
+	// sentTo counts the pieces sent to each upstream.
+	sentTo       map[string]int
+	lastHandle   int
+	resultSizes  map[string]int64
+	jobZones     map[string]string
+	nextDispatch clock.Instant
 }
 
 // eventLoop is a virtual clock with a queue of events, shared by several pools.
@@ -89,7 +91,7 @@
 
 func newSimulationOn(t *testing.T, loop *eventLoop, batch catalog.Batch, zones ...string) *simulation {
 	s := &simulation{
-		eventLoop: loop, t: t, pool: New(0), batch: batch, slowness: map[string]float64{}, zones: map[string]string{}, usedMemory: map[string]int64{},
+		eventLoop: loop, t: t, pool: New(0), batch: batch, slowness: map[string]float64{}, zones: map[string]string{}, usedMemory: map[string]int64{}, sentTo: map[string]int{},
 		runningCalls: map[string]int{}, overdueAt: map[string]clock.Instant{}, endTimes: map[JobID]clock.Instant{}, refused: map[JobID]bool{},
 		resultSizes: map[string]int64{}, jobZones: map[string]string{},
 	}
@@ -175,6 +177,7 @@
 		expectedTime := s.batch.CallTime + time.Duration(len(call.Pieces))*s.batch.PieceTime
 		s.overdueAt[key] = s.now.Add(time.Duration(overdueFactor*float64(expectedTime)) + overdueSlack)
 		s.sentPieces++
+		s.sentTo[call.Upstream]++
 		if zone := s.jobZones[fmt.Sprint(piece.Job)]; zone != "" && zone != s.zones[call.Upstream] {
 			s.crossZonePieces++
 		}
