--- a/pkg/retry/hedge.go
+++ b/pkg/retry/hedge.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// HedgeQuantile is the service time quantile after which an attempt is hedged.
-const HedgeQuantile = 0.95
-
 // MinHedgeSamples is the number of samples below which attempts are not hedged, since the
 // quantile is unreliable.
 const MinHedgeSamples = 40
