--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -60,8 +60,9 @@
 	t.upstream = upstreamLease.entry.ID
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
-	progress := newProgressTimer(t.responseTimeout(), cancel)
+	progress := newProgressTimer(t.s.now, t.responseTimeout(), cancel)
 	defer progress.stop()
+	defer t.leaveSuspectZone(upstreamLease.entry.Zone, progress, cancel)()
 	exchange, err := t.s.client.Start(ctx, upstreamLease.entry.Address, t.upstreamRequest(upstreamLease))
 	if err != nil {
 		return t.handleStartError(upstreamLease, err)
--- a/internal/edge/brokenanswers_test.go
+++ b/internal/edge/brokenanswers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 
 // rawUpstream is an upstream that writes bytes of the test's choice.
 type rawUpstream struct {
+	// zone is the zone of the upstream; "zone-a", that of the VMs, if empty.
+	zone     string
 	listener net.Listener
 	// requests counts the requests, and closed those whose connection was then closed by the VM.
 	requests atomic.Int64
@@ -73,7 +76,7 @@
 }
 
 func (u *rawUpstream) entry(id string) catalog.Upstream {
-	return catalog.Upstream{ID: id, Pool: "p", Address: u.listener.Addr().String(), Zone: "zone-a", StartID: 1}
+	return catalog.Upstream{ID: id, Pool: "p", Address: u.listener.Addr().String(), Zone: cmp.Or(u.zone, "zone-a"), StartID: 1}
 }
 
 // head returns the head of a sealed response to the request.
@@ -260,6 +263,48 @@
 	}
 }
 
+// TestSilentStreamLeavesSuspectZone guards against a caller that waits for its patience to end while
+// membership suspects that the zone of the upstream is cut off, and against counting the request as
+// the cause of the upstream's silence.
+func TestSilentStreamLeavesSuspectZone(t *testing.T) {
+	respond := func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+		if request.Header.Get("Last-Event") == "" {
+			u.write(conn, head(request, streamHeaders)+sseEvent(1))
+			_, _ = io.Copy(io.Discard, conn) // Returns when the VM closes the connection.
+			return false
+		}
+		u.write(conn, head(request, streamHeaders)+sseEvent(2))
+		return false
+	}
+	const objective = 10 * time.Second
+	a, b := newRawUpstream(t, respond), newRawUpstream(t, respond)
+	a.zone, b.zone = "zone-b", "zone-b"
+	f := startWithRawUpstreams(t, catalog.Stream, func(r *catalog.Route) { r.Resumable, r.Timeout, r.Objective = true, time.Minute, objective }, a, b)
+	// The VM knows no other one in that zone, and each change of membership would end the suspicion.
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		ticker := time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		for {
+			f.servers[0].suspectZones.Store(&map[string]bool{"zone-b": true})
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	started := time.Now()
+	_, body, err := f.send(0, "r", "/x/", nil)
+	if want := sseEvent(1) + sseEvent(2); err != nil || body != want {
+		t.Errorf("body %q, error %v; expected %q", body, err, want)
+	}
+	if took := time.Since(started); took > objective {
+		t.Errorf("the stream moved on after %v, when its caller's patience had nearly ended", took)
+	}
+}
+
 // TestSlowStream guards against cutting a stream that is slow but sound: its events come slower
 // than the objective for gaps, and faster than a caller gives up.
 func TestSlowStream(t *testing.T) {
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -42,8 +42,12 @@
 }
 
 // checkForCrash checks whether an upstream crashed while it ran the request. It records a crash
-// and reports it to the other VMs.
+// and reports it to the other VMs. If the upstream's zone is probably cut off, silence says nothing
+// about the request.
 func (s *Server) checkForCrash(t *transaction, entry *registry.Entry) {
+	if s.isZoneSuspect(entry.Zone) {
+		return
+	}
 	dialer := net.Dialer{Timeout: crashProbeTimeout}
 	conn, err := dialer.DialContext(t.ctx, "tcp4", entry.Address)
 	if err == nil {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -55,12 +55,15 @@
 // at another upstream moves there while its caller still waits.
 func (t *transaction) eventTimeout() time.Duration {
 	patience := streamPatience(t.route)
-	if t.isRepeatable() && len(t.tried) < t.route.MaxUpstreams {
+	if t.canMove() {
 		return patience / resumePatienceDivisor
 	}
 	return patience + patienceMargin
 }
 
+// canMove reports whether another upstream may take the request over from one that may have run it.
+func (t *transaction) canMove() bool { return t.isRepeatable() && len(t.tried) < t.route.MaxUpstreams }
+
 func (t *transaction) recordStreamError(upstreamLease *lease, err error) (attemptOutcome, *bufferedResponse, string) {
 	if t.ctx.Err() != nil {
 		return attemptAborted, nil, err.Error()
