Order stages by the rank of the route among workspaces of one rank, and send callers back later

Callers with 15 s left were told to return after 1 to 3 s, into the same burst, and were refused again. Change: in the pools of stages the rank of the route decides among workspaces of one rank. A refused caller returns after a quarter of the time that it has left, if that is longer.

--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -24,8 +24,10 @@
 	spillGainDivisor = 4
 	// minAdmissionRetryDelay and admissionRetryJitter set the delay after which a refused caller
 	// should retry. A burst lasts seconds, and callers that retry together would cause the next
-	// one.
+	// one. A caller that has more time waits for a part of it, since it can hardly be on time any
+	// more and the worst would be to be refused again.
 	minAdmissionRetryDelay = time.Second
+	admissionRetryDivisor  = 4
 	admissionRetryJitter   = 2 * time.Second
 )
 
@@ -63,10 +65,16 @@
 		return nil
 	}
 	t.s.cancelReservations(reserved)
-	t.retryAfter = excess + minAdmissionRetryDelay + rand.N(admissionRetryJitter)
+	t.retryAfter = t.admissionRetryDelay(excess)
 	return t.newError(errkind.Overloaded, "the stages would take "+levelStart.Sub(t.s.now()).String())
 }
 
+// admissionRetryDelay returns after which time a caller should return whose request would have ended
+// too late by the excess.
+func (t *transaction) admissionRetryDelay(excess time.Duration) time.Duration {
+	return max(excess+minAdmissionRetryDelay, t.remaining()/admissionRetryDivisor) + rand.N(admissionRetryJitter)
+}
+
 // admissionLimit returns by when the request must be expected to be answered to be admitted. Once an
 // upstream may have run it, its caller cannot safely send it again, so that only its deadline counts.
 func (t *transaction) admissionLimit() clock.Instant {
@@ -99,7 +107,7 @@
 	t.shards[stage] = chosen.Name
 	r := stagepool.Reservation{
 		StageID: stagepool.StageID{Request: t.requestInfo.ID, Stage: stage}, Pieces: t.pieces(stage), ResultBytes: t.route.Stages[stage].ResultBytes,
-		Arrives: arrives, Due: t.stageDue(level), Priority: t.priority(),
+		Arrives: arrives, Due: t.stageDue(level), Priority: t.stagePriority(),
 	}
 	expected, ok := t.s.reserveAt(t.ctx, chosen.resource(), r)
 	if !ok {
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -133,7 +133,7 @@
 	followUpTime := t.timeAfterStage(level)
 	job := stagepool.Job{
 		Request: t.requestInfo.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs.handles, KeepInputs: !inputs.memoryShort,
-		ResultBytes: t.route.Stages[stage].ResultBytes, Zone: t.preferredZone(stage, inputs.handles), Priority: t.priority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
+		ResultBytes: t.route.Stages[stage].ResultBytes, Zone: t.preferredZone(stage, inputs.handles), Priority: t.stagePriority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
 	}
 	if len(inputs.handles) == 0 {
 		job.Key = t.requestInfo.ContentKey
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -74,11 +74,21 @@
 	return t.route.Priority
 }
 
+// routeRanks is the number of ranks of routes that are told apart within one rank of workspaces.
+const routeRanks = 3
+
+// stagePriority returns the rank of the request in the pools of its stages, where it competes with
+// other routes. The rank of its workspace takes precedence, and that of its route decides among
+// workspaces of the same rank.
+func (t *transaction) stagePriority() int {
+	return routeRanks*t.priority() + min(max(t.route.Priority, 0), routeRanks-1)
+}
+
 // logFields returns the log fields that describe the request.
 func (t *transaction) logFields() []zap.Field {
 	fields := []zap.Field{zap.String("request", t.requestInfo.ID)}
 	if t.route != nil {
-		fields = append(fields, zap.String("route", t.route.Name), zap.String("pool", t.pool))
+		fields = append(fields, zap.String("route", t.route.Name), zap.String("pool", t.pool), zap.Int("priority", t.stagePriority()))
 	}
 	if t.workspace != nil {
 		fields = append(fields, zap.String("workspace", t.workspace.Name))
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -37,7 +37,7 @@
 const priorityStep = 300 * time.Millisecond
 
 // maxPriority bounds the ranks that are told apart.
-const maxPriority = 9
+const maxPriority = 29
 
 // orderTime returns the time by which a stage is ordered in the queue.
 func orderTime(due clock.Instant, priority int) clock.Instant {
