Spread the return of refused callers, and find the seeds sooner after a start of all VMs

Change: hello every 150 ms while no other VM is known; requests wait up to 1 s after the start; the usual Retry-After varies by half of it in both directions. Test: TestRefusedCallersReturnApart.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -27,7 +27,7 @@
 	suspicionTimeout = 800 * time.Millisecond
 	pauseThreshold   = 1200 * time.Millisecond
 	gossipInterval   = 50 * time.Millisecond
-	helloInterval    = 500 * time.Millisecond
+	helloInterval    = 150 * time.Millisecond
 	reseedInterval   = 5 * time.Second
 	// maxDatagramEntries bounds the directory entries of a datagram, which must fit into one
 	// packet.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -225,17 +226,22 @@
 	t.writeError(failure)
 }
 
+// retryDelay returns when the caller of a refused request should return, from the usual delay of the
+// kind of error. Many callers are often refused at the same time and must not return together.
+func (t *transaction) retryDelay(usual time.Duration) time.Duration {
+	if t.retryAfter > 0 {
+		return min(max(t.retryAfter, minRetryAfter), maxRetryAfter)
+	}
+	return usual/2 + rand.N(usual)
+}
+
 // writeError writes an error response of this proxy.
 func (t *transaction) writeError(failure *errkind.Error) {
 	errorResponse := failure.Kind.Response()
 	header := t.w.Header()
 	header.Set("Content-Type", "application/problem+json")
 	if errorResponse.RetryAfter > 0 {
-		retryAfter := errorResponse.RetryAfter
-		if t.retryAfter > 0 {
-			retryAfter = min(max(t.retryAfter, minRetryAfter), maxRetryAfter)
-		}
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		header.Set("Retry-After", strconv.FormatFloat(t.retryDelay(errorResponse.RetryAfter).Seconds(), 'f', 2, 64))
 	}
 	body := `{"type":"about:blank","title":` + strconv.Quote(errorResponse.Title) + `,"status":` + strconv.Itoa(errorResponse.Status) +
 		`,"kind":"` + errorResponse.Name + `","run":"` + failure.RunState.String() + `"}` + "\n"
--- a/internal/edge/startup.go
+++ b/internal/edge/startup.go
@@ -6,9 +6,9 @@
 )
 
 // startupWait is how long after the start of a VM requests wait for the first configuration
-// instead of being refused. Tables normally arrive sooner, while a refused caller returns no
-// sooner than after a Retry-After of whole seconds.
-const startupWait = 500 * time.Millisecond
+// instead of being refused. Tables arrive within that time also if all VMs start at once, while a
+// refused caller returns no sooner than after a second.
+const startupWait = time.Second
 
 // startup tells requests when the first configuration of this VM is in force.
 type startup struct {
--- a/internal/edge/transaction_test.go
+++ b/internal/edge/transaction_test.go
@@ -44,3 +44,17 @@
 		}
 	}
 }
+
+// TestRefusedCallersReturnApart guards against callers that are refused at the same time, as while
+// all VMs start, and return at the same time.
+func TestRefusedCallersReturnApart(t *testing.T) {
+	const usual = 2 * time.Second
+	shortest, longest := time.Hour, time.Duration(0)
+	for range 200 {
+		delay := (&transaction{}).retryDelay(usual)
+		shortest, longest = min(shortest, delay), max(longest, delay)
+	}
+	if shortest < usual/2 || longest > 3*usual/2 || longest-shortest < usual/2 {
+		t.Errorf("delays from %v to %v for a usual one of %v", shortest, longest, usual)
+	}
+}
