Keep pools divided when they lose an upstream

One crashed in the burst at 14 s: the pool became one shard with one owner, which knew nothing of the calls, results and reservations, and three shards again at 18 s. A VM that has just started learns from the claims of the others how the pools are divided where the numbers allow both.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -45,6 +45,9 @@
 	logger *zap.Logger
 	// onViewChange is called with each new view, and never concurrently.
 	onViewChange func(*View)
+	// isClaimed reports whether a VM claims a shard. A VM that has just started learns from it how
+	// the others have divided the pools.
+	isClaimed func(name string) bool
 
 	// mustList is set if the next read must be a listing. Only the reading goroutine uses it.
 	mustList bool
@@ -56,6 +59,8 @@
 	registry *registry.Registry
 	catalog  *catalog.Catalog
 	zonesOut map[string]bool
+	// view is the last one that was published.
+	view     *View
 	failures int
 	// lossLogged is set after the loss of the store was logged, until its return.
 	lossLogged bool
@@ -63,9 +68,9 @@
 	refreshed chan struct{}
 }
 
-func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View)) *follower {
+func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
-		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange,
+		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange, isClaimed: isClaimed,
 		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{}, refreshed: make(chan struct{}),
 	}
 }
@@ -240,12 +245,39 @@
 	f.refreshed = make(chan struct{})
 }
 
+// publishView makes the items that are known now the current view. The caller holds the lock.
 func (f *follower) publishView() {
+	f.view = f.buildView()
+	f.onViewChange(f.view)
+}
+
+func (f *follower) buildView() *View {
 	zones := make(map[string]bool, len(f.zonesOut))
 	for zone := range f.zonesOut {
 		zones[zone] = true
 	}
-	f.onViewChange(newView(f.replica.Revision(), f.catalog, f.registry.Entries(), zones))
+	previous := f.view
+	return newView(f.replica.Revision(), f.catalog, f.registry.Entries(), zones, func(name string) bool {
+		return (previous != nil && previous.Shards[name] != nil) || f.isClaimed(name)
+	})
+}
+
+// adoptShards divides the pools as the other VMs do. A VM that has just started may have done it in
+// another way before it learned of their claims.
+func (f *follower) adoptShards() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view == nil || !f.view.hasOpenShards {
+		return
+	}
+	view := f.buildView()
+	for name := range view.Shards {
+		if f.view.Shards[name] == nil {
+			f.view = view
+			f.onViewChange(view)
+			return
+		}
+	}
 }
 
 // expireUpstreams removes upstreams whose entries were not published again in time.
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -52,6 +52,13 @@
 	return self.Claimed(fleet.KeyOf(resource))
 }
 
+// isClaimed reports whether this VM or a reachable one claims a resource.
+func (g *gossip) isClaimed(resource string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.directory.IsClaimed(g.now(), fleet.Resource{Name: resource})
+}
+
 // unreachableZones returns the zones of which VMs are known but none is reachable.
 func (g *gossip) unreachableZones() map[string]bool {
 	g.mu.Lock()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -123,10 +123,13 @@
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
-	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView)
 	var err error
 	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.contain, s.onFleetChange, s.updatePoolClaims)
-	return s, err
+	if err != nil {
+		return nil, err
+	}
+	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView, s.gossip.isClaimed)
+	return s, nil
 }
 
 // applyView makes a view current and updates the upstreams and pools from it.
--- a/internal/edge/shards_test.go
+++ b/internal/edge/shards_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -221,3 +222,29 @@
 		t.Errorf("a request that may have run is admitted until %v, expected its deadline %v", limit, run.deadline)
 	}
 }
+
+// TestShardsOutliveAnUpstream removes an upstream of pools that are just large enough to be divided,
+// and starts another VM. It guards against moving the work of all shards to one owner, and against a
+// VM that divides the pools in another way than those which have been running.
+func TestShardsOutliveAnUpstream(t *testing.T) {
+	f, _, _ := startZonedFleet(t, testZones)
+	settings := f.servers[0].settings
+	f.store.put("u/s0", nil)
+	await(t, "the upstream removed on all VMs", func() bool {
+		for _, s := range f.servers {
+			if s.view.Load().ByID["s0"] != nil {
+				return false
+			}
+		}
+		return true
+	})
+	settings.VM, settings.IP = "vm-new", settings.IP[:strings.LastIndexByte(settings.IP, '.')]+".200"
+	settings.PeerListen, settings.Listen, settings.ReadyListen = joinHostPort(settings.IP, testPeerPort), joinHostPort(settings.IP, testCallerPort), joinHostPort(settings.IP, testReadyPort)
+	f.start(settings)
+	for i, s := range f.servers {
+		await(t, fmt.Sprintf("VM %d with a shard for each zone", i), func() bool {
+			view := s.view.Load()
+			return view != nil && len(view.ShardsOf["a"]) == testZones
+		})
+	}
+}
--- a/internal/edge/size_bench_test.go
+++ b/internal/edge/size_bench_test.go
@@ -45,6 +45,7 @@
 	s := &Server{
 		settings: Settings{VM: "vm-0", Zone: "zone-0", RetryWindow: time.Second, ColdRateFactor: 1.5, ColdRateBurst: 5}, now: testNow, logger: zap.NewNop(),
 		poolRunners: map[string]*poolRunner{}, upstreams: newUpstreams(testNow, func(string) bool { return false }),
+		startup: newStartup(),
 	}
 	self := fleet.Entry{Name: "vm-0", Zone: "zone-0", Address: "10.1.0.0:1"}
 	s.gossip = &gossip{
@@ -53,7 +54,7 @@
 	}
 	s.gossip.directory.Merge(testNow(), sizedEntries(vms))
 	s.gossip.membership.SetMembers(testNow(), s.gossip.directory.Members())
-	s.follower = newFollower(store, store.decode, testNow, zap.NewNop(), s.applyView)
+	s.follower = newFollower(store, store.decode, testNow, zap.NewNop(), s.applyView, s.gossip.isClaimed)
 	if err := s.follower.list(context.Background()); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -115,11 +115,12 @@
 }
 
 // refreshStaleTables pulls the tables from random peers while they are stale. It also removes
-// expired upstreams, and claims and hands over pools.
+// expired upstreams, divides the pools as the other VMs do, and claims and hands over shards.
 func (s *Server) refreshStaleTables(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPullInterval)
 		s.follower.expireUpstreams()
+		s.follower.adoptShards()
 		s.updatePoolClaims()
 		if age, complete := s.follower.age(); complete && age < staleTablesAge {
 			continue
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -27,6 +27,8 @@
 	Shards   map[string]*poolShard
 	ShardsOf map[string][]*poolShard
 	ShardAt  map[string]*poolShard
+	// hasOpenShards is set if the shards of a pool depend on those that other VMs have.
+	hasOpenShards bool
 	// ZonesOut holds the zones that are out of service.
 	ZonesOut map[string]bool
 }
@@ -43,8 +45,8 @@
 // resource returns the shard as a resource that a VM owns.
 func (p *poolShard) resource() fleet.Resource { return fleet.Resource{Name: p.Name, Zone: p.Zone} }
 
-// newView builds a view from the published items.
-func newView(revision uint64, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool) *View {
+// newView builds a view from the published items. isShard reports whether a shard exists already.
+func newView(revision uint64, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool, isShard func(name string) bool) *View {
 	view := &View{
 		Revision: revision, Catalog: c, ZonesOut: zonesOut,
 		InService: map[string][]*registry.Entry{}, ByID: make(map[string]*registry.Entry, len(entries)), ZoneOf: make(map[string]string, len(entries)),
@@ -58,14 +60,14 @@
 		}
 		view.InService[entry.Pool] = append(view.InService[entry.Pool], entry)
 	}
-	view.addShards(entries)
+	view.addShards(entries, isShard)
 	return view
 }
 
 // addShards divides the pools that run stages into shards. Upstreams that are draining or out of
 // service belong to a shard as well, since they hold results, and since the shards then do not
 // change when a zone leaves or returns.
-func (v *View) addShards(entries []*registry.Entry) {
+func (v *View) addShards(entries []*registry.Entry, isShard func(name string) bool) {
 	if v.Catalog == nil {
 		return
 	}
@@ -80,7 +82,8 @@
 		for _, entry := range members {
 			upstreams = append(upstreams, stagepool.Upstream{ID: entry.ID, Zone: entry.Zone})
 		}
-		for i, shard := range stagepool.Partition(pool, upstreams) {
+		v.hasOpenShards = v.hasOpenShards || stagepool.IsPartitionOpen(upstreams)
+		for i, shard := range stagepool.Partition(pool, upstreams, isShard) {
 			v.addToShard(shard, members[i])
 		}
 	}
--- a/pkg/fleet/ownership.go
+++ b/pkg/fleet/ownership.go
@@ -60,6 +60,11 @@
 	return best.entry, true
 }
 
+// IsClaimed reports whether this VM or a reachable one claims the resource.
+func (d *Directory) IsClaimed(now clock.Instant, resource Resource) bool {
+	return d.claimant(now, resource) != nil
+}
+
 // claimant returns the reachable VM that claims the resource, or nil.
 func (d *Directory) claimant(now clock.Instant, resource Resource) *Entry {
 	key := KeyOf(resource.Name)
