Cut the work of placement and of membership changes in large fleets

Cause: placement sorted all upstreams of a pool by weight for each request, and each change of membership, up to 20 a second, updates what depends on the fleet at a cost that grows with it. Change: only the upstreams that are kept are sorted; changes of membership are collected for 0.5 ms a VM.

--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -29,6 +29,9 @@
 	gossipInterval   = 50 * time.Millisecond
 	helloInterval    = 150 * time.Millisecond
 	reseedInterval   = 5 * time.Second
+	// reportDelayPerVM is how long changes of the membership are collected, for each VM of the fleet,
+	// since the work that follows grows with the fleet.
+	reportDelayPerVM = 500 * time.Microsecond
 	// maxDatagramEntries bounds the directory entries of a datagram, which must fit into one
 	// packet.
 	maxDatagramEntries = 8
@@ -57,6 +60,7 @@
 	directoryVersion      uint64
 	lastHello             clock.Instant
 	lastUnresponsiveCheck clock.Instant
+	lastReport            clock.Instant
 	// alone is set while no other VM is reachable.
 	alone         bool
 	directorySync directorySync
@@ -250,10 +254,16 @@
 // reportChanges logs changes of the membership and calls the callbacks for changes.
 func (g *gossip) reportChanges() {
 	g.mu.Lock()
+	now := g.now()
+	if now.Sub(g.lastReport) < time.Duration(g.directory.Size())*reportDelayPerVM {
+		g.mu.Unlock()
+		return
+	}
+	g.lastReport = now
 	membershipVersion, directoryVersion := g.membership.Version(), g.directory.Version()
 	membershipChanged, directoryChanged := membershipVersion != g.membershipVersion, directoryVersion != g.directoryVersion
 	g.membershipVersion, g.directoryVersion = membershipVersion, directoryVersion
-	alone := g.directory.IsAlone(g.now())
+	alone := g.directory.IsAlone(now)
 	aloneChanged := alone != g.alone
 	g.alone = alone
 	size := g.directory.Size()
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -204,20 +204,29 @@
 	weight uint64
 }
 
+// compareWeights orders upstreams by falling weight.
+func compareWeights(a, b weightedUpstream) int {
+	if a.weight != b.weight {
+		return cmp.Compare(b.weight, a.weight)
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
 // top returns the n highest-ranked upstreams of a part of a prompt, in order.
 func top(part rendezvous.Hash, upstreams []*Upstream, n int) []*Upstream {
-	ranked := make([]weightedUpstream, 0, len(upstreams))
+	n = min(n, len(upstreams))
+	ranked := make([]weightedUpstream, 0, n+1)
 	for _, u := range upstreams {
-		ranked = append(ranked, weightedUpstream{u, rendezvous.WeightOf(part, u.hash())})
-	}
-	slices.SortFunc(ranked, func(a, b weightedUpstream) int {
-		if a.weight != b.weight {
-			return cmp.Compare(b.weight, a.weight)
+		next := weightedUpstream{u, rendezvous.WeightOf(part, u.hash())}
+		if len(ranked) == n && compareWeights(ranked[n-1], next) < 0 {
+			continue
 		}
-		return cmp.Compare(a.ID, b.ID)
-	})
+		at, _ := slices.BinarySearchFunc(ranked, next, compareWeights)
+		ranked = slices.Insert(ranked, at, next)
+		ranked = ranked[:min(len(ranked), n)]
+	}
 	out := make([]*Upstream, 0, n)
-	for _, u := range ranked[:min(n, len(ranked))] {
+	for _, u := range ranked {
 		out = append(out, u.Upstream)
 	}
 	return out
