Pack whole tables that VMs pull from each other

Cause: with 3,000 upstreams all items take over a megabyte, and each VM pulls them at its start and after a failure of all; a relay sends them to dozens of VMs. Change: whole tables of 100 items and more are sent in the gzip format, packed once for each state.

--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -98,5 +98,10 @@
 	for _, item := range changes.changes.Items {
 		response.Items = append(response.Items, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
 	}
+	if r.GetRevision() == 0 && r.GetAcceptsPacked() && len(response.GetItems()) >= minPackedItems {
+		if err := f.s.packedTables.pack(response, changes.version); err != nil {
+			return nil, err
+		}
+	}
 	return response, nil
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -59,6 +59,8 @@
 	registry *registry.Registry
 	catalog  *catalog.Catalog
 	zonesOut map[string]bool
+	// version counts the changes of the items.
+	version uint64
 	// view is the last one that was published.
 	view     *View
 	failures int
@@ -184,6 +186,7 @@
 		return
 	}
 	now := f.now()
+	f.version++
 	for _, item := range changed {
 		f.applyItem(now, item)
 	}
@@ -306,6 +309,8 @@
 	revision  uint64
 	age       time.Duration
 	changes   replica.Changes
+	// version identifies the state of the items at the responding VM.
+	version uint64
 }
 
 // changesAfter returns the changes for a peer whose items are complete up to the revision. If there
@@ -328,7 +333,7 @@
 	defer f.mu.Unlock()
 	changes := peerChanges{
 		complete: f.replica.Complete(), revision: f.replica.Revision(), age: f.now().Sub(f.replica.FreshAt()),
-		unchanged: f.replica.LastChangeRevision() <= revision, storeLost: f.failures > 0,
+		unchanged: f.replica.LastChangeRevision() <= revision, storeLost: f.failures > 0, version: f.version,
 	}
 	if !changes.unchanged {
 		changes.changes = f.replica.ChangesSince(revision, asDelta)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -76,6 +76,7 @@
 	responseMemory *bodyMemory
 	startedAt      clock.Instant
 	startup        *startup
+	packedTables   packedTables
 	startupWait    time.Duration
 	// balancerDelay is how long new requests are accepted after a stop signal.
 	balancerDelay time.Duration
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -142,7 +142,7 @@
 	sentAt, requested := s.now(), s.follower.revision()
 	var response *hoistv1.PullResponse
 	err := s.peers.callWithoutPing(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Pull(ctx, &hoistv1.PullRequest{Revision: requested, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true})
+		response, err = client.Pull(ctx, &hoistv1.PullRequest{Revision: requested, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true})
 		return err
 	})
 	if err != nil {
@@ -152,6 +152,10 @@
 	if !response.GetComplete() {
 		return false
 	}
+	if err := unpackItems(response); err != nil {
+		s.logger.Warn("tables of a peer not understood", zap.String("peer", entry.Name), obs.ErrorField(err))
+		return false
+	}
 	changes := peerChanges{
 		complete: true, unchanged: response.GetUnchanged(), revision: response.GetRevision(),
 		age:     time.Duration(response.GetAgeMs()) * time.Millisecond,
