Decide by the time of arrival which requests a stopping VM takes

What remained is the design: a timer, not the arrival of the request, decided, so on a busy VM a late timer still took requests; a request that arrived on an open connection as the server shut down was dropped unanswered; and what still ran at the end of the grace period ended with a closed connection, although its caller could have been told whether it may have run.

Change: requests that arrive later than 2.9 s after the signal are refused as not run. The listener closes then, and idle connections 0.3 s later. When requests are cut off, 0.25 s before the end of the grace period, those without a response get 503 if they have not run, else 502. Logs of requests that arrive during a stop say how long after the signal. The stop has a file of its own, and so have the servers of a VM.

Measured: both tests fail before (unexpected EOF; status 0 in place of 502 and 503) and pass after.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -285,7 +285,7 @@
 		testRoute("/x/", catalog.NonIdempotent, nil), testRoute("/long/", catalog.NonIdempotent, long),
 	}}, catalogUpstreams("p", u)...)
 	s := f.servers[0]
-	s.balancerDelay = 600 * time.Millisecond
+	s.stop.balancerDelay = 600 * time.Millisecond
 	kept := &http.Transport{}
 	defer kept.CloseIdleConnections()
 	exchange := func(transport *http.Transport, id, path, expect string) (*http.Response, error) {
@@ -310,7 +310,7 @@
 		t.Fatal(err)
 	}
 	f.stops[0]()
-	await(t, "the VM shuts down", s.stopping.Load)
+	await(t, "the VM shuts down", s.stop.isStopping)
 	for _, expect := range []string{"", "100-continue"} {
 		for name, transport := range map[string]*http.Transport{"old": kept, "new": {DisableKeepAlives: true}} {
 			response, err := exchange(transport, name+expect, "/x/", expect)
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -363,7 +363,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	server.balancerDelay = 50 * time.Millisecond
+	server.stop.balancerDelay, server.stop.refusalPeriod = 50*time.Millisecond, 0
 	f.prepare(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/edge/plannedstop_test.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+)
+
+// TestNoRequestIsTakenLateInStop guards against a request that is taken after the time for new
+// requests is over, on a connection that was open before, and is then cut off with the process.
+func TestNoRequestIsTakenLateInStop(t *testing.T) {
+	f := startFleetWith(t, 1, nil, func(s *Server) { s.stop.refusalPeriod = 2 * time.Second })
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}},
+		catalogUpstreams("p", u)...)
+	address := f.servers[0].settings.Listen
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	f.stops[0]()
+	await(t, "the VM takes no new connections", func() bool {
+		other, err := net.Dial("tcp", address)
+		return err != nil || other.Close() != nil
+	})
+	if _, err := io.WriteString(conn, "POST /x/ HTTP/1.1\r\nHost: a.example\r\nRequest: late\r\nContent-Length: 1\r\n\r\nb"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" || u.runCount("late") != 0 {
+		t.Errorf("status %d, close %v, header %v, %d runs; expected 503 without a run", response.StatusCode, response.Close, response.Header, u.runCount("late"))
+	}
+}
+
+// TestRequestsOutlivingStopAreAnswered guards against requests that end with a closed connection
+// when a VM stops, although their callers could be told whether they may have run.
+func TestRequestsOutlivingStopAreAnswered(t *testing.T) {
+	f := startFleet(t, 1, func(s *Settings) { s.GracePeriod = time.Second })
+	model := newTestUpstream(t, "m", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	stage := newTestUpstream(t, "s", nil)
+	release := make(chan struct{})
+	stage.beforeStage = func() { <-release }
+	defer close(release)
+	batch := catalog.Batch{Concurrency: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, ResultTTL: time.Minute}
+	long := func(r *catalog.Route) { r.Timeout, r.Objective = time.Minute, time.Minute }
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}},
+		Routes: []catalog.Route{
+			testRoute("/plain/", catalog.NonIdempotent, long),
+			testRoute("/staged/", catalog.NonIdempotent, func(r *catalog.Route) {
+				long(r)
+				r.Stages = []catalog.Stage{{Pool: "a"}}
+			}),
+		},
+	}, append(catalogUpstreams("p", model), catalogUpstreams("a", stage)...)...)
+	statuses := map[string]chan int{"/plain/": make(chan int, 1), "/staged/": make(chan int, 1)}
+	for path, status := range statuses {
+		go func() {
+			response, _, err := f.send(0, path, path, map[string]string{"Pieces": "1"})
+			if err != nil {
+				status <- 0
+				return
+			}
+			status <- response.StatusCode
+		}()
+	}
+	await(t, "both requests under way", func() bool { return model.runCount("/plain/") == 1 && f.servers[0].inFlight.Load() == 2 })
+	f.stops[0]()
+	<-f.done[0]
+	for path, want := range map[string]int{"/plain/": http.StatusBadGateway, "/staged/": http.StatusServiceUnavailable} {
+		select {
+		case got := <-statuses[path]:
+			if got != want {
+				t.Errorf("%s: status %d, expected %d", path, got, want)
+			}
+		case <-time.After(time.Second):
+			t.Errorf("%s: no answer when the process ended, expected %d", path, want)
+		}
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -15,7 +15,6 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 )
 
@@ -27,9 +26,6 @@
 	// keyAgeFraction is the fraction of Settings.KeyRevocationTimeout at which requests with
 	// API keys are refused. The rest covers the time until a request reaches its upstream.
 	keyAgeFraction = 0.85
-	// stopSafetyFactor is how many times the expected duration of a request must be left before a
-	// VM stops. Durations vary, and requests take longer while VMs stop one after the other.
-	stopSafetyFactor = 1.5
 	// writeSlack is the time beyond the deadline for writing the response, such as an error that
 	// says that the deadline has passed.
 	writeSlack = 5 * time.Second
@@ -45,7 +41,7 @@
 	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
 	defer t.end()
 	t.limitWrites(defaultRequestTimeout)
-	if s.stopping.Load() {
+	if s.stop.isStopping() {
 		// The next connection of the caller then goes to another VM.
 		w.Header().Set("Connection", "close")
 	}
@@ -54,6 +50,7 @@
 		var cancel context.CancelFunc
 		t.ctx, cancel = context.WithTimeout(r.Context(), t.remaining())
 		defer cancel()
+		defer context.AfterFunc(s.stop.cut, cancel)()
 		failure = t.serve()
 	}
 	t.finish(failure)
@@ -104,20 +101,6 @@
 	return t.readBody(config)
 }
 
-// checkStop refuses a request that could not end before this VM stops. Another VM can run it.
-func (t *transaction) checkStop() *errkind.Error {
-	if !t.s.stopping.Load() {
-		return nil
-	}
-	left := clock.Instant(t.s.stopAt.Load()).Sub(t.arrived)
-	expected := t.s.durations.expected(t.route.Name, t.route.Objective)
-	if time.Duration(stopSafetyFactor*float64(expected)) <= left {
-		return nil
-	}
-	t.retryAfter = minRetryAfter
-	return errkind.New(errkind.Draining, "the request would take "+expected.String()+", and the VM stops in "+left.String())
-}
-
 func (t *transaction) authenticate(config *catalog.Catalog) *errkind.Error {
 	if t.requestInfo.APIKey != "" {
 		t.workspace = config.WorkspaceOf(t.requestInfo.APIKey)
@@ -272,9 +255,13 @@
 	return failure.RaiseRunState(errkind.Ran)
 }
 
-// timeoutError returns the error of a request whose deadline has passed or whose caller has
-// disconnected.
+// timeoutError returns the error of a request whose deadline has passed, whose caller has
+// disconnected, or which is cut off by a planned stop.
 func (t *transaction) timeoutError() *errkind.Error {
+	if t.s.stop.isCut() && t.r.Context().Err() == nil {
+		t.retryAfter = minRetryAfter
+		return t.newError(errkind.Draining, "the VM stops")
+	}
 	failure := errkind.New(errkind.DeadlineExceeded, "no answer in time")
 	if errors.Is(t.r.Context().Err(), context.Canceled) {
 		failure.Detail = "the caller has left"
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -12,9 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
 
-	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
@@ -30,12 +28,6 @@
 	idleTimeout   = 120 * time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// balancerDelay is how long a VM that shuts down accepts new requests: the load balancer
-	// notices after two failed readiness checks, one second apart. Operators expect an answer to
-	// each request that is sent up to three seconds after the stop signal, or later if accepted.
-	balancerDelay = 2900 * time.Millisecond
-	// shutdownMargin is the part of the grace period kept for the exit of the process.
-	shutdownMargin = 250 * time.Millisecond
 	// sweepInterval is the time between two checks for connections to upstreams that were idle
 	// for too long.
 	sweepInterval = time.Second
@@ -78,8 +70,6 @@
 	startup        *startup
 	packedTables   packedTables
 	startupWait    time.Duration
-	// balancerDelay is how long new requests are accepted after a stop signal.
-	balancerDelay time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
 	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
@@ -97,9 +87,7 @@
 	reservationResponses zoneResponses
 	fleetSize            atomic.Int64
 	inFlight             atomic.Int64
-	stopping             atomic.Bool
-	// stopAt is when requests that still run are cut off; it is set before stopping.
-	stopAt atomic.Int64
+	stop                 *plannedStop
 	// durations estimates how long requests take.
 	durations durations
 
@@ -115,7 +103,7 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
-		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), balancerDelay: balancerDelay, maxDirectFollowers: maxDirectFollowers,
+		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
@@ -192,7 +180,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
-	callerServer, readyServer, peerServer, err := s.listen(background)
+	servers, err := s.listen(background)
 	if err != nil {
 		return err
 	}
@@ -203,46 +191,15 @@
 	s.logger.Info("started", zap.String("listen", s.settings.Listen), zap.String("peers", s.settings.PeerListen),
 		zap.Strings("seeds", s.settings.Seeds))
 	<-ctx.Done()
-	s.shutDown(callerServer)
-	peerServer.Stop()
-	_ = readyServer.Close()
+	s.shutDown(servers)
+	servers.peers.Stop()
+	_ = servers.readiness.Close()
 	return nil
 }
 
-// listen opens all listeners and starts to serve them.
-func (s *Server) listen(ctx context.Context) (*http.Server, *http.Server, *grpc.Server, error) {
-	peerListener, err := s.peers.transport.Listen(s.settings.PeerListen)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(s.contain.interceptCall))...)
-	hoistv1.RegisterFleetServer(peerServer, fleetServer{s: s})
-	go s.runServer("peers", func() error { return peerServer.Serve(peerListener) })
-	callerServer := &http.Server{
-		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: withConn, ErrorLog: zap.NewStdLog(s.logger),
-	}
-	readyServer := &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout}
-	for _, server := range []struct {
-		name, address string
-		server        *http.Server
-	}{{"callers", s.settings.Listen, callerServer}, {"readiness", s.settings.ReadyListen, readyServer}} {
-		listener, err := net.Listen("tcp4", server.address)
-		if err != nil {
-			peerServer.Stop()
-			return nil, nil, nil, errors.Wrapf(err, "listen for %s", server.name)
-		}
-		go s.runServer(server.name, func() error { return server.server.Serve(listener) })
-	}
-	if s.settings.MetricsPort > 0 {
-		s.serveMetrics()
-	}
-	return callerServer, readyServer, peerServer, nil
-}
-
 // runServer runs a server and logs an unexpected end.
 func (s *Server) runServer(name string, serve func() error) {
-	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.logger.Error("server stopped unexpectedly", zap.String("server", name), obs.ErrorField(err))
 	}
 }
@@ -273,7 +230,7 @@
 func (s *Server) notReadyReason() string {
 	view := s.view.Load()
 	switch {
-	case s.stopping.Load():
+	case s.stop.isStopping():
 		return "stopping"
 	case view == nil || view.Catalog == nil:
 		return "no configuration"
@@ -291,20 +248,3 @@
 		s.client.CloseExpired()
 	}
 }
-
-// shutDown stops the server. Readiness checks fail first; after the balancer delay the listener
-// and idle connections are closed, and running requests may end.
-func (s *Server) shutDown(callerServer *http.Server) {
-	started := s.now()
-	stopAt := started.Add(s.settings.GracePeriod - shutdownMargin)
-	s.stopAt.Store(int64(stopAt))
-	s.stopping.Store(true)
-	s.gossip.leave()
-	s.updatePoolClaims()
-	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
-	sleep(context.Background(), min(s.balancerDelay, s.settings.GracePeriod/2))
-	ctx, cancel := context.WithTimeout(context.Background(), stopAt.Sub(s.now()))
-	defer cancel()
-	err := callerServer.Shutdown(ctx)
-	s.logger.Info("stopped", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("took", s.now().Sub(started)), obs.ErrorField(err))
-}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -51,6 +51,9 @@
 	inputs     *inputSet
 	// stageTime is the total time spent on stages.
 	stageTime time.Duration
+	// stopElapsed is the time from the stop signal to the arrival of the request; 0 if it arrived
+	// before.
+	stopElapsed time.Duration
 	// responseStarted is set once part of the response has been written.
 	responseStarted bool
 	// firstEvent is the time from the arrival of the request to its first event; 0 before it.
@@ -96,6 +99,9 @@
 	if t.view != nil && t.view.Catalog != nil {
 		fields = append(fields, zap.Int64("version", t.view.Catalog.Version), zap.Uint64("revision", t.view.Revision))
 	}
+	if t.stopElapsed > 0 {
+		fields = append(fields, zap.Duration("stop_elapsed", t.stopElapsed))
+	}
 	return append(fields, zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
 }
 
