--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -58,7 +58,8 @@
 		return
 	}
 	s.recordCrash(t.fingerprint, entry.ID, entry.Zone)
-	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID), obs.ErrorField(err))
+	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
+		zap.String("route", t.route.Name), zap.Strings("prompt_parts", t.sharedParts()), obs.ErrorField(err))
 	request := &hoistv1.StrikeRequest{Fingerprint: t.fingerprint[:], Upstream: entry.ID, Zone: entry.Zone}
 	for _, peer := range s.gossip.reachable() {
 		go func() {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -159,11 +159,21 @@
 		return nil
 	}
 	if t.prefix == nil {
-		var shared []string
-		for _, part := range t.requestInfo.PromptPrefix[:max(1, len(t.requestInfo.PromptPrefix)-1)] {
-			shared = append(shared, part.ID)
+		shared := t.sharedParts()
+		if len(shared) == 0 {
+			shared = []string{t.requestInfo.PromptPrefix[0].ID}
 		}
 		t.prefix = t.s.upstreams.choosePrefix(t.route.Name, shared, len(t.view.InService[t.pool]))
 	}
 	return t.prefix
 }
+
+// sharedParts returns the IDs of the parts of the prompt that other requests may have too: all but
+// the last, which belongs to this request or its session.
+func (t *transaction) sharedParts() []string {
+	var shared []string
+	for _, part := range t.requestInfo.PromptPrefix[:max(0, len(t.requestInfo.PromptPrefix)-1)] {
+		shared = append(shared, part.ID)
+	}
+	return shared
+}
