Block the parts of prompts that crash upstreams

Cause: what is known to crash upstreams was the fingerprint of a whole request: API key, host, URI and body. No two of these requests are alike, so each began with a clean record and was allowed two upstreams; the crashes of one taught nothing about the next. The class of fault is a key of accumulated evidence that is finer than the cause.

Change: pkg/poison.PartTable puts the shared parts of all requests under suspicion whose answers a crashed upstream had not begun; each answer clears the parts of its request on all VMs; a part that is left after three separate occasions, or five crashes on two, is blocked, for a minute at first. Requests with it are refused as not run with the new kind poison_prompt, on arrival, before each send and before a retry. VMs report crashes with parts and answers to each other and decide alone; datagrams of the membership protocol carry the blocked parts to VMs that have started. A response that breaks in its body counts as a sign of a crash too, not only one without a head. Why it works: a part that crashes upstreams is never answered, while the parts that sound requests share are answered all the time, so evidence gathers on it alone, whatever else the requests hold.

Measured: TestPromptPartThatCrashesUpstreams fails with the check switched off (11 requests reach upstreams) and passes.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -32,6 +32,15 @@
 	return fp
 }
 
+// blockedPart returns the first part of the prompt with which requests are refused and whether there
+// is one. A request whose answer has begun is not refused.
+func (t *transaction) blockedPart() (poison.Part, bool) {
+	if t.events > 0 {
+		return 0, false
+	}
+	return t.s.parts.check(t.promptParts())
+}
+
 // isPoisonRequest reports whether the request must not run because upstreams crashed while
 // running it.
 func (s *Server) isPoisonRequest(t *transaction) bool {
@@ -57,20 +66,41 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	var parts []poison.Part
+	if t.events == 0 {
+		parts = t.promptParts()
+	}
 	s.recordCrash(t.fingerprint, entry.ID, entry.Zone)
+	s.parts.recordCrash(entry.ID, entry.StartID, parts)
 	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
 		zap.String("route", t.route.Name), zap.Strings("prompt_parts", t.sharedParts()), obs.ErrorField(err))
-	request := &hoistv1.StrikeRequest{Fingerprint: t.fingerprint[:], Upstream: entry.ID, Zone: entry.Zone}
+	request := &hoistv1.StrikeRequest{
+		Fingerprint: t.fingerprint[:], Upstream: entry.ID, Zone: entry.Zone, Parts: partsToProto(parts), UpstreamStart: uint64(entry.StartID),
+	}
+	s.callPeers("failed to report the crash of an upstream", func(ctx context.Context, client hoistv1.FleetClient) error {
+		_, err := client.Strike(ctx, request)
+		return err
+	})
+}
+
+// sendClears tells the other VMs of parts of prompts that were answered.
+func (s *Server) sendClears(parts []poison.Part) {
+	request := &hoistv1.ClearPartsRequest{Parts: partsToProto(parts)}
+	s.callPeers("failed to report answered parts of prompts", func(ctx context.Context, client hoistv1.FleetClient) error {
+		_, err := client.ClearParts(ctx, request)
+		return err
+	})
+}
+
+// callPeers makes a call to each reachable VM without waiting for the responses. A call that fails is
+// logged with the message.
+func (s *Server) callPeers(message string, call func(context.Context, hoistv1.FleetClient) error) {
 	for _, peer := range s.gossip.reachable() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 			defer cancel()
-			err := s.peers.call(ctx, peer, func(ctx context.Context, client hoistv1.FleetClient) error {
-				_, err := client.Strike(ctx, request)
-				return err
-			})
-			if err != nil {
-				s.logger.Info("failed to report the crash of an upstream", zap.String("peer", peer.Name), obs.ErrorField(err))
+			if err := s.peers.call(ctx, peer, call); err != nil {
+				s.logger.Info(message, zap.String("peer", peer.Name), obs.ErrorField(err))
 			}
 		}()
 	}
@@ -87,5 +117,6 @@
 	var fp poison.Fingerprint
 	copy(fp[:], r.GetFingerprint())
 	f.s.recordCrash(fp, r.GetUpstream(), r.GetZone())
+	f.s.parts.recordCrash(r.GetUpstream(), int64(r.GetUpstreamStart()), partsFromProto(r.GetParts()))
 	return &hoistv1.StrikeResponse{}, nil
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
 const (
@@ -29,6 +30,9 @@
 	t.s.upstreams.addRetryTokens(t.pool)
 	misdirected, reruns := 0, 0
 	for {
+		if part, isBlocked := t.blockedPart(); isBlocked {
+			return t.poisonPromptError(part)
+		}
 		upstreamLease, failure := t.acquireUpstream()
 		if failure != nil {
 			return failure
@@ -90,6 +94,9 @@
 	if outcome != attemptRejected && !t.isRepeatable() {
 		return false
 	}
+	if _, isBlocked := t.blockedPart(); isBlocked {
+		return false
+	}
 	if outcome == attemptBroken && t.s.isPoisonRequest(t) {
 		return false
 	}
@@ -177,3 +184,13 @@
 	}
 	return shared
 }
+
+// promptParts returns the shared parts of the prompt.
+func (t *transaction) promptParts() []poison.Part {
+	if t.parts == nil {
+		for _, id := range t.sharedParts() {
+			t.parts = append(t.parts, poison.PartOf(id))
+		}
+	}
+	return t.parts
+}
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -44,6 +44,7 @@
 	now     func() clock.Instant
 	logger  *zap.Logger
 	contain *containment
+	parts   *partGuard
 	conn    *net.UDPConn
 	port    int
 	seeds   []string
@@ -66,7 +67,7 @@
 	directorySync directorySync
 }
 
-func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, contain *containment, onMembershipChange, onClaimChange func()) (*gossip, error) {
+func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, contain *containment, parts *partGuard, onMembershipChange, onClaimChange func()) (*gossip, error) {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(s.IP), Port: s.GossipPort})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for membership")
@@ -79,7 +80,7 @@
 		SuspicionTimeout: suspicionTimeout, PauseThreshold: pauseThreshold,
 	})
 	return &gossip{
-		now: now, logger: logger, contain: contain, conn: conn, port: s.GossipPort, seeds: s.Seeds, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange,
+		now: now, logger: logger, contain: contain, parts: parts, conn: conn, port: s.GossipPort, seeds: s.Seeds, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange,
 		membership: machine, directory: fleet.New(now(), self), alone: true,
 	}, nil
 }
@@ -122,6 +123,7 @@
 }
 
 func (g *gossip) handleDatagram(datagram *hoistv1.Datagram, from *net.UDPAddr) {
+	g.parts.mergeBlocked(datagram.GetBlockedParts())
 	g.sendMessages(g.applyDatagram(datagram))
 	if datagram.GetHello() {
 		g.answerHello(datagram, from)
@@ -236,6 +238,7 @@
 		datagram.Directory = append(datagram.Directory, entryToProto(e))
 	}
 	g.mu.Unlock()
+	datagram.BlockedParts = g.parts.blockedForMessage()
 	g.sendDatagram(datagram, to)
 }
 
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -40,6 +40,9 @@
 	if ms, err := strconv.Atoi(header.Get("Patience")); err == nil {
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	for part := range strings.FieldsSeq(header.Get("Prompt")) {
+		info.PromptPrefix = append(info.PromptPrefix, PrefixPart{ID: part, Tokens: 1})
+	}
 	for part := range strings.SplitSeq(header.Get("Pieces"), ",") {
 		if n, err := strconv.Atoi(part); err == nil {
 			info.Pieces = append(info.Pieces, n)
--- /dev/null
+++ b/internal/edge/partguard.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
+)
+
+const (
+	// minClearDelay is how long parts to clear are collected before the other VMs learn of them. A
+	// random time of up to clearJitter is added, in which most of them learn it from one VM.
+	minClearDelay = 30 * time.Millisecond
+	clearJitter   = 90 * time.Millisecond
+	// maxDatagramParts bounds the blocked parts of a datagram, which must fit into one packet.
+	maxDatagramParts = 8
+	// maxReportedParts bounds the parts of prompts that are accepted from one message.
+	maxReportedParts = 1024
+)
+
+// partGuard keeps requests from upstreams whose prompt has a part that crashes them. It is safe for
+// concurrent use.
+type partGuard struct {
+	now    func() clock.Instant
+	logger *zap.Logger
+	// sendClears tells the other VMs of parts that were answered.
+	sendClears func(parts []poison.Part)
+
+	mu    sync.Mutex
+	table *poison.PartTable
+	// clears are the parts that the other VMs have yet to be told of.
+	clears map[poison.Part]bool
+}
+
+func newPartGuard(now func() clock.Instant, logger *zap.Logger, sendClears func(parts []poison.Part)) *partGuard {
+	return &partGuard{now: now, logger: logger, sendClears: sendClears, table: poison.NewPartTable(), clears: map[poison.Part]bool{}}
+}
+
+// check returns the first blocked part among the parts of a prompt and whether there is one.
+func (g *partGuard) check(parts []poison.Part) (poison.Part, bool) {
+	if len(parts) == 0 {
+		return 0, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	part, isBlocked := g.table.Check(g.now(), parts)
+	g.logBlocked()
+	return part, isBlocked
+}
+
+// logBlocked logs the parts that were blocked since the last call. The caller holds the lock.
+func (g *partGuard) logBlocked() {
+	for _, b := range g.table.TakeNewlyBlocked() {
+		g.logger.Warn("part of prompts blocked", zap.String("part", formatPart(b.Part)), zap.Int("blocks", b.Blocks),
+			zap.Duration("for", b.Until.Sub(g.now())), zap.Strings("upstreams", b.Upstreams))
+	}
+}
+
+// formatPart returns a part as it is logged.
+func formatPart(part poison.Part) string { return strconv.FormatUint(uint64(part), 16) }
+
+// recordCrash records that an upstream crashed before it began the answer to a request with the parts.
+func (g *partGuard) recordCrash(upstream string, start int64, parts []poison.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.RecordCrash(g.now(), upstream+"/"+strconv.FormatInt(start, 10), parts)
+	g.logBlocked()
+}
+
+// recordAnswer records that a request with the parts was answered on this VM.
+func (g *partGuard) recordAnswer(parts []poison.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range g.table.RecordAnswer(g.now(), parts) {
+		if len(g.clears) == 0 {
+			time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
+		}
+		g.clears[part] = true
+		g.logger.Debug("part of prompts cleared", zap.String("part", formatPart(part)))
+	}
+}
+
+// flushClears tells the other VMs of the parts that none of them has reported meanwhile.
+func (g *partGuard) flushClears() {
+	g.mu.Lock()
+	var parts []poison.Part
+	for part := range g.clears {
+		parts = append(parts, part)
+	}
+	clear(g.clears)
+	g.mu.Unlock()
+	if len(parts) > 0 {
+		g.sendClears(parts)
+	}
+}
+
+// recordClears records parts that another VM reports as answered.
+func (g *partGuard) recordClears(parts []poison.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.RecordAnswer(g.now(), parts)
+	for _, part := range parts {
+		delete(g.clears, part)
+	}
+}
+
+// blockedForMessage returns blocked parts for a datagram to another VM.
+func (g *partGuard) blockedForMessage() []*hoistv1.BlockedPart {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var out []*hoistv1.BlockedPart
+	for _, b := range g.table.Blocked(now, maxDatagramParts) {
+		out = append(out, &hoistv1.BlockedPart{
+			Part: uint64(b.Part), AgeMs: now.Sub(b.Since).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
+		})
+	}
+	return out
+}
+
+// mergeBlocked records the blocked parts of another VM.
+func (g *partGuard) mergeBlocked(blocked []*hoistv1.BlockedPart) {
+	if len(blocked) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, b := range blocked[:min(len(blocked), maxDatagramParts)] {
+		g.table.Merge(now, poison.BlockedPart{
+			Part: poison.Part(b.GetPart()), Blocks: int(b.GetBlocks()),
+			Since: now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond), Until: now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
+		})
+	}
+	g.logBlocked()
+}
+
+// ClearParts records parts of prompts that another VM reports as answered.
+func (f fleetServer) ClearParts(_ context.Context, r *hoistv1.ClearPartsRequest) (*hoistv1.ClearPartsResponse, error) {
+	f.s.parts.recordClears(partsFromProto(r.GetParts()))
+	return &hoistv1.ClearPartsResponse{}, nil
+}
+
+// partsToProto and partsFromProto translate parts of prompts between the types of Go and of messages.
+func partsToProto(parts []poison.Part) []uint64 {
+	out := make([]uint64, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, uint64(part))
+	}
+	return out
+}
+
+func partsFromProto(parts []uint64) []poison.Part {
+	parts = parts[:min(len(parts), maxReportedParts)]
+	out := make([]poison.Part, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, poison.Part(part))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/partguard_test.go
@@ -0,0 +1,139 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+// deadlyPart is the part of a prompt that crashes crashingUpstreams.
+const deadlyPart = "deadly"
+
+// crashingUpstreams returns upstreams that crash when they begin the answer to a request with
+// deadlyPart in its prompt, and the number of these requests.
+func crashingUpstreams(t *testing.T, n int) ([]*testUpstream, *atomic.Int64) {
+	var reached atomic.Int64
+	upstreams := make([]*testUpstream, n)
+	for i := range upstreams {
+		upstreams[i] = newTestUpstream(t, fmt.Sprint("u", i), func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Seal", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			if !strings.Contains(r.Header.Get("Prompt"), deadlyPart) {
+				_, _ = io.WriteString(w, sseEvent(1)+sseEvent(2))
+				return
+			}
+			reached.Add(1)
+			_ = upstreams[i].server.Listener.Close()
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	return upstreams, &reached
+}
+
+// crashSpacing is the time between two crashes that makes them separate occasions.
+const crashSpacing = 120 * time.Millisecond
+
+// partClock is the clock of the guards of a fleet, which the test advances.
+type partClock struct{ ahead atomic.Int64 }
+
+func (c *partClock) advance(d time.Duration) { c.ahead.Add(int64(d)) }
+
+// install makes a server use the clock.
+func (c *partClock) install(s *Server) {
+	s.parts.now = func() clock.Instant { return bootclock.Now().Add(time.Duration(c.ahead.Load())) }
+}
+
+func promptRoute(r *catalog.Route) { r.Resumable, r.HasPromptPrefixes = true, true }
+
+// TestPromptPartThatCrashesUpstreams guards against requests that crash one upstream after the other by
+// a part of the prompt that they have in common, and are stopped by no VM since no two are alike; and
+// against refusing sound requests with the same other parts.
+func TestPromptPartThatCrashesUpstreams(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 3, nil, guardClock.install)
+	upstreams, reached := crashingUpstreams(t, 16)
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Stream, promptRoute)},
+	}, catalogUpstreams("p", upstreams...)...)
+	isServed := func(vm int, id string) bool {
+		_, body, err := f.send(vm, id, "/x/", map[string]string{"Prompt": "shared last-" + id})
+		return err == nil && body == sseEvent(1)+sseEvent(2)
+	}
+	for vm := range f.servers {
+		if !isServed(vm, fmt.Sprint("before-", vm)) {
+			t.Fatalf("VM %d does not serve", vm)
+		}
+	}
+	sent := 0
+	sendDeadly := func() (status int, body string) {
+		sent++
+		id := fmt.Sprint("deadly-", sent)
+		response, body, err := f.send(sent%3, id, "/x/", map[string]string{"Prompt": "shared " + deadlyPart + " last-" + id})
+		if err != nil {
+			return 0, ""
+		}
+		return response.StatusCode, body
+	}
+	await(t, "the part blocked on all VMs", func() bool {
+		if sent < 6 {
+			sendDeadly()
+			guardClock.advance(crashSpacing)
+		}
+		for _, s := range f.servers {
+			if len(s.parts.blockedForMessage()) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	before := reached.Load()
+	for range 9 {
+		if status, body := sendDeadly(); status != http.StatusBadGateway || !strings.Contains(body, `"run":"not_run"`) {
+			t.Errorf("status %d, body %q; expected 502 and not_run", status, body)
+		}
+	}
+	if n := reached.Load() - before; n != 0 {
+		t.Errorf("%d requests reached upstreams after the part was blocked", n)
+	}
+	for vm := range f.servers {
+		if !isServed(vm, fmt.Sprint("sound-", vm)) {
+			t.Errorf("VM %d refuses sound requests with the same first part", vm)
+		}
+	}
+}
+
+// TestStartedVMLearnsBlockedParts guards against a VM that starts and lets requests through that the
+// other VMs know to crash upstreams.
+func TestStartedVMLearnsBlockedParts(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 2, nil, guardClock.install)
+	upstreams, _ := crashingUpstreams(t, 1)
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Stream, promptRoute)},
+	}, catalogUpstreams("p", upstreams...)...)
+	parts := partsFromProto([]uint64{1})
+	for i := range 3 {
+		f.servers[0].parts.recordCrash(fmt.Sprint("gone", i), 1, parts)
+		guardClock.advance(crashSpacing)
+	}
+	await(t, "the part blocked on both VMs", func() bool {
+		_, first := f.servers[0].parts.check(parts)
+		_, second := f.servers[1].parts.check(parts)
+		return first && second
+	})
+	f.servers[1].parts.recordAnswer(parts)
+	await(t, "the part cleared on both VMs", func() bool {
+		_, first := f.servers[0].parts.check(parts)
+		_, second := f.servers[1].parts.check(parts)
+		return !first && !second
+	})
+}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -31,6 +31,7 @@
 			return attemptAborted, nil, err.Error()
 		}
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
+		t.s.checkForCrash(t, upstreamLease.entry)
 		return attemptBroken, nil, err.Error()
 	}
 	response := &bufferedResponse{status: exchange.Status, header: responseHeader(exchange.Header), body: responseBody}
@@ -46,6 +47,7 @@
 	}
 	elapsed := t.s.now().Sub(upstreamLease.started)
 	t.s.durations.recordFinalCall(t.route.Name, elapsed)
+	t.s.parts.recordAnswer(t.promptParts())
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, time.Millisecond))
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
 	response.writeTo(t)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
 const (
@@ -240,6 +241,9 @@
 	if t.s.isPoisonRequest(t) {
 		return t.poisonError()
 	}
+	if part, isBlocked := t.blockedPart(); isBlocked {
+		return t.poisonPromptError(part)
+	}
 	if t.route.Kind != catalog.Idempotent && len(t.view.InService[t.pool]) == 0 {
 		return t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 	}
@@ -255,6 +259,15 @@
 	return failure.RaiseRunState(errkind.Ran)
 }
 
+// poisonPromptError returns the error of a request with a part of a prompt that crashes upstreams.
+func (t *transaction) poisonPromptError(part poison.Part) *errkind.Error {
+	failure := errkind.New(errkind.PoisonPrompt, "part "+formatPart(part)+" of the prompt crashes upstreams")
+	if t.mayHaveRun {
+		failure = failure.RaiseRunState(errkind.Unknown)
+	}
+	return failure
+}
+
 // timeoutError returns the error of a request whose deadline has passed, whose caller has
 // disconnected, or which is cut off by a planned stop.
 func (t *transaction) timeoutError() *errkind.Error {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -97,6 +97,8 @@
 	poisonMu sync.Mutex
 	// poison tracks the requests during which upstreams crashed.
 	poison *poison.Table
+	// parts tracks the parts of prompts that crash upstreams.
+	parts *partGuard
 }
 
 // New returns a Server that is not running yet.
@@ -108,12 +110,13 @@
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
+	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
 	var err error
-	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.contain, s.onFleetChange, s.updatePoolClaims)
+	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.contain, s.parts, s.onFleetChange, s.updatePoolClaims)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -93,6 +93,7 @@
 	if event.hasData && !upstreamLease.eventSent {
 		upstreamLease.eventSent = true
 		t.recordFirstEvent(upstreamLease)
+		t.s.parts.recordAnswer(t.promptParts())
 		// The upstream has read the stage results before its first event.
 		t.releaseInputs()
 	}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -27,7 +27,9 @@
 	workspace   *catalog.Workspace
 	pool        string
 	// prefix holds the parts of the prompt by which the request is placed.
-	prefix      []placement.PrefixLevel
+	prefix []placement.PrefixLevel
+	// parts are the parts of the prompt that other requests may have too.
+	parts       []poison.Part
 	requestBody *body
 	// body is the content of requestBody.
 	body        []byte
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -21,6 +21,7 @@
 	UpstreamFailed
 	StreamBroken
 	PoisonRequest
+	PoisonPrompt
 	ClaimUnavailable
 	ClaimHeld
 	ResultExpired
@@ -60,6 +61,7 @@
 	UpstreamFailed:      {"upstream_failed", "An upstream failed", 502, Unknown, 0},
 	StreamBroken:        {"stream_broken", "The answer stream broke", 502, Ran, 0},
 	PoisonRequest:       {"poison_request", "Upstreams died while running this request", 422, Ran, 0},
+	PoisonPrompt:        {"poison_prompt", "A part of the prompt crashes upstreams", 502, NotRun, 0},
 	ClaimUnavailable:    {"claim_unavailable", "It cannot be checked whether the request ran before", 503, Unknown, time.Second},
 	ClaimHeld:           {"claim_held", "An earlier send of the request has an unknown outcome", 409, Unknown, 0},
 	ResultExpired:       {"result_expired", "The request ran and its result is no longer kept", 409, Ran, 0},
