Check ports in the test harness without listening on them

Cause: the allocator checked a port by listening on it and closing the listener. When another script of the same test process starts a program meanwhile, the child holds a copy of the listening socket until its exec, so that the port is in use for a few milliseconds after the check. The relays of "deployment -relay" listen right after the allocation and failed with "bind: address already in use" (TestScripts/pair_cut_crash, once).

Change: isPortFree binds a socket with SO_REUSEADDR and does not listen. A copy of such a socket does not keep another socket from listening, and the check still fails if another socket listens on the port.

--- a/test/harness/ports.go
+++ b/test/harness/ports.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -73,10 +72,18 @@
 	return fmt.Errorf("no free port block between %d and %d", firstPort, lastPort)
 }
 
+// isPortFree returns whether the port can be listened on. It binds a socket but does not
+// listen: a child that another goroutine is starting holds a copy of the socket until its
+// exec, and a copy of a listening socket would keep the port in use after the check.
 func isPortFree(port int) bool {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return false
 	}
-	return listener.Close() == nil
+	defer unix.Close(fd)
+	// As in net.Listen, connections that a previous listener accepted do not occupy the port.
+	if unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) != nil {
+		return false
+	}
+	return unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}) == nil
 }
