Block parts that only came together as one, so that sound requests with some of them pass

Cause: all requests that crashed upstreams had the deadly part and one other rare part, so the evidence against both was the same, and each was blocked on its own. The class of fault is a verdict on one of several causes that the evidence can't tell apart.

Change: parts that came together in the requests that crashed upstreams make up one block, which refuses only requests with all of them. A request with some of them is let through; its answer removes its parts from the block, and two more occasions block a part alone. Incidents keep the prompts of their requests apart, since parts of two requests that ran at the same upstreams match neither. Blocks have a cap of 64, and messages carry them as sets of parts.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -32,11 +32,11 @@
 	return fp
 }
 
-// blockedPart returns the first part of the prompt with which requests are refused and whether there
-// is one. A request whose answer has begun is not refused.
-func (t *transaction) blockedPart() (poison.Part, bool) {
+// blockedParts returns the parts of the prompt for which the request is refused; nil if it is not. A
+// request whose answer has begun is not refused.
+func (t *transaction) blockedParts() []poison.Part {
 	if t.events > 0 {
-		return 0, false
+		return nil
 	}
 	return t.s.parts.check(t.promptParts())
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -30,8 +30,8 @@
 	t.s.upstreams.addRetryTokens(t.pool)
 	misdirected, reruns := 0, 0
 	for {
-		if part, isBlocked := t.blockedPart(); isBlocked {
-			return t.poisonPromptError(part)
+		if blocked := t.blockedParts(); blocked != nil {
+			return t.poisonPromptError(blocked)
 		}
 		upstreamLease, failure := t.acquireUpstream()
 		if failure != nil {
@@ -94,7 +94,7 @@
 	if outcome != attemptRejected && !t.isRepeatable() {
 		return false
 	}
-	if _, isBlocked := t.blockedPart(); isBlocked {
+	if t.blockedParts() != nil {
 		return false
 	}
 	if outcome == attemptBroken && t.s.isPoisonRequest(t) {
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -123,7 +123,7 @@
 }
 
 func (g *gossip) handleDatagram(datagram *hoistv1.Datagram, from *net.UDPAddr) {
-	g.parts.mergeBlocked(datagram.GetBlockedParts())
+	g.parts.mergeBlocks(datagram.GetBlocks())
 	g.sendMessages(g.applyDatagram(datagram))
 	if datagram.GetHello() {
 		g.answerHello(datagram, from)
@@ -238,7 +238,7 @@
 		datagram.Directory = append(datagram.Directory, entryToProto(e))
 	}
 	g.mu.Unlock()
-	datagram.BlockedParts = g.parts.blockedForMessage()
+	datagram.Blocks = g.parts.blocksForMessage()
 	g.sendDatagram(datagram, to)
 }
 
--- a/internal/edge/partguard.go
+++ b/internal/edge/partguard.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 	// random time of up to clearJitter is added, in which most of them learn it from one VM.
 	minClearDelay = 30 * time.Millisecond
 	clearJitter   = 90 * time.Millisecond
-	// maxDatagramParts bounds the blocked parts of a datagram, which must fit into one packet.
-	maxDatagramParts = 8
+	// maxDatagramBlocks bounds the blocks of a datagram, which must fit into one packet.
+	maxDatagramBlocks = 4
 	// maxReportedParts bounds the parts of prompts that are accepted from one message.
 	maxReportedParts = 1024
 )
@@ -43,28 +44,34 @@
 	return &partGuard{now: now, logger: logger, sendClears: sendClears, table: poison.NewPartTable(), clears: map[poison.Part]bool{}}
 }
 
-// check returns the first blocked part among the parts of a prompt and whether there is one.
-func (g *partGuard) check(parts []poison.Part) (poison.Part, bool) {
-	if len(parts) == 0 {
-		return 0, false
+// check returns the parts for which a prompt is refused; nil if it is not.
+func (g *partGuard) check(prompt []poison.Part) []poison.Part {
+	if len(prompt) == 0 {
+		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	part, isBlocked := g.table.Check(g.now(), parts)
+	blocked := g.table.Check(g.now(), prompt)
 	g.logBlocked()
-	return part, isBlocked
+	return blocked
 }
 
-// logBlocked logs the parts that were blocked since the last call. The caller holds the lock.
+// logBlocked logs the blocks that began since the last call. The caller holds the lock.
 func (g *partGuard) logBlocked() {
 	for _, b := range g.table.TakeNewlyBlocked() {
-		g.logger.Warn("part of prompts blocked", zap.String("part", formatPart(b.Part)), zap.Int("blocks", b.Blocks),
+		g.logger.Warn("parts of prompts blocked", zap.String("parts", formatParts(b.Parts)), zap.Int("blocks", b.Blocks),
 			zap.Duration("for", b.Until.Sub(g.now())), zap.Strings("upstreams", b.Upstreams))
 	}
 }
 
-// formatPart returns a part as it is logged.
-func formatPart(part poison.Part) string { return strconv.FormatUint(uint64(part), 16) }
+// formatParts returns parts as they are logged.
+func formatParts(parts []poison.Part) string {
+	texts := make([]string, 0, len(parts))
+	for _, part := range parts {
+		texts = append(texts, strconv.FormatUint(uint64(part), 16))
+	}
+	return strings.Join(texts, ",")
+}
 
 // recordCrash records that an upstream crashed before it began the answer to a request with the parts.
 func (g *partGuard) recordCrash(upstream string, start int64, parts []poison.Part) {
@@ -81,12 +88,16 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, part := range g.table.RecordAnswer(g.now(), parts) {
-		if len(g.clears) == 0 {
-			time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
-		}
+	cleared := g.table.RecordAnswer(g.now(), parts)
+	if len(cleared) == 0 {
+		return
+	}
+	g.logger.Debug("parts of prompts cleared", zap.String("parts", formatParts(cleared)))
+	if len(g.clears) == 0 {
+		time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
+	}
+	for _, part := range cleared {
 		g.clears[part] = true
-		g.logger.Debug("part of prompts cleared", zap.String("part", formatPart(part)))
 	}
 }
 
@@ -114,31 +125,31 @@
 	}
 }
 
-// blockedForMessage returns blocked parts for a datagram to another VM.
-func (g *partGuard) blockedForMessage() []*hoistv1.BlockedPart {
+// blocksForMessage returns blocks for a datagram to another VM.
+func (g *partGuard) blocksForMessage() []*hoistv1.PromptBlock {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	var out []*hoistv1.BlockedPart
-	for _, b := range g.table.Blocked(now, maxDatagramParts) {
-		out = append(out, &hoistv1.BlockedPart{
-			Part: uint64(b.Part), AgeMs: now.Sub(b.Since).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
+	var out []*hoistv1.PromptBlock
+	for _, b := range g.table.Blocks(now, maxDatagramBlocks) {
+		out = append(out, &hoistv1.PromptBlock{
+			Parts: partsToProto(b.Parts), AgeMs: now.Sub(b.Since).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
 		})
 	}
 	return out
 }
 
-// mergeBlocked records the blocked parts of another VM.
-func (g *partGuard) mergeBlocked(blocked []*hoistv1.BlockedPart) {
-	if len(blocked) == 0 {
+// mergeBlocks records the blocks of another VM.
+func (g *partGuard) mergeBlocks(blocks []*hoistv1.PromptBlock) {
+	if len(blocks) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	for _, b := range blocked[:min(len(blocked), maxDatagramParts)] {
-		g.table.Merge(now, poison.BlockedPart{
-			Part: poison.Part(b.GetPart()), Blocks: int(b.GetBlocks()),
+	for _, b := range blocks[:min(len(blocks), maxDatagramBlocks)] {
+		g.table.Merge(now, poison.Block{
+			Parts: partsFromProto(b.GetParts()), Blocks: int(b.GetBlocks()),
 			Since: now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond), Until: now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
 		})
 	}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -241,8 +241,8 @@
 	if t.s.isPoisonRequest(t) {
 		return t.poisonError()
 	}
-	if part, isBlocked := t.blockedPart(); isBlocked {
-		return t.poisonPromptError(part)
+	if blocked := t.blockedParts(); blocked != nil {
+		return t.poisonPromptError(blocked)
 	}
 	if t.route.Kind != catalog.Idempotent && len(t.view.InService[t.pool]) == 0 {
 		return t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
@@ -259,9 +259,9 @@
 	return failure.RaiseRunState(errkind.Ran)
 }
 
-// poisonPromptError returns the error of a request with a part of a prompt that crashes upstreams.
-func (t *transaction) poisonPromptError(part poison.Part) *errkind.Error {
-	failure := errkind.New(errkind.PoisonPrompt, "part "+formatPart(part)+" of the prompt crashes upstreams")
+// poisonPromptError returns the error of a request with parts of a prompt that crash upstreams.
+func (t *transaction) poisonPromptError(blocked []poison.Part) *errkind.Error {
+	failure := errkind.New(errkind.PoisonPrompt, "blocked parts of the prompt: "+formatParts(blocked))
 	if t.mayHaveRun {
 		failure = failure.RaiseRunState(errkind.Unknown)
 	}
--- a/pkg/poison/block.go
+++ b/pkg/poison/block.go
@@ -1,24 +1,41 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 )
 
-// BlockedPart is a part of prompts with which requests are refused.
-type BlockedPart struct {
-	Part Part
-	// Since is when it was blocked, and Until when the block ends.
+// Block refuses the requests whose prompts have all of its parts.
+type Block struct {
+	// Parts are in ascending order. There are several as long as they only came together, since any of
+	// them may be the one that crashes upstreams.
+	Parts []Part
+	// Since is when the block began, and Until when it ends.
 	Since clock.Instant
 	Until clock.Instant
-	// Blocks is how often it was blocked in succession.
+	// Blocks is how often the parts were blocked in succession.
 	Blocks int
-	// Upstreams are the upstreams that crashed; empty if another VM blocked the part.
+	// Upstreams are the upstreams that crashed; empty if another VM decided on the block.
 	Upstreams []string
 }
 
-// blockTime returns how long a part is blocked for the nth time in succession, counted from 1.
+// matches reports whether a prompt has all parts of the block.
+func (b *Block) matches(prompt []Part) bool { return containsAll(prompt, b.Parts) }
+
+// remove removes a part and reports whether it was there.
+func (b *Block) remove(part Part) bool {
+	i := slices.Index(b.Parts, part)
+	if i < 0 {
+		return false
+	}
+	// The list may be shared with a copy of the block.
+	b.Parts = slices.Concat(b.Parts[:i], b.Parts[i+1:])
+	return true
+}
+
+// blockTime returns how long parts are blocked for the nth time in succession, counted from 1.
 func blockTime(n int) time.Duration {
 	return min(firstBlockTime<<min(n-1, maxBlockDoublings), maxBlockTime)
 }
--- a/pkg/poison/incident.go
+++ b/pkg/poison/incident.go
@@ -1,72 +1,47 @@
 package poison
 
-import "github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+import (
+	"slices"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
 
 // incident is the crash of one upstream while it was to begin the answers of some requests.
 type incident struct {
 	upstream string
 	at       clock.Instant
-	// parts are the parts of these requests that were not answered since.
-	parts map[Part]bool
-	// explained is set if one of the parts is blocked, or was when the upstream crashed. The other
-	// parts are then not under suspicion.
+	// prompts holds for each of these requests the parts of its prompt that were not answered since.
+	prompts [][]Part
+	// explained is set if a request had the parts of a block. Other parts are then not under suspicion.
 	explained bool
 }
 
-// occasionCount counts the occasions on which a part was under suspicion.
-type occasionCount struct {
-	// first and last are the numbers of its first and last occasion.
-	first     int
-	last      int
-	occasions int
-	crashes   int
-}
-
-// isSuspicious reports whether the occasions suffice to block the part, of the total number of
-// occasions of all parts.
-func (c occasionCount) isSuspicious(total int, answered bool) bool {
-	if float64(c.occasions) < minOccasionShare*float64(total-c.first) {
-		return false
-	}
-	if answered {
-		return c.occasions >= blockAnsweredAfterOccasions
+// add adds the prompt of a request.
+func (in *incident) add(prompt []Part) {
+	isKnown := slices.ContainsFunc(in.prompts, func(other []Part) bool { return slices.Equal(other, prompt) })
+	if !isKnown && len(in.prompts) < maxIncidentPrompts {
+		in.prompts = append(in.prompts, slices.Clone(prompt))
 	}
-	return c.occasions >= blockAfterOccasions || c.occasions > 1 && c.crashes >= blockAfterCrashes
 }
 
-// countOccasions counts the occasions of each part, and all occasions.
-func countOccasions(incidents []*incident) (counts map[Part]occasionCount, total int) {
-	counts = map[Part]occasionCount{}
-	numbers := occasions(incidents)
-	for i, in := range incidents {
-		total = numbers[i] + 1
-		for part := range in.parts {
-			c, ok := counts[part]
-			if !ok {
-				c = occasionCount{first: numbers[i], last: -1}
-			}
-			if c.last != numbers[i] {
-				c.last = numbers[i]
-				c.occasions++
-			}
-			c.crashes++
-			counts[part] = c
+// remove removes a part from all prompts and reports whether it was there.
+func (in *incident) remove(part Part) bool {
+	found := false
+	for i, prompt := range in.prompts {
+		if slices.Contains(prompt, part) {
+			found = true
+			in.prompts[i] = slices.DeleteFunc(prompt, func(other Part) bool { return other == part })
 		}
 	}
-	return counts, total
+	return found
 }
 
-// occasions numbers incidents that are in the order of their times. Incidents within occasionGap have
-// the same number, since one failure of the infrastructure may have caused them.
-func occasions(incidents []*incident) []int {
-	numbers := make([]int, len(incidents))
-	begin := 0
-	for i := 1; i < len(incidents); i++ {
-		numbers[i] = numbers[i-1]
-		if incidents[i].at.Sub(incidents[begin].at) >= occasionGap {
-			numbers[i]++
-			begin = i
-		}
-	}
-	return numbers
+// parts returns the parts of all prompts.
+func (in *incident) parts() []Part {
+	all := slices.Concat(in.prompts...)
+	slices.Sort(all)
+	return slices.Compact(all)
 }
+
+// matches reports whether one of the prompts has all parts of a block.
+func (in *incident) matches(b *Block) bool { return slices.ContainsFunc(in.prompts, b.matches) }
--- a/pkg/poison/parttable.go
+++ b/pkg/poison/parttable.go
@@ -16,6 +16,9 @@
 	// blockAfterCrashes is the number of crashes that suffice on two occasions: several requests with
 	// the part may come at a time.
 	blockAfterCrashes = 5
+	// blockAloneAfterOccasions is the number of occasions at which a part of a block is blocked without
+	// the others.
+	blockAloneAfterOccasions = 2
 	// minOccasionShare is the share of the occasions since its first one that a part must have. In a
 	// failure of many upstreams each part is involved in few of them.
 	minOccasionShare = 1.0 / 3
@@ -25,13 +28,14 @@
 	// confirmDelay is the age from which on a crash counts. Until then answers to other requests
 	// clear the parts that they have in common with it.
 	confirmDelay = 300 * time.Millisecond
-	// incidentLifetime is how long a crash counts, and maxIncidents and maxIncidentParts bound what
-	// is kept.
+	// incidentLifetime is how long a crash counts, and maxIncidents bounds those kept.
 	incidentLifetime = time.Minute
 	maxIncidents     = 128
-	maxIncidentParts = 256
-	// maxBlockedParts bounds the blocked parts.
-	maxBlockedParts = 256
+	// maxIncidentPrompts bounds the requests kept of one crash, and maxPromptParts the parts of each.
+	maxIncidentPrompts = 64
+	maxPromptParts     = 32
+	// maxBlocks bounds the blocks.
+	maxBlocks = 64
 	// firstBlockTime is how long a part is blocked for the first time. Each block that follows takes
 	// twice as long as the one before, up to maxBlockTime.
 	firstBlockTime    = time.Minute
@@ -49,49 +53,49 @@
 // An answer clears the parts of its request, since a part that crashes upstreams is never answered. A
 // part that remains after several crashes is blocked. Of several such parts those with the most crashes
 // are blocked, those that were never answered first, and the others are then no longer under suspicion
-// for these crashes.
+// for these crashes. Parts that only came together are blocked together: a request with some of them is
+// let through, and its answer or crash tells which of them it is.
 //
 // Invariant: a part is blocked only if this VM knows of no answer to a request with it since the first
-// of at least blockAfterOccasions crashes, or if another VM does so.
+// of at least blockAloneAfterOccasions crashes, or if another VM does so.
 type PartTable struct {
 	// incidents are in the order of their times.
 	incidents []*incident
 	// decideAt is when the parts under suspicion are looked at next; 0 if there is nothing new.
 	decideAt clock.Instant
-	// blocked holds the parts that are blocked, and those whose block has ended but that were not
-	// answered since: they are blocked again at the next crash.
-	blocked map[Part]*BlockedPart
-	// clearedAt is when parts that had been blocked were answered.
+	// blocks holds the blocks in force, and those that have ended but whose parts were not answered
+	// since: they begin again at the next crash.
+	blocks []*Block
+	// clearedAt is when parts of blocks were answered.
 	clearedAt map[Part]clock.Instant
 	// answered holds parts that were answered at some time.
 	answered     partMemory
-	newlyBlocked []BlockedPart
+	newlyBlocked []Block
 }
 
 // NewPartTable returns an empty table.
 func NewPartTable() *PartTable {
-	return &PartTable{blocked: map[Part]*BlockedPart{}, clearedAt: map[Part]clock.Instant{}}
+	return &PartTable{clearedAt: map[Part]clock.Instant{}}
 }
 
 // IsEmpty reports whether no part is under suspicion or blocked.
-func (t *PartTable) IsEmpty() bool { return len(t.incidents) == 0 && len(t.blocked) == 0 }
+func (t *PartTable) IsEmpty() bool { return len(t.incidents) == 0 && len(t.blocks) == 0 }
 
 // RecordCrash records that an upstream crashed before it began the answer to a request with the
-// parts. The upstream is identified by one start of it.
-func (t *PartTable) RecordCrash(now clock.Instant, upstream string, parts []Part) {
-	if len(parts) == 0 {
+// prompt. The upstream is identified by one start of it.
+func (t *PartTable) RecordCrash(now clock.Instant, upstream string, prompt []Part) {
+	if len(prompt) == 0 {
 		return
 	}
+	prompt = prompt[:min(len(prompt), maxPromptParts)]
 	t.expire(now)
 	in := t.incident(now, upstream)
-	for _, part := range parts {
-		if b := t.blocked[part]; b != nil {
+	in.add(prompt)
+	for _, b := range t.blocks {
+		if b.matches(prompt) {
 			in.explained = true
 			t.blockAgain(now, b)
 		}
-		if len(in.parts) < maxIncidentParts {
-			in.parts[part] = true
-		}
 	}
 	if t.decideAt == 0 {
 		t.decideAt = now.Add(confirmDelay)
@@ -108,13 +112,13 @@
 	if len(t.incidents) >= maxIncidents {
 		t.incidents = slices.Delete(t.incidents, 0, 1)
 	}
-	in := &incident{upstream: upstream, at: now, parts: map[Part]bool{}}
+	in := &incident{upstream: upstream, at: now}
 	t.incidents = append(t.incidents, in)
 	return in
 }
 
-// blockAgain blocks a part whose block has ended.
-func (t *PartTable) blockAgain(now clock.Instant, b *BlockedPart) {
+// blockAgain begins a block again that has ended.
+func (t *PartTable) blockAgain(now clock.Instant, b *Block) {
 	if now < b.Until {
 		return
 	}
@@ -140,45 +144,41 @@
 func (t *PartTable) clear(now clock.Instant, part Part) bool {
 	found := false
 	for _, in := range t.incidents {
-		if in.parts[part] {
+		found = in.remove(part) || found
+	}
+	for _, b := range t.blocks {
+		if b.remove(part) {
 			found = true
-			delete(in.parts, part)
+			t.clearedAt[part] = now
 		}
 	}
-	if t.blocked[part] != nil {
-		found = true
-		delete(t.blocked, part)
-		t.clearedAt[part] = now
-	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return len(b.Parts) == 0 })
 	return found
 }
 
-// Check returns the first blocked part among the parts and whether there is one.
-func (t *PartTable) Check(now clock.Instant, parts []Part) (Part, bool) {
+// Check returns the parts for which a prompt is refused; nil if it is not.
+func (t *PartTable) Check(now clock.Instant, prompt []Part) []Part {
 	t.decide(now)
-	if len(t.blocked) == 0 {
-		return 0, false
-	}
-	for _, part := range parts {
-		if b := t.blocked[part]; b != nil && now < b.Until {
-			return part, true
+	for _, b := range t.blocks {
+		if now < b.Until && b.matches(prompt) {
+			return b.Parts
 		}
 	}
-	return 0, false
+	return nil
 }
 
-// TakeNewlyBlocked returns the parts that were blocked since the last call.
-func (t *PartTable) TakeNewlyBlocked() []BlockedPart {
+// TakeNewlyBlocked returns the blocks that began since the last call.
+func (t *PartTable) TakeNewlyBlocked() []Block {
 	out := t.newlyBlocked
 	t.newlyBlocked = nil
 	return out
 }
 
-// Blocked returns up to n parts that are blocked now, for other VMs.
-func (t *PartTable) Blocked(now clock.Instant, n int) []BlockedPart {
+// Blocks returns up to n blocks in force, the latest first, for other VMs.
+func (t *PartTable) Blocks(now clock.Instant, n int) []Block {
 	t.decide(now)
-	var out []BlockedPart
-	for _, b := range t.blocked {
+	var out []Block
+	for _, b := range slices.Backward(t.blocks) {
 		if len(out) < n && now < b.Until {
 			out = append(out, *b)
 		}
@@ -186,23 +186,35 @@
 	return out
 }
 
-// Merge records that another VM has blocked a part.
-func (t *PartTable) Merge(now clock.Instant, b BlockedPart) {
-	if clearedAt, ok := t.clearedAt[b.Part]; ok && b.Since < clearedAt.Add(clearPrecedence) {
+// Merge adds a block of another VM. Parts of it that were answered here are left out.
+func (t *PartTable) Merge(now clock.Instant, b Block) {
+	b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(part Part) bool {
+		clearedAt, ok := t.clearedAt[part]
+		return ok && b.Since < clearedAt.Add(clearPrecedence)
+	})
+	slices.Sort(b.Parts)
+	if now >= b.Until || len(b.Parts) == 0 || len(b.Parts) > maxPromptParts {
 		return
 	}
-	known := t.blocked[b.Part]
-	if now >= b.Until || known != nil && known.Until >= b.Until || known == nil && len(t.blocked) >= maxBlockedParts {
-		return
+	for _, known := range t.blocks {
+		if now < known.Until && known.matches(b.Parts) {
+			return
+		}
 	}
 	b.Blocks = max(b.Blocks, 1)
 	b.Until = min(b.Until, now.Add(maxBlockTime))
 	b.Upstreams = nil
-	wasBlocked := known != nil && now < known.Until
-	t.blocked[b.Part] = &b
-	if !wasBlocked {
-		t.newlyBlocked = append(t.newlyBlocked, b)
+	t.add(&b)
+}
+
+// add adds a block in place of those that it makes needless.
+func (t *PartTable) add(b *Block) {
+	t.blocks = slices.DeleteFunc(t.blocks, func(other *Block) bool { return b.matches(other.Parts) })
+	if len(t.blocks) >= maxBlocks {
+		t.blocks = slices.Delete(t.blocks, 0, 1)
 	}
+	t.blocks = append(t.blocks, b)
+	t.newlyBlocked = append(t.newlyBlocked, *b)
 }
 
 // decide blocks the parts that remain under suspicion for crashes of the age confirmDelay.
@@ -211,14 +223,7 @@
 		return
 	}
 	t.expire(now)
-	for len(t.blocked) < maxBlockedParts {
-		parts := t.mostSuspicious(now)
-		if len(parts) == 0 {
-			break
-		}
-		for _, part := range parts {
-			t.block(now, part)
-		}
+	for t.blockMostSuspicious(now) {
 	}
 	t.decideAt = 0
 	for _, in := range t.incidents {
@@ -229,21 +234,42 @@
 	}
 }
 
-// mostSuspicious returns the parts to block: of those with enough occasions the ones with the most,
-// and of these the ones that were never answered, if there are any.
-func (t *PartTable) mostSuspicious(now clock.Instant) []Part {
+// openIncidents returns the incidents that count and that no block explains.
+func (t *PartTable) openIncidents(now clock.Instant) []*incident {
 	var open []*incident
 	for _, in := range t.incidents {
-		if !in.explained && len(in.parts) > 0 && now.Sub(in.at) >= confirmDelay {
+		if !in.explained && len(in.parts()) > 0 && now.Sub(in.at) >= confirmDelay {
 			open = append(open, in)
 		}
 	}
+	return open
+}
+
+// blockMostSuspicious blocks the most suspicious parts, and reports whether there are any.
+func (t *PartTable) blockMostSuspicious(now clock.Instant) bool {
+	open := t.openIncidents(now)
+	parts := t.mostSuspicious(open)
+	var together [][]Part
+	for _, in := range open {
+		for _, prompt := range in.prompts {
+			together = addMaximal(together, intersect(prompt, parts))
+		}
+	}
+	for _, parts := range together {
+		t.block(now, parts)
+	}
+	return len(together) > 0
+}
+
+// mostSuspicious returns the parts to block: of those with enough occasions the ones with the most,
+// and of these the ones that were never answered, if there are any.
+func (t *PartTable) mostSuspicious(open []*incident) []Part {
 	counts, total := countOccasions(open)
 	most, mostAnswered := 0, true
 	var parts []Part
 	for part, c := range counts {
 		answered := t.answered.contains(part)
-		if !c.isSuspicious(total, answered) {
+		if !c.isSuspicious(total, answered, t.isInBlock(part)) {
 			continue
 		}
 		if c.occasions > most || c.occasions == most && mostAnswered && !answered {
@@ -257,27 +283,54 @@
 	return parts
 }
 
-// block blocks a part and marks its incidents as explained.
-func (t *PartTable) block(now clock.Instant, part Part) {
-	b := &BlockedPart{Part: part, Since: now, Until: now.Add(blockTime(1)), Blocks: 1}
+// intersect returns the parts of a prompt that are among the sorted parts, in ascending order.
+func intersect(prompt, sorted []Part) []Part {
+	var out []Part
+	for _, part := range prompt {
+		if _, found := slices.BinarySearch(sorted, part); found {
+			out = append(out, part)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// addMaximal adds a set of parts to sets of which none contains another one, unless one of them
+// contains it.
+func addMaximal(sets [][]Part, parts []Part) [][]Part {
+	if len(parts) == 0 || slices.ContainsFunc(sets, func(set []Part) bool { return containsAll(set, parts) }) {
+		return sets
+	}
+	sets = slices.DeleteFunc(sets, func(set []Part) bool { return containsAll(parts, set) })
+	return append(sets, parts)
+}
+
+// containsAll reports whether a prompt has all the parts.
+func containsAll(prompt, parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(part Part) bool { return !slices.Contains(prompt, part) })
+}
+
+// isInBlock reports whether a part is one of the parts of a block.
+func (t *PartTable) isInBlock(part Part) bool {
+	return slices.ContainsFunc(t.blocks, func(b *Block) bool { return slices.Contains(b.Parts, part) })
+}
+
+// block blocks parts that came together, and marks their incidents as explained.
+func (t *PartTable) block(now clock.Instant, parts []Part) {
+	b := &Block{Parts: parts, Since: now, Until: now.Add(blockTime(1)), Blocks: 1}
 	for _, in := range t.incidents {
-		if in.parts[part] {
+		if in.matches(b) {
 			in.explained = true
 			b.Upstreams = append(b.Upstreams, in.upstream)
 		}
 	}
-	t.blocked[part] = b
-	t.newlyBlocked = append(t.newlyBlocked, *b)
+	t.add(b)
 }
 
 // expire removes incidents, blocked parts and cleared parts that no longer matter.
 func (t *PartTable) expire(now clock.Instant) {
 	t.incidents = slices.DeleteFunc(t.incidents, func(in *incident) bool { return now.Sub(in.at) > incidentLifetime })
-	for part, b := range t.blocked {
-		if now.Sub(b.Until) > maxBlockTime {
-			delete(t.blocked, part)
-		}
-	}
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return now.Sub(b.Until) > maxBlockTime })
 	for part, at := range t.clearedAt {
 		if now.Sub(at) > incidentLifetime {
 			delete(t.clearedAt, part)
