Take a stream without a length for broken off if it has no event

What callers saw: an upstream that died between the head of a stream and its first event, with neither a length nor chunks announced, gave a status of 200 with an empty stream that looked complete; a resumable stream was not sent to another upstream. The same upstream in place of the one that broke a stream off ended that stream as complete, with its other events missing.

Cause: such a stream ends with its connection, and any end between two events counted as the end of the stream, also one before the first event.

Change: the response of the client tells whether its body ends with the connection. A stream that does so before an event with data is broken off: it goes on elsewhere if it is resumable, or else the caller gets 502, or sees that the rest of a started stream is missing. It is also checked for a crash of the upstream. An empty stream with a length or chunks is still complete, since its end is stated. A stream that is resumed after its last event and answered without a length looks the same as one whose upstream died; it is broken off as well, since the opposite would lose events unseen.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -17,14 +17,19 @@
 // broken stream is dropped, so that another upstream can resume the stream.
 func (t *transaction) relayStream(upstreamLease *lease, exchange *outbound.Exchange, progress *progressTimer) (attemptOutcome, *bufferedResponse, string) {
 	reader := bufio.NewReader(exchange.Body)
+	hasEvents := false
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
-			return t.finishStream(upstreamLease, exchange)
+			if exchange.EndsWithConnection && !hasEvents {
+				return t.recordStreamError(upstreamLease, errors.New("the connection ended before the first event"))
+			}
+			return t.finishStream(exchange)
 		}
 		if err != nil {
 			return t.recordStreamError(upstreamLease, err)
 		}
+		hasEvents = hasEvents || event.hasData
 		if event.id != "" && event.id == t.lastEventID {
 			// A resumed stream must not repeat the last event that was forwarded.
 			continue
@@ -44,7 +49,7 @@
 	}
 }
 
-func (t *transaction) finishStream(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
+func (t *transaction) finishStream(exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
--- a/internal/edge/unframed_test.go
+++ b/internal/edge/unframed_test.go
@@ -148,17 +148,20 @@
 		start string
 		reset bool
 	}{
-		"reset after an event":            {sseEvent(1), true},
-		"reset inside an event":           {sseEvent(1) + "id: 2\nda", true},
-		"reset before the first event":    {"", true},
-		"end inside a line":               {sseEvent(1) + "id: 2\ndata: d", false},
-		"end after a line":                {sseEvent(1) + "id: 2\ndata: d2\n", false},
-		"end after an ID":                 {sseEvent(1) + "id: 2\n", false},
-		"end after a CRLF line":           {sseEvent(1) + "id: 2\r\ndata: d2\r\n", false},
-		"end inside the last CRLF":        {sseEvent(1) + "id: 2\r\ndata: d2\r\n\r", false},
-		"end after a comment of an event": {sseEvent(1) + ":\n", false},
-		"end inside the first event":      {"id: 1\ndata: d1\n", false},
-		"end inside the first line":       {"i", false},
+		"reset after an event":             {sseEvent(1), true},
+		"reset inside an event":            {sseEvent(1) + "id: 2\nda", true},
+		"reset before the first event":     {"", true},
+		"end inside a line":                {sseEvent(1) + "id: 2\ndata: d", false},
+		"end after a line":                 {sseEvent(1) + "id: 2\ndata: d2\n", false},
+		"end after an ID":                  {sseEvent(1) + "id: 2\n", false},
+		"end after a CRLF line":            {sseEvent(1) + "id: 2\r\ndata: d2\r\n", false},
+		"end inside the last CRLF":         {sseEvent(1) + "id: 2\r\ndata: d2\r\n\r", false},
+		"end after a comment of an event":  {sseEvent(1) + ":\n", false},
+		"end inside the first event":       {"id: 1\ndata: d1\n", false},
+		"end inside the first line":        {"i", false},
+		"end before the first event":       {"", false},
+		"end after a comment and no event": {":\n\n", false},
+		"end after empty lines":            {"\n\n", false},
 	} {
 		for _, resumable := range []bool{true, false} {
 			for _, protocol := range callerProtocols {
@@ -192,6 +195,40 @@
 	}
 }
 
+// TestResumedStreamWithoutEvents guards against a stream that looks complete although the upstream
+// that should go on with it died before its first event, and against breaking off a stream whose
+// last event was forwarded before it had to move.
+func TestResumedStreamWithoutEvents(t *testing.T) {
+	for name, test := range map[string]struct {
+		headers, body string
+		complete      bool
+	}{
+		"no length":             {"", "", false},
+		"no length, a comment":  {"", ":\n\n", false},
+		"no length, last event": {"", sseEvent(1), true},
+		"length":                {"Content-Length: 0\r\n", "", true},
+		"chunks":                {"Transfer-Encoding: chunked\r\n", "0\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			respond := func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+				if request.Header.Get("Last-Event") == "" {
+					u.write(conn, head(request, streamHeaders)+sseEvent(1)+"id: 2\n")
+				} else {
+					u.write(conn, head(request, streamHeaders+test.headers)+test.body)
+				}
+				return false
+			}
+			f := startWithRawUpstreams(t, catalog.Stream, func(r *catalog.Route) { r.Resumable = true },
+				newRawUpstream(t, respond), newRawUpstream(t, respond))
+			_, body, err := f.send(0, "r", "/x/", nil)
+			if (err == nil) != test.complete || strings.TrimSuffix(body, ":\n\n") != sseEvent(1) {
+				t.Errorf("body %q, error %v; expected one event, complete %v", body, err, test.complete)
+			}
+		})
+	}
+}
+
 // TestEmptyAnswer guards against taking an empty answer for a broken one although its head says that
 // it is empty.
 func TestEmptyAnswer(t *testing.T) {
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -17,7 +17,11 @@
 	Header http.Header
 	// ContentLength is the announced length of the body, or -1.
 	ContentLength int64
-	// Body returns io.EOF only at the end of a complete response.
+	// EndsWithConnection is set if the body has neither a length nor chunks. The server then marks
+	// its end by closing the connection, as it also does when it dies.
+	EndsWithConnection bool
+	// Body returns io.EOF only at the end of a complete response. If EndsWithConnection is set, that
+	// is any end of the connection other than a reset.
 	Body io.Reader
 
 	client          *Client
@@ -88,6 +92,7 @@
 		}
 		x.response = response
 		x.Status, x.Header, x.Body, x.ContentLength = response.StatusCode, response.Header, eofTracker{x}, response.ContentLength
+		x.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && method != http.MethodHead
 		return nil
 	}
 	return errors.Newf("more than %d interim responses", maxInterimResponses)
