Take an empty answer without a length for broken off

What callers saw: an upstream that died between the head of its answer and the body, with neither a length nor chunks announced, gave a success with an empty body, also for a request that another upstream could have answered.

Cause: the body of such an answer is whatever comes before the connection ends, so nothing counted as a whole body of no bytes.

Change: an answer below status 400 whose body ends with the connection and is empty is broken off. A repeatable request goes to another upstream, and any other ends with 502, which does not say whether it has run. A server that has no body to send states it by a length of 0, an empty last chunk, the status 204 or 304, or answers HEAD; these stay complete. An error keeps its status, which says all that its caller needs. A body that is cut after its first bytes cannot be told from a whole one, as nothing in the answer states its size.

--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -34,6 +34,12 @@
 		t.s.checkForCrash(t, upstreamLease.entry)
 		return attemptBroken, nil, err.Error()
 	}
+	if exchange.EndsWithConnection && responseBody.size() == 0 && exchange.Status < http.StatusBadRequest {
+		// The upstream may have died after the head. A server that has no body to send says so.
+		responseBody.release()
+		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
+		return attemptBroken, nil, "the connection ended before the body"
+	}
 	response := &bufferedResponse{status: exchange.Status, header: responseHeader(exchange.Header), body: responseBody}
 	if statusMeansNotRun(response.status) {
 		// The upstream did not say so in a way that counts, and must not seem to.
--- a/internal/edge/unframed_test.go
+++ b/internal/edge/unframed_test.go
@@ -229,6 +229,38 @@
 	}
 }
 
+// TestEmptyUnframedAnswer guards against a success without a body that stands for the answer of an
+// upstream which died after the head: without a length or chunks, its end cannot be told from that
+// of a whole answer.
+func TestEmptyUnframedAnswer(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		t.Run(fmt.Sprint("repeatable ", repeatable), func(t *testing.T) {
+			t.Parallel()
+			var requests atomic.Int64
+			respond := func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+				if u.write(conn, head(request, "")); requests.Add(1) > 1 {
+					u.write(conn, "whole")
+				}
+				return false
+			}
+			kind := catalog.NonIdempotent
+			if repeatable {
+				kind = catalog.Idempotent
+			}
+			f := startWithRawUpstreams(t, kind, nil, newRawUpstream(t, respond), newRawUpstream(t, respond))
+			response, body, err := f.send(0, "r", "/x/", nil)
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case repeatable && (response.StatusCode != http.StatusOK || body != "whole"):
+				t.Errorf("status %d, body %q; expected the answer of the second upstream", response.StatusCode, body)
+			case !repeatable && (response.StatusCode != http.StatusBadGateway || requests.Load() != 1):
+				t.Errorf("status %d, body %q, %d sends; expected 502 after one", response.StatusCode, body, requests.Load())
+			}
+		})
+	}
+}
+
 // TestEmptyAnswer guards against taking an empty answer for a broken one although its head says that
 // it is empty.
 func TestEmptyAnswer(t *testing.T) {
