Refuse an HTTP/1.0 response with chunks

What callers would see: from an upstream that answers in HTTP/1.0 with chunks, a success whose body holds the sizes of the chunks, and a broken body that looks whole.

Cause: HTTP/1.0 has no chunks, so net/http drops the header and reads the body up to the end of the connection. The client refused contradictory framing only where a length stood beside the chunks.

Change: a Transfer-Encoding in another version than HTTP/1.1 counts as faulty framing too, as HTTP asks, and the connection is closed.

Measured: TestChunksInOldResponse fails before (body "2\r\nok\r\n0\r\n\r\n") and passes after. go test -race -count=2 ./internal/outbound ./platform: ok

--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -78,7 +78,7 @@
 			return err
 		}
 		if hasAmbiguousLength(head) {
-			return errors.New("the response has both a length and chunks")
+			return errors.New("the response has chunks beside a length or in HTTP/1.0")
 		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/outbound/head.go
+++ b/internal/outbound/head.go
@@ -45,9 +45,10 @@
 	}
 }
 
-// hasAmbiguousLength reports whether a head has both a Content-Length and a Transfer-Encoding
-// header. Two receivers may then disagree on where the response ends, so what follows it on the
-// connection belongs to no request. net/http takes such a response and removes the length.
+// hasAmbiguousLength reports whether a head has a Transfer-Encoding header beside a Content-Length or
+// in another version than HTTP/1.1. Two receivers may then disagree on where the response ends, so
+// what follows it on the connection belongs to no request. net/http takes such a response: it removes
+// the length, and ignores the encoding in HTTP/1.0, so that the sizes of chunks become part of the body.
 func hasAmbiguousLength(head []byte) bool {
 	hasLength, hasEncoding := false, false
 	for line := range bytes.SplitSeq(head, []byte("\n")) {
@@ -55,5 +56,5 @@
 		hasLength = hasLength || bytes.EqualFold(bytes.TrimSpace(name), []byte("Content-Length"))
 		hasEncoding = hasEncoding || bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding"))
 	}
-	return hasLength && hasEncoding
+	return hasEncoding && (hasLength || !bytes.HasPrefix(head, []byte("HTTP/1.1 ")))
 }
--- a/internal/outbound/unframed_test.go
+++ b/internal/outbound/unframed_test.go
@@ -59,3 +59,15 @@
 		}
 	}
 }
+
+// TestChunksInOldResponse guards against taking the sizes of chunks for bytes of the body: HTTP/1.0
+// has no chunks, so net/http ignores the header and reads the body up to the end of the connection.
+func TestChunksInOldResponse(t *testing.T) {
+	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) {
+		writeString(t, conn, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		_ = conn.Close()
+	})
+	if response, err := s.call(NewClient("")); err == nil {
+		t.Errorf("the body %q counts as complete", response.Body)
+	}
+}
