Reset an HTTP/1.0 caller's connection unless its stream is complete

What callers would see: an HTTP/1.0 caller for whose stream the handler panicked, or whose VM's process was killed midway, got a stream that looked complete.

Cause: a stream to such a caller ends with its connection. The connection was reset only where the handler aborted the response itself; any other end closed it as usual.

Change: the connection is set to end with a reset when the head of the stream is written, whatever closes it, and as usual again once the stream is complete.

Measured: TestStreamEndsInPanic/HTTP/1.0 fails before (status 200, the first event, no error) and passes after. The end of a process was not played. TestUnframedAnswer and TestUnframedStreamBreaksOff hold complete and broken streams to HTTP/1.0 callers.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -53,6 +53,7 @@
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
+	t.setResetOnClose(false)
 	return attemptDone, nil, ""
 }
 
@@ -82,6 +83,7 @@
 
 func (t *transaction) writeStreamHeader(exchange *outbound.Exchange) {
 	t.responseStarted = true
+	t.setResetOnClose(true)
 	header := t.w.Header()
 	for name, values := range responseHeader(exchange.Header) {
 		if name != "Content-Length" {
--- a/internal/edge/unframed_test.go
+++ b/internal/edge/unframed_test.go
@@ -261,6 +261,43 @@
 	}
 }
 
+// resumePanicDialect is a testDialect that panics on the response of an upstream that goes on with a
+// stream.
+type resumePanicDialect struct{ testDialect }
+
+func (d resumePanicDialect) DecodeResponse(status int, header http.Header) ResponseInfo {
+	if header.Get("Panic") != "" {
+		panic("response of the test")
+	}
+	return d.testDialect.DecodeResponse(status, header)
+}
+
+// TestStreamEndsInPanic guards against a stream that looks complete although its handling panicked. To
+// an HTTP/1.0 caller, any end of the connection other than a reset is the end of the stream.
+func TestStreamEndsInPanic(t *testing.T) {
+	for _, protocol := range callerProtocols {
+		t.Run(protocol, func(t *testing.T) {
+			t.Parallel()
+			respond := func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+				if request.Header.Get("Last-Event") == "" {
+					u.write(conn, head(request, streamHeaders)+sseEvent(1)+"id: 2\n")
+				} else {
+					u.write(conn, head(request, streamHeaders+"Panic: 1\r\n")+sseEvent(2))
+				}
+				return false
+			}
+			f := startFleetWith(t, 1, nil, func(s *Server) { s.dialect = resumePanicDialect{} })
+			f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{
+				testRoute("/x/", catalog.Stream, func(r *catalog.Route) { r.Resumable = true }),
+			}}, newRawUpstream(t, respond).entry("u0"), newRawUpstream(t, respond).entry("u1"))
+			response, body, err := newRawCaller(t, f).call(http.MethodPost, protocol, "r")
+			if err == nil {
+				t.Errorf("the stream looks complete: status %d, body %q", response.StatusCode, body)
+			}
+		})
+	}
+}
+
 // TestEmptyAnswer guards against taking an empty answer for a broken one although its head says that
 // it is empty.
 func TestEmptyAnswer(t *testing.T) {
