Make the upstreams of a view known before the view is current

What callers saw: 503 "no upstream may take the request" from a pool that has upstreams in service. One of some 30 runs of TestUnframedStreamBreaksOff saw it, on a busy machine. That run kept no log, so the races below were found by reading the code and shown by tests of their own, not traced in that run.

Cause: two races. A new view became current, and requests that wait for the first configuration went on, before its upstreams could be chosen; a request in between found none. And a change of the set of VMs could apply the view before to the upstreams after a new view had been applied: it then removed the new view's upstreams, which stayed unknown until the next change.

Change: the upstreams are updated before the view becomes current, and both changes hold a lock. What remains: if one view replaces all upstreams of a pool, the old ones cannot be chosen for the moment until it is current.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -76,6 +76,8 @@
 	// relays.
 	maxDirectFollowers int
 	view               atomic.Pointer[View]
+	// viewMu is held while view and upstreams change. Upstreams that are in view can be chosen.
+	viewMu sync.Mutex
 	// unreachableZones holds the zones that this VM cannot reach by the membership protocol, and
 	// suspectZones those that it probably cannot reach.
 	unreachableZones atomic.Pointer[map[string]bool]
@@ -126,11 +128,10 @@
 
 // applyView makes a view current and updates the upstreams and pools from it.
 func (s *Server) applyView(view *View) {
-	s.view.Store(view)
+	s.setView(view)
 	if view.Catalog != nil {
 		s.startup.setConfigured()
 	}
-	s.upstreams.update(view, &s.settings, s.gossip.vmNames())
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
 	for name, runner := range s.poolRunners {
@@ -145,13 +146,29 @@
 	}
 }
 
-// onFleetChange updates the shares of limits and the pool claims after the set of VMs changed.
-func (s *Server) onFleetChange() {
+// setView updates the upstreams from a view and makes it current. The upstreams come first, since a
+// request that finds none of those in service is refused.
+func (s *Server) setView(view *View) {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	s.upstreams.update(view, &s.settings, s.gossip.vmNames())
+	s.view.Store(view)
+}
+
+// updateShares updates the shares of limits of this VM.
+func (s *Server) updateShares() {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
 	names := s.gossip.vmNames()
 	s.fleetSize.Store(int64(len(names)))
 	if view := s.view.Load(); view != nil {
 		s.upstreams.update(view, &s.settings, names)
 	}
+}
+
+// onFleetChange updates the shares of limits and the pool claims after the set of VMs changed.
+func (s *Server) onFleetChange() {
+	s.updateShares()
 	s.updatePoolClaims()
 }
 
