hoist-gateway: take an empty answer without a length for broken off

What callers would see: a success with an empty body from an upstream that died between the head of its answer and the body, with neither a length nor chunks announced.

Cause: the client was meant to fail each success without a length or chunks, but compared the length only after fasthttp had replaced it by that of the body it read. So the check never applied, and any end of the connection but a reset was a whole body.

Change: an empty body for which the connection was read to its end is an error of the connection, as a reset is. The check that never applied is removed instead of repaired: upstreams may send whole answers that end with their connection, and these have always reached callers. Streams end with [DONE], so their end is known without a length.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,14 +204,16 @@
 		return Result{}, false, err
 	}
 	result := classifyResponse(call, response)
-	if result.Outcome == dispatch.OutcomeSuccess {
-		// Take the buffer out of fasthttp's pool, so that no later response overwrites it.
-		result.Body = response.SwapBody(nil)
+	if result.Outcome != dispatch.OutcomeSuccess {
+		return result, true, nil
 	}
-	// A body that is delimited by the end of the connection may be truncated.
-	if response.Header.ContentLength() == -2 && result.Outcome == dispatch.OutcomeSuccess {
-		return Result{Outcome: dispatch.OutcomeFailed, Detail: "the answer has neither length nor chunks"}, false, nil
+	if len(response.Body()) == 0 && cn.readErr != nil {
+		// Only a body without a length or chunks is read up to the end of the connection, and an
+		// empty one cannot be told from that of an upstream that died after the head.
+		return Result{}, false, io.ErrUnexpectedEOF
 	}
+	// Take the buffer out of fasthttp's pool, so that no later response overwrites it.
+	result.Body = response.SwapBody(nil)
 	return result, true, nil
 }
 
