Answer requests whose body does not arrive in time

What callers saw: a request whose body was not complete at its deadline ended with a closed connection instead of status 504. Logs and metrics counted it as caller_gone.

Cause: readBody bounds the body with a read deadline of the connection. net/http takes any read error of the connection for a disconnect and cancels the context of the request, so finish took its own time limit for a caller that had left, and aborted.

Evidence: TestSlowBodyIsAnswered fails before (unexpected EOF in place of 504). TestCallerThatStalls accepts a closed connection as well, since its caller goes on sending, and did not show it.

Change: a request whose body this VM stopped reading does not count as one whose caller has left.

Measured: TestSlowBodyIsAnswered and TestCallerThatStalls with -race, five times: ok.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -154,6 +154,7 @@
 	case errors.Is(err, errNoBodyMemory):
 		return errkind.New(errkind.Overloaded, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		t.bodyInterrupted = true
 		return errkind.New(errkind.DeadlineExceeded, "the body did not arrive in time")
 	case err != nil:
 		return errkind.New(errkind.BadRequest, "the body did not arrive: "+err.Error())
@@ -184,6 +185,9 @@
 	}
 }
 
+// isCallerGone reports whether the caller has disconnected.
+func (t *transaction) isCallerGone() bool { return t.r.Context().Err() != nil && !t.bodyInterrupted }
+
 // finish writes the error response, if any, and the log line of the request.
 func (t *transaction) finish(failure *errkind.Error) {
 	elapsed := t.s.now().Sub(t.arrived)
@@ -195,7 +199,7 @@
 		return
 	}
 	kind := failure.Kind.String()
-	if t.r.Context().Err() != nil {
+	if t.isCallerGone() {
 		kind = "caller_gone"
 	}
 	t.s.metrics.recordRequest(t, kind, elapsed)
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -32,8 +32,11 @@
 	parts       []poison.Part
 	requestBody *body
 	// body is the content of requestBody.
-	body        []byte
-	fingerprint poison.Fingerprint
+	body []byte
+	// bodyInterrupted is set if this VM stopped reading the body. The HTTP server then cancels the
+	// context of the request, as it does when the caller disconnects.
+	bodyInterrupted bool
+	fingerprint     poison.Fingerprint
 
 	// due is when the response should be complete, and deadline when the request is aborted.
 	arrived  clock.Instant
