Answer requests at the cut-off of a stop whose body or configuration has not arrived

What callers saw: a request that still waited for its body or for the first configuration when a planned stop cut requests off got no answer. Its connection closed with the process, which says nothing about whether the request ran.

Cause: the cut-off cancels the context of a request, which is created only after the request was prepared. Reading the body and the wait for the first configuration come before that.

Evidence: TestUnfinishedRequestsAreAnsweredAtCut fails before in all four cases (part of the body, no body, no configuration, neither): no answer 1 s after the end of Run, or unexpected EOF.

Change: the cut-off ends both. It interrupts the read of the body, after which the request is refused as not run, also if its body became complete at that moment, so that nothing is sent after the cut-off. A request without a configuration is refused as such.

Measured: the tests of planned stops and TestSlowBodyIsAnswered with -race, twice: ok.

--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -88,3 +88,52 @@
 		}
 	}
 }
+
+// TestUnfinishedRequestsAreAnsweredAtCut guards against requests that get no answer when a VM stops,
+// since their body or the first configuration has not arrived yet.
+func TestUnfinishedRequestsAreAnsweredAtCut(t *testing.T) {
+	for name, test := range map[string]struct {
+		body         string
+		isConfigured bool
+	}{
+		"part of the body": {body: "b", isConfigured: true},
+		"no body":          {isConfigured: true},
+		"no configuration": {body: "body"},
+		"neither":          {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleetWith(t, 1, func(s *Settings) { s.GracePeriod = time.Second }, func(s *Server) { s.startupWait = time.Minute })
+			if test.isConfigured {
+				u := newTestUpstream(t, "u", nil)
+				f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}},
+					catalogUpstreams("p", u)...)
+			}
+			s := f.servers[0]
+			var conn net.Conn
+			await(t, "a connection", func() (ok bool) {
+				var err error
+				conn, err = net.Dial("tcp", s.settings.Listen)
+				return err == nil
+			})
+			defer conn.Close()
+			head := "POST /x/ HTTP/1.1\r\nHost: a.example\r\nRequest: r\r\nContent-Length: 4\r\n\r\n"
+			if _, err := io.WriteString(conn, head+test.body); err != nil {
+				t.Fatal(err)
+			}
+			await(t, "the request under way", func() bool { return s.inFlight.Load() == 1 })
+			f.stops[0]()
+			<-f.done[0]
+			if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer when the process ended: %v", err)
+			}
+			defer response.Body.Close()
+			if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+				t.Errorf("status %d, header %v; expected 503 with Retry-After", response.StatusCode, response.Header)
+			}
+		})
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -139,16 +139,21 @@
 	}
 }
 
-// readBody reads the body of the request, at most until the request's deadline.
+// readBody reads the body of the request, at most until the request's deadline or the cut-off of a
+// planned stop.
 func (t *transaction) readBody(config *catalog.Catalog) *errkind.Error {
 	limit := config.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
 	t.limitBodyReads(time.Now().Add(t.remaining()))
+	stopInterrupt := context.AfterFunc(t.s.stop.cut, func() { t.limitBodyReads(time.Now()) })
 	requestBody, err := t.s.requestMemory.read(t.r.Body, t.r.ContentLength, limit, t.s.requestMemory.tryMemory)
 	t.requestBody = requestBody
 	switch {
+	case !stopInterrupt():
+		t.bodyInterrupted, t.retryAfter = true, minRetryAfter
+		return errkind.New(errkind.Draining, "the VM stops and the body has not arrived")
 	case errors.Is(err, errBodyTooLarge):
 		return errkind.New(errkind.BodyTooLarge, err.Error())
 	case errors.Is(err, errNoBodyMemory):
--- a/internal/edge/startup.go
+++ b/internal/edge/startup.go
@@ -21,7 +21,8 @@
 // setConfigured records that a configuration is in force.
 func (s *startup) setConfigured() { s.once.Do(func() { close(s.configured) }) }
 
-// awaitConfiguration waits for the first configuration while the VM has just started.
+// awaitConfiguration waits for the first configuration while the VM has just started, at most until
+// a planned stop cuts requests off.
 func (t *transaction) awaitConfiguration() {
 	if t.view != nil && t.view.Catalog != nil {
 		return
@@ -36,6 +37,7 @@
 	case <-t.s.startup.configured:
 	case <-timer.C:
 	case <-t.r.Context().Done():
+	case <-t.s.stop.cut.Done():
 	}
 	t.view = t.s.view.Load()
 }
