Send no request to an upstream after its context has ended

What callers saw: a request whose time was over, whose caller had left or which a planned stop had cut off between two steps could still be sent to an upstream. It was answered 502, or 504 with an unknown run state, although it could have been refused as not run, and the upstream worked on it in vain. Such a step is the wait for its stages, for an upstream below its limits or for the answer of an upstream that refused it.

Cause: acquireUpstream looks at the context only if no upstream is free, and the client did not look at it when it took an idle connection. The context closes the connection from a goroutine of its own, so a small request is written first.

Evidence: TestNothingIsSentAfterContextEnds fails before.

Change: the client takes no connection once the context has ended, and marks the error as not sent.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -166,8 +166,12 @@
 	return x, nil
 }
 
-// connFor returns the connection for a request.
+// connFor returns the connection for a request. It returns an error if the context has ended, since a
+// small request would be written before the connection closes.
 func (c *Client) connFor(ctx context.Context, address string, request *Request) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if request.SingleUse {
 		return c.dial(ctx, address)
 	}
--- a/internal/outbound/client_test.go
+++ b/internal/outbound/client_test.go
@@ -222,3 +222,31 @@
 		}
 	}
 }
+
+// TestNothingIsSentAfterContextEnds guards against an upstream that runs a request whose time was
+// already over, and against an error that says the request may have run. The idle connection is
+// written to faster than the end of the context closes it.
+func TestNothingIsSentAfterContextEnds(t *testing.T) {
+	var requests atomic.Int64
+	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) {
+		requests.Add(1)
+		writeString(t, conn, okResponse)
+	})
+	c := NewClient("")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range 20 {
+		if _, err := s.call(c); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Start(ctx, s.address, newGetRequest()); !errors.Is(err, ErrNotSent) || !errors.Is(err, context.Canceled) {
+			t.Fatalf("call %d: error %v; expected %v because of %v", i, err, ErrNotSent, context.Canceled)
+		}
+	}
+	if n := requests.Load(); n != 20 {
+		t.Errorf("%d requests arrived, expected 20", n)
+	}
+	if n := s.acceptedConns.Load(); n != 1 {
+		t.Errorf("%d connections, expected 1", n)
+	}
+}
