Cut requests off in the last sixth of a short grace period too

What callers saw: with a grace period below 1.5 s, requests and streams at an upstream were cut off before the last sixth of it, up to which operators expect them to run. With 1 s they ended after 0.75 s in place of 0.83 s or later. With 0.5 s or less the cut-off came no later than the time for new requests ended.

Cause: the time for the last responses and for the exit of the process was fixed, 0.25 s and 0.1 s, whatever the grace period.

Evidence: TestShortGracePeriodIsUsed fails before for 0.5 s and 1 s.

Change: below 2 s both are a fraction of the grace period, an eighth and a twentieth. Longer grace periods are as before.

Measured: the tests of planned stops with -race: ok.

--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -23,9 +23,13 @@
 	// request that arrives on a connection which closes at that moment gets no response.
 	refusalPeriod = 300 * time.Millisecond
 	// cutMargin is the part of the grace period left when requests that still run are cut off, and
-	// exitMargin the part left for the exit of the process after their responses.
-	cutMargin  = 250 * time.Millisecond
-	exitMargin = 100 * time.Millisecond
+	// exitMargin the part left for the exit of the process after their responses. Operators expect
+	// that requests may run until the last sixth of the grace period, so both are shorter if it is
+	// short: the grace period divided by cutDivisor and exitDivisor.
+	cutMargin   = 250 * time.Millisecond
+	exitMargin  = 100 * time.Millisecond
+	cutDivisor  = 8
+	exitDivisor = 20
 	// stopSafetyFactor is how many times the expected duration of a request must be left before a
 	// VM stops. Durations vary, and requests take longer while VMs stop one after the other.
 	stopSafetyFactor = 1.5
@@ -34,9 +38,11 @@
 // stopSchedule holds the instants of a planned stop.
 type stopSchedule struct {
 	signaled clock.Instant
-	// acceptUntil is when requests are no longer taken, and cutAt when those that still run end.
+	// acceptUntil is when requests are no longer taken, cutAt when those that still run end, and
+	// exitAt when the VM no longer waits for their responses.
 	acceptUntil clock.Instant
 	cutAt       clock.Instant
+	exitAt      clock.Instant
 }
 
 // plannedStop is the state of a planned stop.
@@ -59,7 +65,8 @@
 // begin records the stop signal and returns the schedule of the stop.
 func (p *plannedStop) begin(now clock.Instant, gracePeriod time.Duration) *stopSchedule {
 	schedule := &stopSchedule{
-		signaled: now, acceptUntil: now.Add(min(p.balancerDelay, gracePeriod/2)), cutAt: now.Add(gracePeriod - cutMargin),
+		signaled: now, acceptUntil: now.Add(min(p.balancerDelay, gracePeriod/2)),
+		cutAt: now.Add(gracePeriod - min(cutMargin, gracePeriod/cutDivisor)), exitAt: now.Add(gracePeriod - min(exitMargin, gracePeriod/exitDivisor)),
 	}
 	p.schedule.Store(schedule)
 	return schedule
@@ -108,7 +115,7 @@
 		s.logger.Warn("failed to close the listener for callers", obs.ErrorField(err))
 	}
 	sleep(context.Background(), min(s.stop.refusalPeriod, schedule.cutAt.Sub(s.now())))
-	ctx, cancel := context.WithTimeout(context.Background(), schedule.cutAt.Add(cutMargin-exitMargin).Sub(s.now()))
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.exitAt.Sub(s.now()))
 	defer cancel()
 	err := servers.callers.Shutdown(ctx)
 	s.logger.Info("stopped", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("took", s.now().Sub(schedule.signaled)), obs.ErrorField(err))
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 )
 
 // TestNoRequestIsTakenLateInStop guards against a request that is taken after the time for new
@@ -137,3 +138,17 @@
 		})
 	}
 }
+
+// TestShortGracePeriodIsUsed guards against requests that are cut off well before a short grace
+// period ends, and against a VM that leaves no time for their responses.
+func TestShortGracePeriodIsUsed(t *testing.T) {
+	for _, gracePeriod := range []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 8 * time.Second} {
+		schedule := newPlannedStop().begin(0, gracePeriod)
+		if runTime := schedule.cutAt.Sub(0); runTime < gracePeriod*5/6 {
+			t.Errorf("grace period %v: requests are cut off after %v, expected the last sixth", gracePeriod, runTime)
+		}
+		if !(schedule.acceptUntil < schedule.cutAt && schedule.cutAt < schedule.exitAt && schedule.exitAt < clock.Instant(gracePeriod)) {
+			t.Errorf("grace period %v: %+v is not in order", gracePeriod, schedule)
+		}
+	}
+}
