Wait at a stop of hoist-gateway for requests of an older configuration

What callers saw: if a newer configuration removed a route or shortened its deadline while a request of it ran, a planned stop soon after could end that request with a closed connection.

Cause: the gateway waits for running requests as long as the longest deadline of the routes in the current configuration, while each request keeps the deadline of the configuration it began with.

Evidence: TestDrainWaitsForRequestsOfOldConfiguration fails before: a drain timeout of 7 s with a request that may run for almost 5 s and a configuration with deadlines of 2 s. Found by reading; no run with a stop of the process has shown it.

Change: the gateway records the latest deadline of the requests it takes and waits until then.

Measured: go test -race ./internal/gateway: ok.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 	// suspectCount is the number of suspect requests in the latest snapshot, to log changes.
 	suspectCount int
 	inFlight     atomic.Int64
+	// lastDeadline is the latest deadline of the requests that were taken, a clock.Instant.
+	lastDeadline atomic.Int64
 	// stopping is set when the stop signal arrives, draining once new requests are refused.
 	stopping atomic.Bool
 	draining atomic.Bool
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -349,3 +349,38 @@
 		t.Errorf("revisions %+v after a newer snapshot", got)
 	}
 }
+
+// TestDrainWaitsForRequestsOfOldConfiguration guards against a gateway that exits while a request
+// runs, since a newer configuration has shortened the deadline of its route or removed the route.
+func TestDrainWaitsForRequestsOfOldConfiguration(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	f := newFixture(t, blockingClaimer{release}, defaultLimits())
+	go func() {
+		request, _ := http.NewRequest(http.MethodPost, "http://"+f.address+"/v1/routes/book", strings.NewReader(`{"id":"x"}`))
+		request.Header.Set("Workspace", "w")
+		request.Header.Set("Idempotency-Key", "key")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	f.waitFor(t, "the request to run", func() bool { return f.gateway.inFlight.Load() == 1 && f.gateway.lastDeadline.Load() > 0 })
+	f.gateway.applySnapshot(&hoistv1.Snapshot{
+		Routes: &hoistv1.Table{Revision: 2, Data: []byte(strings.ReplaceAll(testRoutes, "5s", "2s"))},
+		Pools:  &hoistv1.Table{Revision: 1, Data: []byte(f.poolsYAML)}, ListRevision: 1,
+	})
+	if longest := f.gateway.longestDeadline(); longest != 2*time.Second {
+		t.Fatalf("longest deadline of the configuration %v, expected 2s", longest)
+	}
+	if timeout := f.gateway.drainTimeout(); timeout < 4*time.Second+drainMargin {
+		t.Errorf("drain timeout %v; a request may run for almost 5 s longer", timeout)
+	}
+}
+
+// blockingClaimer is a Claimer that decides nothing until it is released.
+type blockingClaimer struct{ release chan struct{} }
+
+func (b blockingClaimer) Claim(context.Context, claim.Key, clock.Instant) claim.Decision {
+	<-b.release
+	return claim.Decision{Refusal: errkind.New(errkind.ClaimUnavailable, "released")}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -126,9 +126,19 @@
 		return errkind.New(errkind.BadRequest, "the Idempotency-Key has more than "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
 	in.body = in.ctx.PostBody()
+	g.recordDeadline(in.deadline)
 	return nil
 }
 
+// recordDeadline records the deadline of a request that is taken.
+func (g *Gateway) recordDeadline(deadline clock.Instant) {
+	for last := g.lastDeadline.Load(); int64(deadline) > last; last = g.lastDeadline.Load() {
+		if g.lastDeadline.CompareAndSwap(last, int64(deadline)) {
+			return
+		}
+	}
+}
+
 func (g *Gateway) admit(in *incomingRequest) (dispatch.Ticket, *errkind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -83,7 +84,7 @@
 	g.options.Logger.Info("stopping", zap.Duration("balancer_delay", g.options.BalancerDelay))
 	sleep(context.Background(), g.options.BalancerDelay)
 	g.draining.Store(true)
-	deadline := time.Now().Add(g.longestDeadline() + drainMargin)
+	deadline := time.Now().Add(g.drainTimeout())
 	for g.inFlight.Load() > 0 && time.Now().Before(deadline) {
 		sleep(context.Background(), drainPollInterval)
 	}
@@ -97,6 +98,14 @@
 	return nil
 }
 
+// drainTimeout returns the time after which the gateway no longer waits for running requests. They
+// end by their deadlines, which may be later than the current configuration allows.
+func (g *Gateway) drainTimeout() time.Duration {
+	last := clock.Instant(g.lastDeadline.Load()).Sub(g.options.Now())
+	return max(g.longestDeadline(), last) + drainMargin
+}
+
+// longestDeadline returns the longest deadline of the routes in the configuration.
 func (g *Gateway) longestDeadline() time.Duration {
 	current := g.config.Load()
 	if current == nil {
