Refuse requests whose body arrives after the time for new requests

What callers saw: during a planned stop a request whose header had arrived in time began to run when its body was complete, however late, and could be cut off in the middle.

Cause: the time of arrival was that of the header. A stopping VM looked at it once, before it read the body, and for a request that arrived before the signal not at all.

Evidence: TestNoBodyIsTakenLateInStop fails before (status 200 and one run in place of 503 without a run).

Change: the VM decides a second time once the body has arrived, by that time.

Measured: the tests of planned stops and of slow bodies with -race: ok.

--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -78,20 +78,20 @@
 // isCut reports whether requests that still run are being cut off.
 func (p *plannedStop) isCut() bool { return p.cut.Err() != nil }
 
-// checkStop refuses a request that arrives after the time for new requests, or that could not end
+// checkStop refuses a request that has arrived after the time for new requests, or that could not end
 // before this VM stops. Another VM can run it. The time of arrival decides, since listeners and
 // connections may close late on a busy VM.
-func (t *transaction) checkStop() *errkind.Error {
+func (t *transaction) checkStop(arrived clock.Instant) *errkind.Error {
 	schedule := t.s.stop.schedule.Load()
 	if schedule == nil {
 		return nil
 	}
-	t.stopElapsed = t.arrived.Sub(schedule.signaled)
-	if t.arrived > schedule.acceptUntil {
+	t.stopElapsed = arrived.Sub(schedule.signaled)
+	if arrived > schedule.acceptUntil {
 		t.retryAfter = minRetryAfter
 		return errkind.New(errkind.Draining, "the request arrived after the time for new requests")
 	}
-	left := schedule.cutAt.Sub(t.arrived)
+	left := schedule.cutAt.Sub(arrived)
 	expected := t.s.durations.expected(t.route.Name, t.route.Objective)
 	if time.Duration(stopSafetyFactor*float64(expected)) <= left {
 		return nil
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -152,3 +152,38 @@
 		}
 	}
 }
+
+// TestNoBodyIsTakenLateInStop guards against a request that begins to run after the time for new
+// requests is over, since its header arrived before and its body later, and is then cut off.
+func TestNoBodyIsTakenLateInStop(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}},
+		catalogUpstreams("p", u)...)
+	s := f.servers[0]
+	conn, err := net.Dial("tcp", s.settings.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /x/ HTTP/1.1\r\nHost: a.example\r\nRequest: slow\r\nContent-Length: 2\r\n\r\nb"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the request under way", func() bool { return s.inFlight.Load() == 1 })
+	f.stops[0]()
+	await(t, "the time for new requests is over", func() bool {
+		schedule := s.stop.schedule.Load()
+		return schedule != nil && s.now() > schedule.acceptUntil
+	})
+	if _, err := io.WriteString(conn, "b"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || u.runCount("slow") != 0 {
+		t.Errorf("status %d, header %v, %d runs; expected 503 without a run", response.StatusCode, response.Header, u.runCount("slow"))
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -94,12 +94,16 @@
 		}
 	}
 	t.setDeadlines()
-	if failure := t.checkStop(); failure != nil {
+	if failure := t.checkStop(t.arrived); failure != nil {
 		return failure
 	}
 	t.limitWrites(t.remaining())
 	t.pool = t.route.PoolFor(float64(xxhash.Sum64String(info.ID)>>11) / (1 << 53))
-	return t.readBody(config)
+	if failure := t.readBody(config); failure != nil {
+		return failure
+	}
+	// The body may have arrived much later than the header.
+	return t.checkStop(t.s.now())
 }
 
 func (t *transaction) authenticate(config *catalog.Catalog) *errkind.Error {
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -56,8 +56,8 @@
 	inputs     *inputSet
 	// stageTime is the total time spent on stages.
 	stageTime time.Duration
-	// stopElapsed is the time from the stop signal to the arrival of the request; 0 if it arrived
-	// before.
+	// stopElapsed is the time from the stop signal to the arrival of the request and its body; 0 if
+	// they arrived before.
 	stopElapsed time.Duration
 	// responseStarted is set once part of the response has been written.
 	responseStarted bool
