Close the connection after each answer that a stopping VM gives

What callers saw: an answer given during a planned stop to a request that had arrived before the signal left its connection open. The next request on it was refused, or met a connection that closed at that moment, although it could have gone to another VM.

Cause: Connection: close was set when a request arrived, and not when its answer began.

Evidence: TestAnswersInStopCloseConnection fails before for a whole answer, a stream and an error.

Change: the header is set when the answer begins. A stream that began before the signal cannot say it any more; its connection closes with the idle ones.

Measured: TestAnswersInStopCloseConnection three times, and before that the tests of planned stops, with -race: ok.

--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -100,6 +100,15 @@
 	return errkind.New(errkind.Draining, "the request would take "+expected.String()+", and the VM stops in "+left.String())
 }
 
+// writeHeader sends the header of the response. A VM that stops closes the connection after it, so
+// that the next connection of the caller goes to another VM.
+func (t *transaction) writeHeader(status int) {
+	if t.s.stop.isStopping() {
+		t.w.Header().Set("Connection", "close")
+	}
+	t.w.WriteHeader(status)
+}
+
 // shutDown stops the server. Readiness checks fail first; after the balancer delay the listener
 // closes and requests are refused. Then idle connections close, and the running requests have until
 // shortly before the end of the grace period.
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -187,3 +187,53 @@
 		t.Errorf("status %d, header %v, %d runs; expected 503 without a run", response.StatusCode, response.Header, u.runCount("slow"))
 	}
 }
+
+// TestAnswersInStopCloseConnection guards against callers that go on using a connection to a VM that
+// stops, since their request had arrived before the stop signal. Their next request is refused.
+func TestAnswersInStopCloseConnection(t *testing.T) {
+	f := startFleetWith(t, 1, nil, func(s *Server) { s.stop.balancerDelay = 2 * time.Second })
+	release := make(chan struct{})
+	u := newTestUpstream(t, "u", func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		switch r.URL.Path {
+		case "/failed/":
+			return
+		case "/stream/":
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		writeSealed(w, "id: 1\ndata: x\n\n")
+	})
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{
+		testRoute("/whole/", catalog.NonIdempotent, nil), testRoute("/stream/", catalog.Stream, nil),
+		testRoute("/failed/", catalog.NonIdempotent, nil),
+	}}, catalogUpstreams("p", u)...)
+	s := f.servers[0]
+	answers := map[string]chan *http.Response{}
+	for _, path := range []string{"/whole/", "/stream/", "/failed/"} {
+		conn, err := net.Dial("tcp", s.settings.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nRequest: "+path+"\r\nContent-Length: 1\r\n\r\nb"); err != nil {
+			t.Fatal(err)
+		}
+		answers[path] = make(chan *http.Response, 1)
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Error(err)
+			}
+			answers[path] <- response
+		}()
+	}
+	await(t, "all requests under way", func() bool { return s.inFlight.Load() == 3 })
+	f.stops[0]()
+	await(t, "the VM stops", s.stop.isStopping)
+	close(release)
+	for path, answer := range answers {
+		if response := <-answer; response != nil && !response.Close {
+			t.Errorf("%s: status %d without Connection: close", path, response.StatusCode)
+		}
+	}
+}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -82,7 +82,7 @@
 	if size := b.body.size(); size > 0 {
 		header.Set("Content-Length", strconv.FormatInt(size, 10))
 	}
-	t.w.WriteHeader(b.status)
+	t.writeHeader(b.status)
 	for _, part := range b.body.parts {
 		if _, err := t.w.Write(part); err != nil {
 			t.s.logger.Info("response not delivered", zap.String("request", t.requestInfo.ID), obs.ErrorField(err))
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -42,10 +42,6 @@
 	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
 	defer t.end()
 	t.limitWrites(defaultRequestTimeout)
-	if s.stop.isStopping() {
-		// The next connection of the caller then goes to another VM.
-		w.Header().Set("Connection", "close")
-	}
 	failure := t.prepare()
 	if failure == nil {
 		var cancel context.CancelFunc
@@ -243,7 +239,7 @@
 	body := `{"type":"about:blank","title":` + strconv.Quote(errorResponse.Title) + `,"status":` + strconv.Itoa(errorResponse.Status) +
 		`,"kind":"` + errorResponse.Name + `","run":"` + failure.RunState.String() + `"}` + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	t.w.WriteHeader(errorResponse.Status)
+	t.writeHeader(errorResponse.Status)
 	if _, err := io.WriteString(t.w, body); err != nil {
 		t.s.logger.Debug("failed to write an error response", zap.String("request", t.requestInfo.ID), obs.ErrorField(err))
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -90,7 +90,7 @@
 			header[name] = values
 		}
 	}
-	t.w.WriteHeader(exchange.Status)
+	t.writeHeader(exchange.Status)
 }
 
 func (t *transaction) writeEvent(upstreamLease *lease, exchange *outbound.Exchange, event streamEvent) error {
