Refuse late requests as long as a stopping VM waits for others

What callers saw: a request on a connection that had been opened before the listener closed, and that came more than 0.3 s after the time for new requests, was read and then dropped: the connection closed without an answer. A caller must not repeat such a request if it may run only once, although it had not run.

Cause: http.Server drops each request that it reads once Shutdown was called. Shutdown does not close connections that are younger than 5 s and have carried no request yet, nor those that have sent part of a header.

Evidence: TestRequestsWhileOthersEndAreRefused fails before (unexpected EOF).

Change: the VM closes idle connections by SetKeepAlivesEnabled, which leaves others served, and calls Shutdown only once no request is in progress. What remains: a request that arrives on such a connection after that, while the process ends, gets no answer.

Measured: the tests of planned stops with -race, and three times the new one: ok.

--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -30,6 +30,8 @@
 	exitMargin  = 100 * time.Millisecond
 	cutDivisor  = 8
 	exitDivisor = 20
+	// requestPollInterval is how often a VM that stops looks whether requests are in progress.
+	requestPollInterval = 10 * time.Millisecond
 	// stopSafetyFactor is how many times the expected duration of a request must be left before a
 	// VM stops. Durations vary, and requests take longer while VMs stop one after the other.
 	stopSafetyFactor = 1.5
@@ -111,7 +113,7 @@
 
 // shutDown stops the server. Readiness checks fail first; after the balancer delay the listener
 // closes and requests are refused. Then idle connections close, and the running requests have until
-// shortly before the end of the grace period.
+// shortly before the end of the grace period. Requests that arrive meanwhile are still refused.
 func (s *Server) shutDown(servers *servers) {
 	schedule := s.stop.begin(s.now(), s.settings.GracePeriod)
 	s.gossip.leave()
@@ -126,6 +128,16 @@
 	sleep(context.Background(), min(s.stop.refusalPeriod, schedule.cutAt.Sub(s.now())))
 	ctx, cancel := context.WithTimeout(context.Background(), schedule.exitAt.Sub(s.now()))
 	defer cancel()
+	// Shutdown would drop a request that arrives on a connection which is still open.
+	servers.callers.SetKeepAlivesEnabled(false)
+	s.awaitRequests(ctx)
 	err := servers.callers.Shutdown(ctx)
 	s.logger.Info("stopped", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("took", s.now().Sub(schedule.signaled)), obs.ErrorField(err))
 }
+
+// awaitRequests waits until no request is in progress or the context ends.
+func (s *Server) awaitRequests(ctx context.Context) {
+	for s.inFlight.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, requestPollInterval)
+	}
+}
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -237,3 +238,47 @@
 		}
 	}
 }
+
+// TestRequestsWhileOthersEndAreRefused guards against a request that is read and dropped without an
+// answer, since it arrives on an open connection while a VM that stops waits for other requests.
+func TestRequestsWhileOthersEndAreRefused(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	release := make(chan struct{})
+	defer close(release)
+	u := newTestUpstream(t, "u", func(_ http.ResponseWriter, _ *http.Request) { <-release })
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}},
+		catalogUpstreams("p", u)...)
+	s := f.servers[0]
+	const request = "POST /x/ HTTP/1.1\r\nHost: a.example\r\nRequest: %s\r\nContent-Length: 1\r\n\r\nb"
+	running, idle := dialCaller(t, s), dialCaller(t, s)
+	if _, err := fmt.Fprintf(running, request, "running"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "a request runs", func() bool { return u.runCount("running") == 1 })
+	f.stops[0]()
+	await(t, "the VM stops", s.stop.isStopping)
+	// Long after the refusal period, which is 0 in tests.
+	<-time.After(500 * time.Millisecond)
+	if _, err := fmt.Fprintf(idle, request, "late"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || u.runCount("late") != 0 {
+		t.Errorf("status %d, %d runs; expected 503 without a run", response.StatusCode, u.runCount("late"))
+	}
+}
+
+// dialCaller opens a connection to a VM as a caller does.
+func dialCaller(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.settings.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
