Bound the time for the body of a refused request

What callers saw: a request that was refused by its header, as for an unknown route, was answered only once its body had arrived. A caller that sent none held its connection for ever, and made a stopping VM wait for it until the end of the grace period.

Cause: net/http reads up to 256 KiB of a body that the handler has not read, mostly before it sends the response, and that read had no time limit: the limit on bodies began with readBody.

Evidence: TestRefusalDoesNotWaitForBody fails before (no answer after 5 s; a trial waited 8 s).

Change: the body of a refused request may take 0.5 s. After it the response is sent and the connection closes.

Measured: TestRefusalDoesNotWaitForBody, TestSlowBodyIsAnswered and TestCallerThatStalls with -race, twice: ok.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -30,6 +30,9 @@
 	// writeSlack is the time beyond the deadline for writing the response, such as an error that
 	// says that the deadline has passed.
 	writeSlack = 5 * time.Second
+	// refusedBodyTimeout bounds the time for the body of a request that is refused without it. The
+	// HTTP server reads part of such a body, mostly before it sends the response.
+	refusedBodyTimeout = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the Retry-After header.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -230,6 +233,9 @@
 
 // writeError writes an error response of this proxy.
 func (t *transaction) writeError(failure *errkind.Error) {
+	if t.requestBody == nil {
+		t.limitBodyReads(time.Now().Add(refusedBodyTimeout))
+	}
 	errorResponse := failure.Kind.Response()
 	header := t.w.Header()
 	header.Set("Content-Type", "application/problem+json")
