Wait at a stop for the stages that the VM runs for other VMs

What callers saw: a VM that stopped without requests of its own ended the stages that it ran for other VMs, although most of its grace period was left. Their requests waited for the same work again at the next owner of the pool, and the upstream did it twice.

Cause: a stop waited for the requests of callers only and then closed the connections of other VMs. Jobs with pieces under way stay with the previous owner of a pool by design.

Evidence: TestStopWaitsForStagesOfOtherVMs fails before: the VM exits while the stage runs, and two calls are made for one stage.

--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -53,6 +53,8 @@
 		// The requester's tables are newer, or older, and divide the pool in another way.
 		return &hoistv1.RunStageResponse{Refusal: refusalNames[stagepool.OwnerChanged]}, nil
 	}
+	f.s.peerStages.Add(1)
+	defer f.s.peerStages.Add(-1)
 	now := f.s.now()
 	job := stagepool.Job{
 		Request: r.GetRequest(), Stage: int(r.GetStage()), Pieces: int(r.GetPieces()), Key: r.GetKey(), Inputs: r.GetInputs(), KeepInputs: r.GetKeepInputs(),
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -272,6 +272,56 @@
 	}
 }
 
+// TestStopWaitsForStagesOfOtherVMs guards against stage work that is thrown away and done again,
+// since the VM that owns the pool exits while it runs a stage for another VM.
+func TestStopWaitsForStagesOfOtherVMs(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	model, stage := newTestUpstream(t, "m", nil), newTestUpstream(t, "s", nil)
+	begun, release := make(chan struct{}, 10), make(chan struct{})
+	stage.beforeStage = func() {
+		begun <- struct{}{}
+		<-release
+	}
+	batch := catalog.Batch{Concurrency: 2, MaxPieces: 4, CallTime: 2 * time.Second, PieceTime: time.Millisecond, ResultTTL: time.Minute}
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}},
+		Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) {
+			r.Stages, r.Objective, r.Timeout = []catalog.Stage{{Pool: "a"}}, 20*time.Second, 20*time.Second
+		})},
+	}, append(catalogUpstreams("p", model), catalogUpstreams("a", stage)...)...)
+	owner, other := 0, 1
+	if f.awaitOwner(t, "a") == f.servers[1].settings.VM {
+		owner, other = 1, 0
+	}
+	status := make(chan int, 1)
+	go func() {
+		response, _, err := f.send(other, "r", "/x/", map[string]string{"Pieces": "1"})
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		status <- response.StatusCode
+	}()
+	<-begun
+	f.stops[owner]()
+	select {
+	case <-f.done[owner]:
+		t.Error("the VM has exited, and the stage still runs")
+	case <-time.After(500 * time.Millisecond):
+	}
+	close(release)
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("status %d, expected 200", got)
+	}
+	<-f.done[owner]
+	stage.mu.Lock()
+	defer stage.mu.Unlock()
+	if len(stage.calls) != 1 {
+		t.Errorf("%d calls for one stage", len(stage.calls))
+	}
+}
+
 // dialCaller opens a connection to a VM as a caller does.
 func dialCaller(t *testing.T, s *Server) net.Conn {
 	t.Helper()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -89,7 +89,9 @@
 	reservationResponses zoneResponses
 	fleetSize            atomic.Int64
 	inFlight             atomic.Int64
-	stop                 *plannedStop
+	// peerStages is the number of stages that this VM runs for other VMs.
+	peerStages atomic.Int64
+	stop       *plannedStop
 	// durations estimates how long requests take.
 	durations durations
 
@@ -212,7 +214,11 @@
 		zap.Strings("seeds", s.settings.Seeds))
 	<-ctx.Done()
 	s.shutDown(servers)
-	servers.peers.Stop()
+	flushTime := peerFlushTime
+	if s.stop.isCut() {
+		flushTime = 0 // The grace period is over.
+	}
+	servers.stopPeers(flushTime)
 	_ = servers.readiness.Close()
 	return nil
 }
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -12,6 +13,10 @@
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 )
 
+// peerFlushTime is how long the last responses to other VMs may take. Long polls of other VMs may last
+// longer and are cut off.
+const peerFlushTime = 50 * time.Millisecond
+
 // servers are the servers of one VM: for callers, for readiness checks and for other VMs.
 type servers struct {
 	callers        *http.Server
@@ -59,3 +64,9 @@
 	go s.runServer(name, func() error { return server.Serve(listener) })
 	return listener, nil
 }
+
+// stopPeers ends the calls of other VMs, after the flush time for responses that are being sent.
+func (s *servers) stopPeers(flushTime time.Duration) {
+	defer time.AfterFunc(flushTime, s.peers.Stop).Stop()
+	s.peers.GracefulStop()
+}
