Stop taking requests 2.8 s after a stop signal in place of 2.9 s

Cause: the time runs from when the process handles the signal. On a VM whose share of a core is used up that may be a tenth of a second after it was sent, which left no margin to the 3 s after which a cut counts as a lost request.

Change: 2.8 s. The load balancer needs two seconds and its check to notice.

--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -17,8 +17,9 @@
 const (
 	// balancerDelay is how long a VM that shuts down accepts new requests: the load balancer
 	// notices after two failed readiness checks, one second apart. Operators expect an answer to
-	// each request that is sent up to three seconds after the stop signal, or later if accepted.
-	balancerDelay = 2900 * time.Millisecond
+	// each request that is sent up to three seconds after the stop signal, or later if accepted. A
+	// busy process handles the signal up to a tenth of a second late.
+	balancerDelay = 2800 * time.Millisecond
 	// refusalPeriod is how long requests are refused after that, before idle connections close. A
 	// request that arrives on a connection which closes at that moment gets no response.
 	refusalPeriod = 300 * time.Millisecond
