Reserve the subnets of test fleets by locks

Cause: the loopback subnets of a test process followed from its process ID modulo 50, so two processes that ran the tests of internal/edge at a time could use the same addresses, and one failed with "listen for membership: bind: address already in use". One run of go test ./internal/edge failed while six other processes ran tests of that package; its output was not kept, so that it was this is only likely.

Change: each fleet holds a lock on its subnet.

Measured: 56 processes of TestGracefulShutdown -count=5 at a time: 29 fail before, the first lines all with this error; 56 of 56 pass after.

--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
@@ -321,6 +323,24 @@
 // fleetCount is the number of fleets started by this process. Each has its own IPs.
 var fleetCount atomic.Int64
 
+// reserveSubnet returns a loopback subnet that no other fleet uses until the end of the test. The lock
+// keeps test processes whose process IDs lead to the same subnets apart.
+func reserveSubnet(t *testing.T) string {
+	t.Helper()
+	for {
+		subnet := fmt.Sprintf("127.%d.%d.", 201+os.Getpid()%50, fleetCount.Add(1)%250)
+		file, err := os.OpenFile(filepath.Join(os.TempDir(), "hoist-edge-"+subnet+"lock"), os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil {
+			t.Cleanup(func() { _ = file.Close() }) // Closing releases the lock.
+			return subnet
+		}
+		_ = file.Close()
+	}
+}
+
 // startFleet starts n VMs on their own loopback subnet.
 func startFleet(t *testing.T, n int, change func(*Settings)) *testFleet {
 	t.Helper()
@@ -331,7 +351,7 @@
 func startFleetWith(t *testing.T, n int, change func(*Settings), prepare func(*Server)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: newTestStore(), prepare: prepare}
-	subnet := fmt.Sprintf("127.%d.%d.", 201+os.Getpid()%50, fleetCount.Add(1)%250)
+	subnet := reserveSubnet(t)
 	for i := range n {
 		ip := fmt.Sprint(subnet, i+2)
 		settings := Settings{
