Do not clear parts of prompts by error answers

What callers see: if upstreams reject some requests with a part that crashes them, for example with 422 for a wrong parameter, the part is never blocked, and the other requests with it keep crashing upstreams.

Cause: each complete answer below 500 cleared the parts of its prompt, although an upstream sends 3xx and 4xx before it begins to run a request. Found in the review of the parts of prompts.

Change: only answers with 2xx clear parts. Sound parts get those, so they are cleared as before.

--- a/internal/edge/partguard_test.go
+++ b/internal/edge/partguard_test.go
@@ -142,3 +142,30 @@
 		return f.servers[0].parts.check(parts) == nil && f.servers[1].parts.check(parts) == nil
 	})
 }
+
+// TestErrorAnswerDoesNotClearPart guards against a part that crashes upstreams and is never blocked, since
+// upstreams also reject requests with it before they begin to run them.
+func TestErrorAnswerDoesNotClearPart(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 1, nil, guardClock.install)
+	upstream := newTestUpstream(t, "u", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	})
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Idempotent, promptRoute)},
+	}, catalogUpstreams("p", upstream)...)
+	guard := f.servers[0].parts
+	parts := partsOf(deadlyPart)
+	for i := range 3 {
+		response, _, err := f.send(0, fmt.Sprint("rejected-", i), "/x/", map[string]string{"Prompt": deadlyPart + " last"})
+		if err != nil || response.StatusCode != http.StatusUnprocessableEntity {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+		guard.recordCrash(fmt.Sprint("gone", i), 1, parts)
+		guardClock.advance(time.Second)
+	}
+	if guard.check(parts) == nil {
+		t.Error("the part is not blocked")
+	}
+}
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -53,7 +53,10 @@
 	}
 	elapsed := t.s.now().Sub(upstreamLease.started)
 	t.s.durations.recordFinalCall(t.route.Name, elapsed)
-	t.s.parts.recordAnswer(t.promptParts())
+	if exchange.Status < http.StatusMultipleChoices {
+		// Upstreams send other statuses before they begin to run a request.
+		t.s.parts.recordAnswer(t.promptParts())
+	}
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, time.Millisecond))
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
 	response.writeTo(t)
