Refute blocked parts of prompts that were answered meanwhile

What callers see: a VM that is cut off for some seconds notices no answers, and its upstreams seem to crash. It blocks the first part of a route's prompts, and once it is back, all VMs refuse the requests of the route for up to a minute, unless one that is under way is answered.

Cause: a block of another VM was taken over whatever this VM knew itself; only parts that had been blocked here and were then answered were exempt. The VM that had decided never learned of the answers, since VMs report only those for parts that they suspect themselves. Found in the review of the parts of prompts.

Change: the table remembers when parts were answered, and datagrams carry the age of the first crash instead of the age of the block. Parts are left out of a block if this VM knows of an answer since the first crash, and this VM then reports the answer like any other. The time of the first crash is at most that of the message, and a block in force is not prolonged by messages that tell its end later.

--- a/internal/edge/partguard.go
+++ b/internal/edge/partguard.go
@@ -89,14 +89,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	cleared := g.table.RecordAnswer(g.now(), parts)
-	if len(cleared) == 0 {
+	if len(cleared) > 0 {
+		g.logger.Debug("parts of prompts cleared", zap.String("parts", formatParts(cleared)))
+	}
+	g.addClears(cleared)
+}
+
+// addClears makes the other VMs learn that parts were answered. The caller holds the lock.
+func (g *partGuard) addClears(parts []poison.Part) {
+	if len(parts) == 0 {
 		return
 	}
-	g.logger.Debug("parts of prompts cleared", zap.String("parts", formatParts(cleared)))
 	if len(g.clears) == 0 {
 		time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
 	}
-	for _, part := range cleared {
+	for _, part := range parts {
 		g.clears[part] = true
 	}
 }
@@ -133,7 +140,7 @@
 	var out []*hoistv1.PromptBlock
 	for _, b := range g.table.Blocks(now, maxDatagramBlocks) {
 		out = append(out, &hoistv1.PromptBlock{
-			Parts: partsToProto(b.Parts), AgeMs: now.Sub(b.Since).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
+			Parts: partsToProto(b.Parts), FirstCrashAgeMs: now.Sub(b.FirstCrash).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
 		})
 	}
 	return out
@@ -148,10 +155,12 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	for _, b := range blocks[:min(len(blocks), maxDatagramBlocks)] {
-		g.table.Merge(now, poison.Block{
+		refuted := g.table.Merge(now, poison.Block{
 			Parts: partsFromProto(b.GetParts()), Blocks: int(b.GetBlocks()),
-			Since: now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond), Until: now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
+			FirstCrash: now.Add(-time.Duration(b.GetFirstCrashAgeMs()) * time.Millisecond),
+			Until:      now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
 		})
+		g.addClears(refuted)
 	}
 	g.logBlocked()
 }
--- a/internal/edge/partguard_test.go
+++ b/internal/edge/partguard_test.go
@@ -169,3 +169,30 @@
 		t.Error("the part is not blocked")
 	}
 }
+
+// TestBlockOfCutOffVMEnds guards against a VM that was cut off from upstreams and other VMs, blocked the
+// part that all requests of a route share, and makes the others refuse them when it is back.
+func TestBlockOfCutOffVMEnds(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 2, nil, guardClock.install)
+	upstreams, _ := crashingUpstreams(t, 1)
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Stream, promptRoute)},
+	}, catalogUpstreams("p", upstreams...)...)
+	parts := partsOf("shared")
+	for i := range 3 {
+		f.servers[0].parts.recordCrash(fmt.Sprint("unreachable", i), 1, parts)
+		guardClock.advance(time.Second)
+		f.servers[1].parts.recordAnswer(parts)
+	}
+	guardClock.advance(time.Second)
+	if f.servers[0].parts.check(parts) == nil {
+		t.Fatal("the part is not blocked on the VM that knows of no answer")
+	}
+	await(t, "the part cleared on the VM that blocked it", func() bool {
+		if f.servers[1].parts.check(parts) != nil {
+			t.Fatal("the part is blocked on the VM where it is answered")
+		}
+		return f.servers[0].parts.check(parts) == nil
+	})
+}
--- a/pkg/poison/block.go
+++ b/pkg/poison/block.go
@@ -12,8 +12,10 @@
 	// Parts are in ascending order. There are several as long as they only came together, since any of
 	// them may be the one that crashes upstreams.
 	Parts []Part
-	// Since is when the block began, and Until when it ends.
-	Since clock.Instant
+	// FirstCrash is when the first of the upstreams crashed for which the parts are blocked. The VM that
+	// decided on the block knew of no answer since then.
+	FirstCrash clock.Instant
+	// Until is when the block ends.
 	Until clock.Instant
 	// Blocks is how often the parts were blocked in succession.
 	Blocks int
--- a/pkg/poison/parttable.go
+++ b/pkg/poison/parttable.go
@@ -41,8 +41,9 @@
 	firstBlockTime    = time.Minute
 	maxBlockTime      = 32 * time.Minute
 	maxBlockDoublings = 5
-	// clearPrecedence is the time by which a block of another VM must be later than an answer seen
-	// here to take effect, since that VM may not have known of the answer.
+	// clearPrecedence is the time by which the first crash for a block of another VM must be later
+	// than an answer known here for the block to take effect, since the time is known only roughly:
+	// the message may have waited at either VM.
 	clearPrecedence = 2 * time.Second
 )
 
@@ -66,20 +67,13 @@
 	// blocks holds the blocks in force, and those that have ended but whose parts were not answered
 	// since: they begin again at the next crash.
 	blocks []*Block
-	// clearedAt is when parts of blocks were answered.
-	clearedAt map[Part]clock.Instant
-	// answered holds parts that were answered at some time.
+	// answered holds when parts were last answered.
 	answered     partMemory
 	newlyBlocked []Block
 }
 
 // NewPartTable returns an empty table.
-func NewPartTable() *PartTable {
-	return &PartTable{clearedAt: map[Part]clock.Instant{}}
-}
-
-// IsEmpty reports whether no part is under suspicion or blocked.
-func (t *PartTable) IsEmpty() bool { return len(t.incidents) == 0 && len(t.blocks) == 0 }
+func NewPartTable() *PartTable { return &PartTable{} }
 
 // RecordCrash records that an upstream crashed before it began the answer to a request with the
 // prompt. The upstream is identified by one start of it.
@@ -123,7 +117,7 @@
 		return
 	}
 	b.Blocks++
-	b.Since, b.Until = now, now.Add(blockTime(b.Blocks))
+	b.Until = now.Add(blockTime(b.Blocks))
 	t.newlyBlocked = append(t.newlyBlocked, *b)
 }
 
@@ -132,7 +126,7 @@
 func (t *PartTable) RecordAnswer(now clock.Instant, parts []Part) []Part {
 	var cleared []Part
 	for _, part := range parts {
-		t.answered.add(part)
+		t.answered.add(now, part)
 		if t.clear(now, part) {
 			cleared = append(cleared, part)
 		}
@@ -149,7 +143,6 @@
 	for _, b := range t.blocks {
 		if b.remove(part) {
 			found = true
-			t.clearedAt[part] = now
 		}
 	}
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return len(b.Parts) == 0 })
@@ -186,25 +179,35 @@
 	return out
 }
 
-// Merge adds a block of another VM. Parts of it that were answered here are left out.
-func (t *PartTable) Merge(now clock.Instant, b Block) {
-	b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(part Part) bool {
-		clearedAt, ok := t.clearedAt[part]
-		return ok && b.Since < clearedAt.Add(clearPrecedence)
-	})
-	slices.Sort(b.Parts)
-	if now >= b.Until || len(b.Parts) == 0 || len(b.Parts) > maxPromptParts {
-		return
+// Merge adds a block of another VM without the parts that were answered since the first crash for which
+// they are blocked. It returns those of them of whose answers the other VM must learn. A VM that was cut
+// off from the others notices no answers, and its upstreams seem to crash.
+func (t *PartTable) Merge(now clock.Instant, b Block) (refuted []Part) {
+	if now >= b.Until || len(b.Parts) > maxPromptParts {
+		return nil
 	}
-	for _, known := range t.blocks {
-		if now < known.Until && known.matches(b.Parts) {
-			return
+	b.FirstCrash = min(b.FirstCrash, now)
+	b.Parts = slices.DeleteFunc(slices.Clone(b.Parts), func(part Part) bool {
+		answeredAt, ok := t.answered.lastAdded(part)
+		if ok && b.FirstCrash.Add(clearPrecedence) < answeredAt {
+			refuted = append(refuted, part)
 		}
+		return ok && b.FirstCrash < answeredAt.Add(clearPrecedence)
+	})
+	if len(b.Parts) == 0 || t.covers(now, b.Parts) {
+		return refuted
 	}
+	slices.Sort(b.Parts)
 	b.Blocks = max(b.Blocks, 1)
 	b.Until = min(b.Until, now.Add(maxBlockTime))
 	b.Upstreams = nil
 	t.add(&b)
+	return refuted
+}
+
+// covers reports whether a block in force refuses all prompts with the parts.
+func (t *PartTable) covers(now clock.Instant, parts []Part) bool {
+	return slices.ContainsFunc(t.blocks, func(b *Block) bool { return now < b.Until && b.matches(parts) })
 }
 
 // add adds a block in place of those that it makes needless.
@@ -317,23 +320,19 @@
 
 // block blocks parts that came together, and marks their incidents as explained.
 func (t *PartTable) block(now clock.Instant, parts []Part) {
-	b := &Block{Parts: parts, Since: now, Until: now.Add(blockTime(1)), Blocks: 1}
+	b := &Block{Parts: parts, FirstCrash: now, Until: now.Add(blockTime(1)), Blocks: 1}
 	for _, in := range t.incidents {
 		if in.matches(b) {
 			in.explained = true
+			b.FirstCrash = min(b.FirstCrash, in.at)
 			b.Upstreams = append(b.Upstreams, in.upstream)
 		}
 	}
 	t.add(b)
 }
 
-// expire removes incidents, blocked parts and cleared parts that no longer matter.
+// expire removes incidents and blocks that no longer matter.
 func (t *PartTable) expire(now clock.Instant) {
 	t.incidents = slices.DeleteFunc(t.incidents, func(in *incident) bool { return now.Sub(in.at) > incidentLifetime })
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return now.Sub(b.Until) > maxBlockTime })
-	for part, at := range t.clearedAt {
-		if now.Sub(at) > incidentLifetime {
-			delete(t.clearedAt, part)
-		}
-	}
 }
--- a/pkg/poison/parttable_test.go
+++ b/pkg/poison/parttable_test.go
@@ -132,7 +132,7 @@
 		t.Errorf("cleared %v", cleared)
 	}
 	expectBlocked(t, table, now, deadly, false)
-	table.Merge(now, Block{Parts: []Part{deadly}, Since: now, Until: now.Add(time.Minute)})
+	table.Merge(now, Block{Parts: []Part{deadly}, FirstCrash: now, Until: now.Add(time.Minute)})
 	expectBlocked(t, table, now, deadly, false)
 }
 
@@ -178,7 +178,7 @@
 		table.RecordAnswer(start, parts[:10])
 	}
 	for i := range 2 * maxBlocks {
-		table.Merge(start, Block{Parts: []Part{Part(i)}, Since: start, Until: start.Add(time.Hour)})
+		table.Merge(start, Block{Parts: []Part{Part(i)}, FirstCrash: start, Until: start.Add(time.Hour)})
 	}
 	if len(table.incidents) > maxIncidents || len(table.incidents[0].prompts) > maxIncidentPrompts || len(table.blocks) > maxBlocks ||
 		len(table.answered.current) > maxGenerationParts {
@@ -241,3 +241,70 @@
 	expectBlocked(t, table, now, deadly, true)
 	expectBlocked(t, table, now, second, false)
 }
+
+// TestBlockOfCutOffVMIsRefuted guards against a VM without any link to upstreams and to other VMs, which
+// blocks the part that all requests of a route share, and then makes the whole fleet refuse them.
+func TestBlockOfCutOffVMIsRefuted(t *testing.T) {
+	cutOff, other := NewPartTable(), NewPartTable()
+	cutOff.RecordAnswer(start, []Part{shared})
+	now := crashes(cutOff, start.Add(time.Second), blockAnsweredAfterOccasions, time.Second, shared)
+	expectBlocked(t, cutOff, now, shared, true)
+	other.RecordAnswer(now.Add(-time.Second), []Part{shared})
+	for _, b := range cutOff.Blocks(now, 8) {
+		if len(other.Merge(now, b)) != 1 {
+			t.Error("the cut-off VM does not learn of the answer")
+		}
+	}
+	expectBlocked(t, other, now, shared, false)
+}
+
+// TestOldAnswerDoesNotRefuteBlock guards against a part that is unblocked since it was answered before it
+// began to crash upstreams.
+func TestOldAnswerDoesNotRefuteBlock(t *testing.T) {
+	first, other := NewPartTable(), NewPartTable()
+	other.RecordAnswer(start, []Part{deadly})
+	now := crashes(first, start.Add(clearPrecedence), blockAfterOccasions, time.Second, deadly)
+	for _, b := range first.Blocks(now, 8) {
+		if other.Merge(now, b) != nil {
+			t.Error("an answer before the first crash refutes the block")
+		}
+	}
+	expectBlocked(t, other, now, deadly, true)
+}
+
+// TestExchangedBlockEnds guards against a block that VMs prolong for each other by the time that their
+// messages take, so that it ends late or never.
+func TestExchangedBlockEnds(t *testing.T) {
+	const delay, interval = 50 * time.Millisecond, 100 * time.Millisecond
+	tables := []*PartTable{NewPartTable(), NewPartTable()}
+	now := crashes(tables[0], start, blockAfterOccasions, time.Second, deadly)
+	expectBlocked(t, tables[0], now, deadly, true)
+	end := now.Add(firstBlockTime + interval)
+	for i := 0; now < end; i++ {
+		for _, b := range tables[i%2].Blocks(now, 8) {
+			b.Until = b.Until.Add(delay)
+			tables[1-i%2].Merge(now.Add(delay), b)
+		}
+		now = now.Add(interval)
+	}
+	for _, table := range tables {
+		expectBlocked(t, table, now, deadly, false)
+	}
+}
+
+// TestBlockFromTheFutureIsRefuted guards against a malformed message that blocks a part again after each
+// answer, or for longer than a block lasts.
+func TestBlockFromTheFutureIsRefuted(t *testing.T) {
+	table := NewPartTable()
+	table.RecordAnswer(start, []Part{shared})
+	malformed := Block{Parts: []Part{shared}, FirstCrash: start.Add(time.Hour), Until: start.Add(1000 * time.Hour), Blocks: 1 << 40}
+	table.Merge(start.Add(time.Second), malformed)
+	expectBlocked(t, table, start.Add(time.Second), shared, false)
+	now := start.Add(time.Minute)
+	table.Merge(now, malformed)
+	expectBlocked(t, table, now, shared, true)
+	expectBlocked(t, table, now.Add(maxBlockTime), shared, false)
+	table.RecordCrash(now.Add(maxBlockTime), "u", []Part{shared})
+	expectBlocked(t, table, now.Add(2*maxBlockTime-1), shared, true)
+	expectBlocked(t, table, now.Add(2*maxBlockTime), shared, false)
+}
