Let crashes count again for other parts when a block is refuted

What callers see: while a VM does not know of answers yet, it may block a sound part that was in more crashes than the deadly one. If another VM has found the deadly part, a sound part that was in the same crashes may be blocked here beside it.

Cause: that a blocked part explains a crash was noted once, when the part was blocked or the crash recorded. It was neither taken back when the part was answered, nor set when a block came from another VM. Found in the review of the parts of prompts.

Change: whether a crash is explained follows from the blocks that are known now, and the end of a block by an answer lets the table decide again.

Measured: TestCrashesCountAfterWrongBlock failed before ("blocked: false, expected true") and passes; TestMergedBlockExplainsCrashes passes before and after, since blocks hold the parts that came together.

--- a/pkg/poison/incident.go
+++ b/pkg/poison/incident.go
@@ -12,8 +12,6 @@
 	at       clock.Instant
 	// prompts holds for each of these requests the parts of its prompt that were not answered since.
 	prompts [][]Part
-	// explained is set if a request had the parts of a block. Other parts are then not under suspicion.
-	explained bool
 }
 
 // add adds the prompt of a request.
@@ -36,6 +34,11 @@
 	return found
 }
 
+// isSuspicious reports whether some parts are still under suspicion.
+func (in *incident) isSuspicious() bool {
+	return slices.ContainsFunc(in.prompts, func(prompt []Part) bool { return len(prompt) > 0 })
+}
+
 // parts returns the parts of all prompts.
 func (in *incident) parts() []Part {
 	all := slices.Concat(in.prompts...)
--- a/pkg/poison/parttable.go
+++ b/pkg/poison/parttable.go
@@ -83,11 +83,9 @@
 	}
 	prompt = prompt[:min(len(prompt), maxPromptParts)]
 	t.expire(now)
-	in := t.incident(now, upstream)
-	in.add(prompt)
+	t.incident(now, upstream).add(prompt)
 	for _, b := range t.blocks {
 		if b.matches(prompt) {
-			in.explained = true
 			t.blockAgain(now, b)
 		}
 	}
@@ -145,7 +143,12 @@
 			found = true
 		}
 	}
+	blocks := len(t.blocks)
 	t.blocks = slices.DeleteFunc(t.blocks, func(b *Block) bool { return len(b.Parts) == 0 })
+	if len(t.blocks) < blocks {
+		// The crashes that the part explained count for the others again.
+		t.decideAt = now
+	}
 	return found
 }
 
@@ -241,13 +244,17 @@
 func (t *PartTable) openIncidents(now clock.Instant) []*incident {
 	var open []*incident
 	for _, in := range t.incidents {
-		if !in.explained && len(in.parts()) > 0 && now.Sub(in.at) >= confirmDelay {
+		if now.Sub(in.at) >= confirmDelay && in.isSuspicious() && !t.isExplained(in) {
 			open = append(open, in)
 		}
 	}
 	return open
 }
 
+// isExplained reports whether a request of an incident had all parts of a block. Its other parts are then
+// not under suspicion.
+func (t *PartTable) isExplained(in *incident) bool { return slices.ContainsFunc(t.blocks, in.matches) }
+
 // blockMostSuspicious blocks the most suspicious parts, and reports whether there are any.
 func (t *PartTable) blockMostSuspicious(now clock.Instant) bool {
 	open := t.openIncidents(now)
@@ -318,12 +325,11 @@
 	return slices.ContainsFunc(t.blocks, func(b *Block) bool { return slices.Contains(b.Parts, part) })
 }
 
-// block blocks parts that came together, and marks their incidents as explained.
+// block blocks parts that came together.
 func (t *PartTable) block(now clock.Instant, parts []Part) {
 	b := &Block{Parts: parts, FirstCrash: now, Until: now.Add(blockTime(1)), Blocks: 1}
 	for _, in := range t.incidents {
 		if in.matches(b) {
-			in.explained = true
 			b.FirstCrash = min(b.FirstCrash, in.at)
 			b.Upstreams = append(b.Upstreams, in.upstream)
 		}
--- a/pkg/poison/parttable_test.go
+++ b/pkg/poison/parttable_test.go
@@ -308,3 +308,27 @@
 	expectBlocked(t, table, now.Add(2*maxBlockTime-1), shared, true)
 	expectBlocked(t, table, now.Add(2*maxBlockTime), shared, false)
 }
+
+// TestCrashesCountAfterWrongBlock guards against a part that crashes as many upstreams again, since its
+// crashes were first put down to a part that was answered later.
+func TestCrashesCountAfterWrongBlock(t *testing.T) {
+	table := NewPartTable()
+	now := crashes(table, start, blockAfterOccasions, time.Second, shared, deadly)
+	now = crashes(table, now, 1, 0, shared)
+	expectBlocked(t, table, now, shared, true)
+	expectBlocked(t, table, now, deadly, false)
+	table.RecordAnswer(now, []Part{shared})
+	expectBlocked(t, table, now, shared, false)
+	expectBlocked(t, table, now, deadly, true)
+}
+
+// TestMergedBlockExplainsCrashes guards against a sound part that is blocked for crashes by a part that
+// another VM has found.
+func TestMergedBlockExplainsCrashes(t *testing.T) {
+	table := NewPartTable()
+	now := crashes(table, start, blockAfterOccasions, time.Second, second, deadly).Add(-confirmDelay)
+	table.Merge(now, Block{Parts: []Part{deadly}, FirstCrash: start, Until: now.Add(maxBlockTime), Blocks: maxBlockDoublings})
+	now = now.Add(confirmDelay)
+	expectBlocked(t, table, now, second, false)
+	expectBlocked(t, table, now.Add(2*firstBlockTime), deadly, true)
+}
