Test the blocked parts of prompts in a simulated fleet

TestRefusalOfPromptStatesRun sends requests that may run only once to upstreams that crash: each reaches at most one, and from the fourth on they are refused as not run.

--- a/internal/edge/partguard_test.go
+++ b/internal/edge/partguard_test.go
@@ -196,3 +196,33 @@
 		return f.servers[0].parts.check(parts) == nil
 	})
 }
+
+// TestRefusalOfPromptStatesRun guards against a request that may run only once and is sent again after a
+// crash, or that is said not to have run although an upstream began it.
+func TestRefusalOfPromptStatesRun(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 1, nil, guardClock.install)
+	upstreams, reached := crashingUpstreams(t, 8)
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(),
+		Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) { r.HasPromptPrefixes = true })},
+	}, catalogUpstreams("p", upstreams...)...)
+	for i := range 6 {
+		before := reached.Load()
+		_, body, err := f.send(0, fmt.Sprint("r", i), "/x/", map[string]string{"Prompt": deadlyPart + " last"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		runs, want := reached.Load()-before, `"run":"unknown"`
+		if runs == 0 {
+			want = `"run":"not_run"`
+		}
+		if runs > 1 || !strings.Contains(body, want) {
+			t.Errorf("request %d: %d runs, body %q, expected %s", i, runs, body, want)
+		}
+		guardClock.advance(time.Second)
+	}
+	if n := reached.Load(); n != 3 {
+		t.Errorf("%d requests reached upstreams, expected 3", n)
+	}
+}
