Keep blocks of parts short that were answered once

What callers see: if all upstreams of a route crash for some time for a reason of their own, as after a bad release, the first part of its prompts is blocked, and each crash after a block doubled the next one, up to 32 min in which all requests of the route are refused although the cause may be gone.

Cause: the time of a block grew with each one in succession, whatever was known of the part.

Change: a block of a part that was answered at some time is not prolonged. Parts that were never answered are, as before.

Measured: TestBlockOfAnsweredPartStaysShort failed before ("blocked: true, expected false") and passes.

--- a/pkg/poison/parttable.go
+++ b/pkg/poison/parttable.go
@@ -37,7 +37,8 @@
 	// maxBlocks bounds the blocks.
 	maxBlocks = 64
 	// firstBlockTime is how long a part is blocked for the first time. Each block that follows takes
-	// twice as long as the one before, up to maxBlockTime.
+	// twice as long as the one before, up to maxBlockTime, but for parts that were answered once: all
+	// requests of a route may need them, and have crashed upstreams for another reason.
 	firstBlockTime    = time.Minute
 	maxBlockTime      = 32 * time.Minute
 	maxBlockDoublings = 5
@@ -114,7 +115,9 @@
 	if now < b.Until {
 		return
 	}
-	b.Blocks++
+	if !slices.ContainsFunc(b.Parts, t.answered.contains) {
+		b.Blocks++
+	}
 	b.Until = now.Add(blockTime(b.Blocks))
 	t.newlyBlocked = append(t.newlyBlocked, *b)
 }
--- a/pkg/poison/parttable_test.go
+++ b/pkg/poison/parttable_test.go
@@ -332,3 +332,18 @@
 	expectBlocked(t, table, now, second, false)
 	expectBlocked(t, table, now.Add(2*firstBlockTime), deadly, true)
 }
+
+// TestBlockOfAnsweredPartStaysShort guards against refusing all requests of a route for half an hour after
+// its upstreams have crashed for some time for a reason that has nothing to do with the requests.
+func TestBlockOfAnsweredPartStaysShort(t *testing.T) {
+	table := NewPartTable()
+	table.RecordAnswer(start, []Part{shared})
+	now := crashes(table, start.Add(time.Second), blockAnsweredAfterOccasions, time.Second, shared)
+	expectBlocked(t, table, now, shared, true)
+	for i := range 5 {
+		now = now.Add(firstBlockTime)
+		expectBlocked(t, table, now, shared, false)
+		table.RecordCrash(now, fmt.Sprint("later", i), []Part{shared})
+		expectBlocked(t, table, now, shared, true)
+	}
+}
