Send malformed reports of crashes and blocks in the test of malformed messages

Cause: the test has a case for each kind of message, and the parts of prompts added new ones. Change: many parts in a report, many cleared parts, blocks with odd times and counts.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -51,6 +51,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	oddBlocks, err := proto.Marshal(&hoistv1.Datagram{Blocks: []*hoistv1.PromptBlock{
+		nil, {}, {Parts: []uint64{1}, FirstCrashAgeMs: -1 << 62, LeftMs: 1 << 62, Blocks: 1<<32 - 1}, {Parts: make([]uint64, 500), LeftMs: 1000},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, send := range map[string]func() error{
 		"caller: billions of pieces": func() error {
 			response, _, err := f.send(0, "huge", "/x/", map[string]string{"Pieces": "2000000000"})
@@ -101,6 +107,19 @@
 				return err
 			})
 		},
+		"peer: crash report with many parts": func() error {
+			return call(func(client hoistv1.FleetClient) error {
+				_, err := client.Strike(ctx, &hoistv1.StrikeRequest{Upstream: "u", Parts: make([]uint64, 400_000)})
+				return err
+			})
+		},
+		"peer: many cleared parts": func() error {
+			return call(func(client hoistv1.FleetClient) error {
+				_, err := client.ClearParts(ctx, &hoistv1.ClearPartsRequest{Parts: make([]uint64, 400_000)})
+				return err
+			})
+		},
+		"datagram: odd blocks":  func() error { return datagram(oddBlocks) },
 		"datagram: noise":       func() error { return datagram([]byte(strings.Repeat("\xff", 2000))) },
 		"datagram: empty":       func() error { return datagram(nil) },
 		"datagram: odd entries": func() error { return datagram(oddEntries) },
