--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -32,15 +32,6 @@
 	return fp
 }
 
-// blockedParts returns the parts of the prompt for which the request is refused; nil if it is not. A
-// request whose answer has begun is not refused.
-func (t *transaction) blockedParts() []poison.Part {
-	if t.events > 0 {
-		return nil
-	}
-	return t.s.parts.check(t.promptParts())
-}
-
 // isPoisonRequest reports whether the request must not run because upstreams crashed while
 // running it.
 func (s *Server) isPoisonRequest(t *transaction) bool {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -7,7 +7,6 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
 const (
@@ -174,23 +173,3 @@
 	}
 	return t.prefix
 }
-
-// sharedParts returns the IDs of the parts of the prompt that other requests may have too: all but
-// the last, which belongs to this request or its session.
-func (t *transaction) sharedParts() []string {
-	var shared []string
-	for _, part := range t.requestInfo.PromptPrefix[:max(0, len(t.requestInfo.PromptPrefix)-1)] {
-		shared = append(shared, part.ID)
-	}
-	return shared
-}
-
-// promptParts returns the shared parts of the prompt.
-func (t *transaction) promptParts() []poison.Part {
-	if t.parts == nil {
-		for _, id := range t.sharedParts() {
-			t.parts = append(t.parts, poison.PartOf(id))
-		}
-	}
-	return t.parts
-}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -16,7 +16,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
 const (
@@ -274,15 +273,6 @@
 	return failure.RaiseRunState(errkind.Ran)
 }
 
-// poisonPromptError returns the error of a request with parts of a prompt that crash upstreams.
-func (t *transaction) poisonPromptError(blocked []poison.Part) *errkind.Error {
-	failure := errkind.New(errkind.PoisonPrompt, "blocked parts of the prompt: "+formatParts(blocked))
-	if t.mayHaveRun {
-		failure = failure.RaiseRunState(errkind.Unknown)
-	}
-	return failure
-}
-
 // timeoutError returns the error of a request whose deadline has passed, whose caller has
 // disconnected, or which is cut off by a planned stop.
 func (t *transaction) timeoutError() *errkind.Error {
