Keep the cases inside the site's doses

Case 2 loses answers for 5.5 s, case 3 turns the workers of one zone cold, and case 5 crashes one of four workers at a time, as the site file does.

--- a/review/standin/encoded.go
+++ b/review/standin/encoded.go
@@ -14,9 +14,12 @@
 	// invoices is the number of requests that can't be repeated, of each form of the path.
 	invoices = 200
 	// invoiceInterval is the time between two of them.
-	invoiceInterval = 100 * time.Millisecond
-	// lostEvery says which answers of one worker are lost: each that many.
-	lostEvery = 20
+	invoiceInterval = 50 * time.Millisecond
+	// lostEvery says which answers of one worker are lost: each that many. They are lost from lostFrom
+	// after the first request for lostTime.
+	lostEvery = 5
+	lostFrom  = 2 * time.Second
+	lostTime  = 5500 * time.Millisecond
 )
 
 // invoiceWatch counts how often each request ran.
@@ -49,6 +52,7 @@
 func encodedPath(s *scene) bool {
 	watch := &invoiceWatch{runs: map[string]int{}}
 	var answers atomic.Int64
+	var areLost atomic.Bool
 	serve := func(w *worker, rw http.ResponseWriter, r *http.Request, id string) {
 		_, _ = io.Copy(io.Discard, r.Body) // A channel that has broken shows in work.
 		watch.run(id)
@@ -56,7 +60,7 @@
 		if !work(r.Context(), 30*time.Millisecond) {
 			return
 		}
-		if s.trouble && w.zone == "sines" && answers.Add(1)%lostEvery == 0 {
+		if areLost.Load() && w.zone == "sines" && answers.Add(1)%lostEvery == 0 {
 			s.log("the answer of worker %s to %s is lost", w.currentID(), id)
 			resetChannel(rw)
 			return
@@ -82,6 +86,8 @@
 	// Invoice 2026/17 has the path 2026%2F17; no configuration allows the route r-balance for it.
 	paths := map[string]string{"encoded": "/bobo563/lo7/2026%2F17", "plain": "/bobo563/lo7/17"}
 	ids := map[string][]string{}
+	time.AfterFunc(lostFrom, func() { areLost.Store(s.trouble) })
+	time.AfterFunc(lostFrom+lostTime, func() { areLost.Store(false) })
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for n := range invoices {
--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -39,6 +39,7 @@
 		"name": "r-balance", "host": host, "prefix": "/bobo563/lo7/", "service": "huno90b", "kind": "safe", "timeout_ms": 1500, "target_latency_ms": 300,
 		"priority": 2, "max_attempts": 2,
 	}}, []any{map[string]any{"name": "huno90b", "health_path": "/health", "max_conns": 49, "cold_s": 0.0}})
+	workers = append(workers, s.startWorker("i-90062003", "huno90b", "sines", 0, serve))
 	startAll(vms)
 
 	var mu sync.Mutex
--- a/review/standin/split.go
+++ b/review/standin/split.go
@@ -128,7 +128,7 @@
 	s.publish([]any{invoiceRoute("huno90b")}, []any{map[string]any{
 		"name": "huno90b", "health_path": "/health", "max_conns": 280, "cold_s": coldTime.Seconds(), "cold_per_s": coldPerSecond,
 	}})
-	workers := []*worker{s.startWorker(newID(), "huno90b", "sines", 0, serve), s.startWorker(newID(), "huno90b", "leixoes", 0, serve)}
+	workers := []*worker{s.startWorker(newID(), "huno90b", "sines", 0, serve), s.startWorker(newID(), "huno90b", "sines", 0, serve)}
 	startAll(append(append([]*vm{}, named...), others...))
 
 	var wg sync.WaitGroup
