Close connections whose stage responses do not identify the request

The response to a stage call names no request, so a second copy of it shows only by handles that were seen before. A copy of a response without any handle passed for the response to the next call with as many pieces. From then on each call on the connection got the response to the call before it, with new handles, and requests ran with the inputs of others. Responses to memory queries and releases have no handles at all; copies of them gave the free memory of an earlier query, and failed queries kept the connection.

The connection is now closed after a response that lacks a handle for any piece, that contradicts its status or has an encoding, that is malformed or foreign, and after each response with another status than 200. Memory queries and releases use a connection of their own. Handles are remembered by the process and not by each runner of a pool, since runners share connections, and four times as many of them; a stage call uses no connection that was idle for longer than 4 s. hoist_edge_stage_connections_closed_total counts the closed connections by pool and reason.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,9 @@
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
 	panics       *prometheus.CounterVec
+	// stageConnectionsClosed counts connections that were closed since a late second copy of their
+	// response could not be told from the next response.
+	stageConnectionsClosed *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -46,8 +49,11 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
 		}, []string{"scope"}),
+		stageConnectionsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_stage_connections_closed_total", Help: "Connections to upstreams of stages closed since a response on them did not identify its request.",
+		}, []string{"pool", "reason"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.stageConnectionsClosed)
 	return m
 }
 
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,20 @@
 	memoryQueryTimeout = 200 * time.Millisecond
 	// releaseTimeout bounds a release. If it is lost, the results use memory until they expire.
 	releaseTimeout = time.Second
+	// stageConnMaxIdle bounds how long a connection may have been idle before a stage call, so that the
+	// handles of the responses before it are still remembered.
+	stageConnMaxIdle = 4 * time.Second
+)
+
+// Reasons for which connections to the upstreams of stages are closed. Responses name no request, so a
+// late second copy of such a response could be taken for the response to the next request.
+const (
+	closedForMissingHandle   = "result_without_handle"
+	closedForForeignResponse = "foreign_response"
+	closedForContradiction   = "contradiction"
+	closedForStatus          = "status"
+	closedAfterMemoryQuery   = "memory_query"
+	closedAfterRelease       = "release"
 )
 
 // executeCall sends one batch and reports its outcome to the scheduler.
@@ -70,9 +85,12 @@
 		return stagepool.CallFailed, nil, nil, err
 	}
 	var results []stagepool.PieceResult
+	request.MaxConnIdle = stageConnMaxIdle
 	request.Verify = func(response *outbound.Response) (err error) {
-		if response.Status == http.StatusOK {
-			results, err = r.decodeResults(call, response.Body)
+		var doubt string
+		if results, doubt, err = r.verifyResponse(call, response); doubt != "" {
+			response.CloseConn = true
+			r.countClosed(doubt)
 		}
 		return err
 	}
@@ -97,6 +115,31 @@
 	return stagepool.CallAnswered, results, info.Load, nil
 }
 
+// verifyResponse decodes the response to a stage call. It also returns why the connection must not be
+// used again, or "". A response without a handle for each piece is accepted once: a second copy of it
+// would be accepted for the next call, and each later call would get the response to the call before it.
+func (r *poolRunner) verifyResponse(call stagepool.Call, response *outbound.Response) (results []stagepool.PieceResult, doubt string, err error) {
+	if response.Status != http.StatusOK {
+		return nil, closedForStatus, nil
+	}
+	results, err = r.decodeResults(call, response.Body)
+	info := r.dialect.DecodeResponse(response.Status, response.Header)
+	switch {
+	case err != nil:
+		return nil, closedForForeignResponse, err
+	case info.Misdirected || info.NotRun || info.Encoded:
+		return results, closedForContradiction, nil
+	case slices.ContainsFunc(results, func(result stagepool.PieceResult) bool { return result.Handle == "" }):
+		return results, closedForMissingHandle, nil
+	}
+	return results, "", nil
+}
+
+// countClosed counts a connection that was closed for the reason.
+func (r *poolRunner) countClosed(reason string) {
+	r.metrics.stageConnectionsClosed.WithLabelValues(r.pool, reason).Inc()
+}
+
 // decodeResults decodes the results of a batch and checks that they belong to it. A response
 // names no batch, so a second copy of an earlier response shows only by its handles.
 func (r *poolRunner) decodeResults(call stagepool.Call, body []byte) ([]stagepool.PieceResult, error) {
@@ -128,7 +171,7 @@
 }
 
 func (r *poolRunner) fetchFreeMemory(ctx context.Context, address string) (int64, error) {
-	response, err := r.client.Do(ctx, address, r.dialect.EncodeMemoryQuery(address), maxStageResponseBytes)
+	response, err := r.doOnce(ctx, address, r.dialect.EncodeMemoryQuery(address), closedAfterMemoryQuery)
 	if err != nil {
 		return 0, err
 	}
@@ -138,6 +181,16 @@
 	return r.dialect.DecodeFreeMemory(response.Body)
 }
 
+// doOnce sends a request whose response does not identify it, on a connection of its own.
+func (r *poolRunner) doOnce(ctx context.Context, address string, request *outbound.Request, reason string) (*outbound.Response, error) {
+	request.SingleUse = true
+	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
+	if !errors.Is(err, outbound.ErrNotSent) {
+		r.countClosed(reason)
+	}
+	return response, err
+}
+
 // flushReleases sends the pending releases of an upstream.
 func (r *poolRunner) flushReleases(upstream string) {
 	var handles []string
@@ -161,7 +214,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if _, err := r.client.Do(ctx, address, request, maxStageResponseBytes); err != nil {
+	if _, err := r.doOnce(ctx, address, request, closedAfterRelease); err != nil {
 		r.logger.Info("release failed; the upstream keeps the results until they expire", zap.String("address", address), zap.Int("results", len(handles)), obs.ErrorField(err))
 		return false
 	}
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -45,7 +45,7 @@
 	logger  *zap.Logger
 	metrics *metrics
 	contain *containment
-	handles recentHandles
+	handles *recentHandles
 
 	mu sync.Mutex
 	// batch and entries are the configuration that was last applied.
@@ -63,7 +63,7 @@
 
 func newPoolRunner(pool string, s *Server) *poolRunner {
 	r := &poolRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, handles: &s.recentHandles,
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
 	}
--- a/internal/edge/recenthandles.go
+++ b/internal/edge/recenthandles.go
@@ -3,18 +3,23 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
-// maxRecentHandles bounds the handles that are remembered. A second copy of a response can only
-// come on a connection that is in use again, which is closed after some idle seconds.
-const maxRecentHandles = 4096
+// maxRecentHandles bounds the handles that are remembered. A second copy of a response can only come on
+// a connection that is in use again, which is closed after stageConnMaxIdle. The owner of a large shard
+// gets some 2,000 handles per second, so the bound covers about twice that time.
+const maxRecentHandles = 16 << 10
 
-// recentHandles remembers the handles of the latest results of a pool. The zero value is empty.
+// recentHandles remembers the handles of the latest results of all pools, since pools and their shards
+// share connections. The zero value is empty.
 type recentHandles struct {
-	mu    sync.Mutex
-	known map[string]bool
-	order [maxRecentHandles]string
+	mu sync.Mutex
+	// known and order hold hashes of the handles.
+	known map[uint64]bool
+	order []uint64
 	next  int
 }
 
@@ -23,27 +28,33 @@
 func (h *recentHandles) addNew(results []stagepool.PieceResult) (duplicate string, found bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	inBatch := make(map[string]bool, len(results))
+	inBatch := make(map[uint64]bool, len(results))
 	for _, result := range results {
 		if result.Handle == "" {
 			continue
 		}
-		if h.known[result.Handle] || inBatch[result.Handle] {
+		hash := xxhash.Sum64String(result.Handle)
+		if h.known[hash] || inBatch[hash] {
 			return result.Handle, true
 		}
-		inBatch[result.Handle] = true
+		inBatch[hash] = true
 	}
-	for handle := range inBatch {
-		h.add(handle)
+	for hash := range inBatch {
+		h.add(hash)
 	}
 	return "", false
 }
 
-func (h *recentHandles) add(handle string) {
+func (h *recentHandles) add(hash uint64) {
 	if h.known == nil {
-		h.known = make(map[string]bool, maxRecentHandles)
+		h.known = map[uint64]bool{}
+	}
+	if len(h.order) < maxRecentHandles {
+		h.order = append(h.order, hash)
+	} else {
+		delete(h.known, h.order[h.next])
+		h.order[h.next] = hash
+		h.next = (h.next + 1) % maxRecentHandles
 	}
-	delete(h.known, h.order[h.next])
-	h.known[handle], h.order[h.next] = true, handle
-	h.next = (h.next + 1) % maxRecentHandles
+	h.known[hash] = true
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -95,6 +95,9 @@
 	// durations estimates how long requests take.
 	durations durations
 
+	// recentHandles finds second copies of responses to stage calls.
+	recentHandles recentHandles
+
 	poolRunnersMu sync.Mutex
 	poolRunners   map[string]*poolRunner
 
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -108,6 +108,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// CloseConn is set by Request.Verify to close the connection after a response that is accepted, if
+	// a late second copy of it could not be told from the response to the next request.
+	CloseConn bool
 }
 
 // Do sends a request and reads the whole response. A body of more than limit bytes is an
@@ -140,6 +143,9 @@
 			return nil, err
 		}
 	}
+	if response.CloseConn {
+		exchange.Discard()
+	}
 	return response, nil
 }
 
--- a/internal/outbound/malformed_test.go
+++ b/internal/outbound/malformed_test.go
@@ -157,3 +157,23 @@
 		t.Errorf("%d connections for two requests, expected 2", n)
 	}
 }
+
+// TestCloseConnAfterAcceptedResponse guards against using a connection again after a response that was
+// accepted although a second copy of it could not be told from the next response.
+func TestCloseConnAfterAcceptedResponse(t *testing.T) {
+	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) { writeString(t, conn, okResponse) })
+	c := NewClient("")
+	for range 2 {
+		request := newGetRequest()
+		request.Verify = func(response *Response) error {
+			response.CloseConn = true
+			return nil
+		}
+		if response, err := c.Do(context.Background(), s.address, request, 1<<10); err != nil || string(response.Body) != "ok" {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+	}
+	if n := s.acceptedConns.Load(); n != 2 {
+		t.Errorf("%d connections for two requests, expected 2", n)
+	}
+}
