Select the route by the target as it is forwarded

The route was selected by the path that net/http had decoded, while the raw target was forwarded. A path with an encoded slash or letter matched a route that it does not belong to, so that the kind, pool, limits and the need of a key came from there: a request that must run once ran twice. Targets in absolute form were forwarded as such, and net/http answered OPTIONS * itself.

catalog.Target holds the path and the query as sent, is the only argument by which Match selects a route, and is what is forwarded and hashed into the fingerprint of a request. The absolute form loses its scheme and authority; targets without a path match no route (404).

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -167,7 +167,7 @@
 		upstreamRequest.Inputs = t.inputs.final
 	}
 	request := &outbound.Request{
-		Method: t.r.Method, Target: t.r.RequestURI, Host: t.r.Host, Header: t.s.dialect.UpstreamHeader(t.r.Header, upstreamRequest), Body: t.body,
+		Method: t.r.Method, Target: t.target.String(), Host: t.r.Host, Header: t.s.dialect.UpstreamHeader(t.r.Header, upstreamRequest), Body: t.body,
 	}
 	if !t.isRepeatable() {
 		request.MaxConnIdle = nonRepeatableMaxIdle
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -22,10 +22,10 @@
 	crashReportTimeout = 500 * time.Millisecond
 )
 
-// requestFingerprint identifies repeated sends of one request by API key, host, URI and body.
+// requestFingerprint identifies repeated sends of one request by API key, host, target and body.
 func requestFingerprint(t *transaction) poison.Fingerprint {
 	h := sha256.New()
-	_, _ = io.WriteString(h, t.requestInfo.APIKey+"\x00"+t.r.Host+t.r.RequestURI+"\x00") // Writing to a hash never fails.
+	_, _ = io.WriteString(h, t.requestInfo.APIKey+"\x00"+t.r.Host+t.target.String()+"\x00") // Writing to a hash never fails.
 	h.Write(t.body)
 	var fp poison.Fingerprint
 	copy(fp[:], h.Sum(nil))
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -79,9 +79,12 @@
 		return errkind.New(errkind.NotConfigured, "no configuration is known yet")
 	}
 	config := t.view.Catalog
-	t.route = config.Match(t.r.Host, t.r.URL.Path)
+	target, ok := catalog.ParseTarget(t.r.RequestURI)
+	if ok {
+		t.target, t.route = target, config.Match(t.r.Host, target)
+	}
 	if t.route == nil {
-		return errkind.New(errkind.UnknownRoute, strconv.Quote(t.r.Host+t.r.URL.Path))
+		return errkind.New(errkind.UnknownRoute, strconv.Quote(t.r.Host+" "+t.r.RequestURI))
 	}
 	if failure := t.authenticate(config); failure != nil {
 		return failure
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -42,6 +42,8 @@
 		readiness: &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout},
 		peers:     peerServer,
 	}
+	// Only routes answer callers, also those that send "OPTIONS *".
+	out.callers.DisableGeneralOptionsHandler = true
 	if out.callerListener, err = s.serveHTTP("callers", s.settings.Listen, out.callers); err == nil {
 		_, err = s.serveHTTP("readiness", s.settings.ReadyListen, out.readiness)
 	}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -24,6 +24,7 @@
 
 	requestInfo RequestInfo
 	route       *catalog.Route
+	target      catalog.Target
 	workspace   *catalog.Workspace
 	pool        string
 	// prefix holds the parts of the prompt by which the request is placed.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -59,12 +59,12 @@
 	}
 }
 
-// Match returns the route of the host with the longest matching path prefix, or nil. The host
-// is case-insensitive and may carry a port.
-func (c *Catalog) Match(host, path string) *Route {
+// Match returns the route of the host with the longest prefix that begins the path as it was sent, or
+// nil. The host is case-insensitive and may carry a port.
+func (c *Catalog) Match(host string, target Target) *Route {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
 	for _, route := range c.routesByHost[host] {
-		if strings.HasPrefix(path, route.Prefix) {
+		if strings.HasPrefix(target.path, route.Prefix) {
 			return route
 		}
 	}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -31,7 +31,11 @@
 		{"c.example", "/x/", ""},
 	} {
 		got := ""
-		if route := c.Match(check.host, check.path); route != nil {
+		target, ok := ParseTarget(check.path)
+		if !ok {
+			t.Fatalf("%q is no target", check.path)
+		}
+		if route := c.Match(check.host, target); route != nil {
 			got = route.Name
 		}
 		if got != check.want {
--- a/pkg/catalog/example_test.go
+++ b/pkg/catalog/example_test.go
@@ -13,6 +13,8 @@
 		{Name: "ask", Host: "a.example", Prefix: "/v1/ask/"},
 	}}
 	config.Index()
-	fmt.Println(config.Match("a.example", "/v1/ask/now").Name, config.Match("a.example", "/v1/").Name)
+	now, _ := catalog.ParseTarget("/v1/ask/now?verbose")
+	encoded, _ := catalog.ParseTarget("/v1/ask%2Fnow")
+	fmt.Println(config.Match("a.example", now).Name, config.Match("a.example", encoded).Name)
 	// Output: ask all
 }
