Keep routes closed when the configuration lists no tenants

A key was needed if the configuration had at least one tenant, so that removing the last one opened all routes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -15,7 +15,10 @@
 	Routes     []Route
 	Pools      map[string]*Pool
 	Workspaces []Workspace
-	Limits     Limits
+	// KeysRequired is set if the configuration lists workspaces, even if it lists none: when the last one
+	// is removed, no key is valid and routes stay closed.
+	KeysRequired bool
+	Limits       Limits
 
 	routesByHost    map[string][]*Route
 	routeNames      map[string]bool
@@ -74,10 +77,10 @@
 // HasRoute reports whether a route with the name exists.
 func (c *Catalog) HasRoute(name string) bool { return c.routeNames[name] }
 
-// NeedsKey reports whether requests of the route must carry a key. Without workspaces no route
-// needs one.
+// NeedsKey reports whether requests of the route must carry a key. If the configuration does not
+// state workspaces, no route needs one.
 func (c *Catalog) NeedsKey(route *Route) bool {
-	return len(c.Workspaces) > 0 && !route.Anonymous
+	return (c.KeysRequired || len(c.Workspaces) > 0) && !route.Anonymous
 }
 
 // WorkspaceOf returns the workspace that the key belongs to, or nil.
