Check for a crash after an empty answer without a length

An upstream that dies after the head of an answer with neither a length nor chunks leaves an empty body. The answer was taken for broken, but nobody looked whether the upstream was still there, so the request left no evidence and went on to the next upstream. Such answers are now checked like broken ones, whatever their status; error statuses are still forwarded.

TestEmptyUnframedAnswerOfDeadUpstream failed in three of four cases before and passes.

--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -34,8 +34,12 @@
 		t.s.checkForCrash(t, upstreamLease.entry)
 		return attemptBroken, nil, err.Error()
 	}
-	if exchange.EndsWithConnection && responseBody.size() == 0 && exchange.Status < http.StatusBadRequest {
+	isUnframedAndEmpty := exchange.EndsWithConnection && responseBody.size() == 0
+	if isUnframedAndEmpty {
 		// The upstream may have died after the head. A server that has no body to send says so.
+		t.s.checkForCrash(t, upstreamLease.entry)
+	}
+	if isUnframedAndEmpty && exchange.Status < http.StatusBadRequest {
 		responseBody.release()
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		return attemptBroken, nil, "the connection ended before the body"
--- a/internal/edge/unframed_test.go
+++ b/internal/edge/unframed_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -261,6 +264,32 @@
 	}
 }
 
+// TestEmptyUnframedAnswerOfDeadUpstream guards against a request that crashes one upstream after the other
+// unseen, since each dies after the head of its answer.
+func TestEmptyUnframedAnswerOfDeadUpstream(t *testing.T) {
+	for status, alive := range map[string]bool{"200 OK": false, "404 Not Found": false, "500 Internal Server Error": false, "201 Created": true} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			core, logs := observer.New(zap.InfoLevel)
+			u := newRawUpstream(t, func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+				u.write(conn, strings.Replace(head(request, ""), "200 OK", status, 1))
+				if !alive {
+					_ = u.listener.Close()
+				}
+				return false
+			})
+			f := startFleetWith(t, 1, nil, func(s *Server) { s.logger = zap.New(core) })
+			f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}}, u.entry("u0"))
+			if _, _, err := f.send(0, "r", "/x/", nil); err != nil {
+				t.Fatal(err)
+			}
+			if n := logs.FilterMessage("upstream died while it ran a request").Len(); (n == 1) == alive {
+				t.Errorf("%d crashes recorded, upstream alive: %v", n, alive)
+			}
+		})
+	}
+}
+
 // resumePanicDialect is a testDialect that panics on the response of an upstream that goes on with a
 // stream.
 type resumePanicDialect struct{ testDialect }
