Bound the memory that one response holds while others wait

Memory for a response was kept until its body ended. Four bodies without an end held all of it, and other responses waited until their deadline; an announced length was taken at once; bodies that held memory and waited for more blocked each other.

Its upstream gets no error. hoist_edge_response_bodies_revoked_total counts them.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -87,7 +87,7 @@
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		return attemptBroken, nil, "status " + strconv.Itoa(exchange.Status) + " in place of the rest of the stream"
 	}
-	return t.relayResponse(upstreamLease, exchange)
+	return t.relayResponse(upstreamLease, exchange, cancel)
 }
 
 // checkResponseHead handles a response whose head decides the outcome of the attempt, and reports
--- a/internal/edge/bodymemory.go
+++ b/internal/edge/bodymemory.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -32,16 +31,17 @@
 // bodyMemory bounds the memory for bodies that are held in whole, since many large ones at a
 // time would exceed the memory of the VM.
 type bodyMemory struct {
-	// limit bounds one body, in bytes.
-	limit int64
-	free  *semaphore.Weighted
+	// limit bounds one body and total all of them, in bytes.
+	limit, total int64
+	free         *semaphore.Weighted
 }
 
 func newBodyMemory(vmBytes int64) *bodyMemory {
 	if vmBytes <= 0 {
 		vmBytes = defaultMemoryBytes
 	}
-	return &bodyMemory{limit: min(vmBytes/bodyMemoryDivisor, maxBodyBytes), free: semaphore.NewWeighted(vmBytes / bodiesMemoryDivisor)}
+	total := vmBytes / bodiesMemoryDivisor
+	return &bodyMemory{limit: min(vmBytes/bodyMemoryDivisor, maxBodyBytes), total: total, free: semaphore.NewWeighted(total)}
 }
 
 // body is a body in memory, in parts of bounded size.
@@ -84,12 +84,6 @@
 // acquireFunc takes memory for n bytes or returns an error.
 type acquireFunc func(n int64) error
 
-// waitForMemory returns an acquireFunc that waits for memory until the context ends. It is for
-// responses: an upstream has run the request, so its response should be delivered.
-func (m *bodyMemory) waitForMemory(ctx context.Context) acquireFunc {
-	return func(n int64) error { return errors.Wrap(m.free.Acquire(ctx, n), "wait for memory") }
-}
-
 // tryMemory is an acquireFunc that does not wait. It is for requests, which can be refused.
 func (m *bodyMemory) tryMemory(n int64) error {
 	if !m.free.TryAcquire(n) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,6 +24,7 @@
 	// stageConnectionsClosed counts connections that were closed since a late second copy of their
 	// response could not be told from the next response.
 	stageConnectionsClosed *prometheus.CounterVec
+	bodiesRevoked          prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -52,8 +53,11 @@
 		stageConnectionsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_stage_connections_closed_total", Help: "Connections to upstreams of stages closed since a response on them did not identify its request.",
 		}, []string{"pool", "reason"}),
+		bodiesRevoked: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_response_bodies_revoked_total", Help: "Responses broken off since they held most of the memory for responses while others waited for it.",
+		}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.stageConnectionsClosed)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.stageConnectionsClosed, m.bodiesRevoked)
 	return m
 }
 
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -22,14 +24,19 @@
 }
 
 // relayResponse reads the whole response before it forwards any of it, so that another
-// upstream can be tried if the response is incomplete or too large.
-func (t *transaction) relayResponse(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
-	responseBody, err := t.s.responseMemory.read(exchange.Body, exchange.ContentLength, maxBodyBytes, t.s.responseMemory.waitForMemory(t.ctx))
+// upstream can be tried if the response is incomplete or too large. cancel ends the exchange.
+func (t *transaction) relayResponse(upstreamLease *lease, exchange *outbound.Exchange, cancel context.CancelFunc) (attemptOutcome, *bufferedResponse, string) {
+	responseBody, err := t.s.responseMemory.readResponse(t.ctx, exchange.Body, exchange.ContentLength, cancel)
 	if err != nil {
 		responseBody.release()
 		if t.ctx.Err() != nil {
 			return attemptAborted, nil, err.Error()
 		}
+		if errors.Is(err, errBodyRevoked) {
+			// The upstream is not at fault if the body would have ended.
+			t.s.metrics.bodiesRevoked.Inc()
+			return attemptBroken, nil, err.Error()
+		}
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		t.s.checkForCrash(t, upstreamLease.entry)
 		return attemptBroken, nil, err.Error()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -65,7 +65,7 @@
 	upstreams *upstreams
 	// requestMemory and responseMemory bound the memory for bodies.
 	requestMemory  *bodyMemory
-	responseMemory *bodyMemory
+	responseMemory *responseMemory
 	startedAt      clock.Instant
 	startup        *startup
 	packedTables   packedTables
@@ -119,7 +119,7 @@
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
-	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
+	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newResponseMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
 	var err error
