--- a/internal/edge/recenthandles.go
+++ b/internal/edge/recenthandles.go
@@ -9,8 +9,8 @@
 )
 
 // maxRecentHandles bounds the handles that are remembered. A second copy of a response can only come on
-// a connection that is in use again, which is closed after stageConnMaxIdle. The owner of a large shard
-// gets some 2,000 handles per second, so the bound covers about twice that time.
+// a connection that is in use again, which is closed after stageConnMaxIdle. At 2,000 results per
+// second the bound covers 8 s.
 const maxRecentHandles = 16 << 10
 
 // recentHandles remembers the handles of the latest results of all pools, since pools and their shards
