--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -84,7 +85,9 @@
 		t.target, t.route = target, config.Match(t.r.Host, target)
 	}
 	if t.route == nil {
-		return errkind.New(errkind.UnknownRoute, strconv.Quote(t.r.Host+" "+t.r.RequestURI))
+		// The query may hold what does not belong into logs.
+		path, _, _ := strings.Cut(t.r.RequestURI, "?")
+		return errkind.New(errkind.UnknownRoute, strconv.Quote(shorten(t.r.Host)+" "+shorten(path)))
 	}
 	if failure := t.authenticate(config); failure != nil {
 		return failure
@@ -107,6 +110,11 @@
 	return t.checkStop(t.s.now())
 }
 
+// maxLoggedBytes bounds what a caller makes a log line hold for each of host and path.
+const maxLoggedBytes = 256
+
+func shorten(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (t *transaction) authenticate(config *catalog.Catalog) *errkind.Error {
 	if t.requestInfo.APIKey != "" {
 		t.workspace = config.WorkspaceOf(t.requestInfo.APIKey)
--- a/internal/edge/target_test.go
+++ b/internal/edge/target_test.go
@@ -5,8 +5,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 )
 
@@ -83,3 +87,19 @@
 		}
 	}
 }
+
+// TestLogOfUnknownRoute guards against log lines with the queries of callers, or as long as callers like.
+func TestLogOfUnknownRoute(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	f := startFleetWith(t, 1, nil, func(s *Server) { s.failures = zap.New(core) })
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}})
+	response, _, err := f.send(0, "r", "/unknown/"+strings.Repeat("y", 4000)+"?secret", nil)
+	if err != nil || response.StatusCode != http.StatusNotFound {
+		t.Fatalf("%v, error %v; expected 404", response, err)
+	}
+	await(t, "the log line", func() bool { return logs.FilterMessage("request failed").Len() > 0 })
+	detail, _ := logs.FilterMessage("request failed").All()[0].ContextMap()["detail"].(string)
+	if !strings.Contains(detail, "/unknown/") || strings.Contains(detail, "secret") || len(detail) > 1000 {
+		t.Errorf("%d bytes: %.100s", len(detail), detail)
+	}
+}
