--- a/pkg/upstreamsignal/table.go
+++ b/pkg/upstreamsignal/table.go
@@ -68,7 +68,9 @@
 
 // New returns an empty table. drain is the time after the first signal of a leaving upstream from
 // which no request of a client may reach it; with 0 it gets none from the signal on.
-func New(drain time.Duration) *Table { return &Table{drain: max(drain, 0), states: map[Instance]*state{}} }
+func New(drain time.Duration) *Table {
+	return &Table{drain: max(drain, 0), states: map[Instance]*state{}}
+}
 
 // SetDrain changes the drain time.
 func (t *Table) SetDrain(drain time.Duration) { t.drain = max(drain, 0) }
