Let placement and stage pools withhold work from upstreams

A request may now exclude upstreams or use them as a last resort only, and the owner of a stage pool may block an upstream until a time. A call that an upstream refuses with a pause is no failure of the upstream; a pool whose upstreams are all paused refuses jobs at once, unless earlier stages have done work and the job can still be on time. Without blocks nothing changes. Tests of both packages pass.

--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -47,8 +47,22 @@
 	// IsZoneSuspect reports whether a zone is probably cut off; its upstreams then count as in
 	// backoff. It may be nil.
 	IsZoneSuspect func(zone string) bool
+	// Restrictions holds the upstreams that may not be used freely, by ID. It may be nil.
+	Restrictions map[string]Restriction
 }
 
+// Restriction says how far an upstream may be used for a request.
+type Restriction uint8
+
+const (
+	// Unrestricted upstreams may be used freely.
+	Unrestricted Restriction = iota
+	// LastResort upstreams count as in backoff.
+	LastResort
+	// Excluded upstreams must not be used.
+	Excluded
+)
+
 // PickStatus says whether Pick found an upstream, and if not, why.
 type PickStatus uint8
 
@@ -143,12 +157,13 @@
 
 // isAvailable reports whether the upstream may take the request within all limits.
 func (r *Request) isAvailable(now clock.Instant, u *Upstream) bool {
-	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
+	return !r.Tried[u.ID] && r.Restrictions[u.ID] != Excluded && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
 }
 
-// inBackoff reports whether the upstream, or its whole zone, failed a short time ago.
+// inBackoff reports whether the upstream, or its whole zone, failed a short time ago, or is to be
+// used as a last resort only.
 func (r *Request) inBackoff(now clock.Instant, u *Upstream) bool {
-	return u.inBackoff(now) || (r.IsZoneSuspect != nil && u.Zone != r.Zone && r.IsZoneSuspect(u.Zone))
+	return u.inBackoff(now) || r.Restrictions[u.ID] == LastResort || (r.IsZoneSuspect != nil && u.Zone != r.Zone && r.IsZoneSuspect(u.Zone))
 }
 
 func candidates(now clock.Instant, r *Request, upstreams []*Upstream) (available, inBackoff []*Upstream) {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -136,3 +136,30 @@
 		t.Errorf("%s was chosen again although the fleet has about twenty requests there", first.ID)
 	}
 }
+
+// TestRestrictions guards against use of an excluded upstream, also as a preferred one or if no other
+// is left, and against one of last resort that is used while another is available.
+func TestRestrictions(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	upstreams := []*Upstream{{ID: "a"}, {ID: "b"}}
+	for _, prefix := range [][]PrefixLevel{nil, {{Part: rendezvous.HashOf("p")}}} {
+		for excluded, other := range map[string]string{"a": "b", "b": "a"} {
+			request := &Request{Prefix: prefix, Restrictions: map[string]Restriction{excluded: Excluded}}
+			if choice, status := Pick(now, request, upstreams); status != Found || choice.Upstream.ID != other {
+				t.Errorf("%s excluded: status %d, choice %+v", excluded, status, choice)
+			}
+			request.Restrictions[excluded] = LastResort
+			if choice, status := Pick(now, request, upstreams); status != Found || choice.Upstream.ID != other {
+				t.Errorf("%s as a last resort: status %d, choice %+v", excluded, status, choice)
+			}
+			request.Tried = map[string]bool{other: true}
+			if choice, status := Pick(now, request, upstreams); status != Found || choice.Upstream.ID != excluded {
+				t.Errorf("%s as the last resort that is left: status %d, choice %+v", excluded, status, choice)
+			}
+		}
+		request := &Request{Prefix: prefix, Restrictions: map[string]Restriction{"a": Excluded, "b": Excluded}}
+		if _, status := Pick(now, request, upstreams); status != AllBusy {
+			t.Errorf("all excluded: status %d", status)
+		}
+	}
+}
--- a/pkg/stagepool/call.go
+++ b/pkg/stagepool/call.go
@@ -34,6 +34,8 @@
 	CallAnswered CallOutcome = iota
 	// CallRejected means that the upstream had no capacity and did not run the call.
 	CallRejected
+	// CallPaused means that the upstream asked for no traffic. That is no failure of the upstream.
+	CallPaused
 	// CallMisdirected means that the call reached another upstream, which did not run it.
 	CallMisdirected
 	// CallFailed means that the call may have run but its results are lost.
--- a/pkg/stagepool/finish.go
+++ b/pkg/stagepool/finish.go
@@ -102,9 +102,9 @@
 	case result.Outcome == PieceExpired:
 		p.finishJob(j, Overloaded, true)
 	case outcome == CallAnswered && result.Outcome == PieceOutOfMemory:
-		p.retryOrFail(j, jobPiece, maxOutOfMemoryAttempts)
+		p.retryOrFail(now, j, jobPiece, maxOutOfMemoryAttempts)
 	default:
-		p.retryOrFail(j, jobPiece, maxAttempts)
+		p.retryOrFail(now, j, jobPiece, maxAttempts)
 	}
 }
 
@@ -131,9 +131,9 @@
 
 // retryOrFail leaves the piece in the queue if the attempt limit and the retry budget allow
 // another attempt; otherwise the job fails.
-func (p *Pool) retryOrFail(j *job, jobPiece *piece, limit int) {
+func (p *Pool) retryOrFail(now clock.Instant, j *job, jobPiece *piece, limit int) {
 	if jobPiece.attempts >= limit || !p.retryBudget.TryWithdraw() {
-		p.finishJob(j, Failed, true)
+		p.finishJob(j, p.failure(now), true)
 	}
 }
 
--- a/pkg/stagepool/job.go
+++ b/pkg/stagepool/job.go
@@ -63,6 +63,8 @@
 	NoUpstream
 	// OwnerChanged means that another VM owns the pool now and no piece of the job was sent.
 	OwnerChanged
+	// Paused means that all upstreams of the pool ask for no traffic.
+	Paused
 )
 
 // JobOutcome is the result of a job.
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -64,7 +64,9 @@
 	// upstreamIDs is sorted so that iteration is deterministic.
 	upstreamIDs []string
 	// suspectZones holds the zones that are probably cut off.
-	suspectZones     map[string]bool
+	suspectZones map[string]bool
+	// blocks holds the ends of blocks by upstream.
+	blocks           map[string]clock.Instant
 	jobs             map[JobID]*job
 	queue            []*job
 	heldResults      map[string]heldResult
@@ -131,7 +133,7 @@
 
 // Submit adds a job, or refuses it at once if it cannot end before its deadline. A job with a
 // reservation is not refused for this reason, since other pools have already done work for its
-// request. The second result is the expected end of the job.
+// request. The second result is the expected end of the job, or the end of the pause for Paused.
 func (p *Pool) Submit(now clock.Instant, submitted Job) (JobID, clock.Instant, Refusal) {
 	id := StageID{Request: submitted.Request, Stage: submitted.Stage}
 	_, hasReservation := p.reservations[id]
@@ -139,6 +141,9 @@
 	if !p.hasUpstream() {
 		return 0, now, NoUpstream
 	}
+	if until, paused := p.pausedUntil(now); paused && (!hasReservation || p.isPausedBeyond(now, submitted.Due)) {
+		return 0, until, Paused
+	}
 	late := false
 	order := orderTime(submitted.Due, submitted.Priority)
 	expectedEnd := p.estimateEnd(now, p.piecesAhead(order, false), submitted.Pieces, submitted.ResultBytes)
@@ -179,7 +184,7 @@
 // hasUpstreamOutside reports whether an upstream outside of the zones is in service.
 func (p *Pool) hasUpstreamOutside(zones map[string]bool) bool {
 	for _, u := range p.upstreams {
-		if u.inService && !zones[u.Zone] {
+		if u.inService && !zones[u.Zone] && p.blocks[u.ID] != NoEnd {
 			return true
 		}
 	}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -31,12 +31,12 @@
 	useSuspects := !p.hasUpstreamOutside(p.suspectZones)
 	for _, id := range p.upstreamIDs {
 		u := p.upstreams[id]
-		if !u.inService || (p.suspectZones[u.Zone] && !useSuspects) {
+		if !u.inService || p.blocks[id] == NoEnd || (p.suspectZones[u.Zone] && !useSuspects) {
 			continue
 		}
 		freeBytes := int64(float64(p.batch.ResultMemoryBytes)*usableMemoryFraction) - u.usedBytes - u.currentExternalBytes(now)
 		out = append(out, slot{
-			upstream: u, freeAt: u.availableAt(now, p.batch.Concurrency), slowness: max(1, u.currentSlowness(now)), freeBytes: freeBytes,
+			upstream: u, freeAt: max(u.availableAt(now, p.batch.Concurrency), p.blocks[id]), slowness: max(1, u.currentSlowness(now)), freeBytes: freeBytes,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b slot) int {
@@ -382,7 +382,8 @@
 	}
 }
 
-// dropExpiredJobs ends jobs that can no longer finish before their deadline.
+// dropExpiredJobs ends jobs that can no longer finish before their deadline, also because all
+// upstreams are blocked until then.
 func (p *Pool) dropExpiredJobs(now clock.Instant) {
 	for i := 0; i < len(p.queue); {
 		j := p.queue[i]
@@ -390,6 +391,10 @@
 			p.finishJob(j, Overloaded, true)
 			continue
 		}
+		if !j.hasRunningPieces() && p.isPausedBeyond(now, j.Deadline) {
+			p.finishJob(j, Paused, true)
+			continue
+		}
 		i++
 	}
 }
@@ -420,6 +425,9 @@
 		if u.inService && u.backoffUntil > now {
 			next = min(next, u.backoffUntil)
 		}
+		if u.inService && p.blocks[id] > now {
+			next = min(next, p.blocks[id])
+		}
 		for _, running := range u.calls {
 			if at := running.overdueAt(); !running.overdue && at > now {
 				next = min(next, at)
