--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -86,6 +86,14 @@
 	ColdRemaining time.Duration
 	// Load is the number of other calls at the upstream; nil if not stated.
 	Load *stagepool.CallLoad
+	// UpstreamID is the ID of the upstream that responded; empty if not stated.
+	UpstreamID string
+	// Leaving is set if the upstream states that it is about to stop.
+	Leaving bool
+	// Pause is how long the upstream asks for no traffic; 0 if not stated. PauseInvalid is set if
+	// the stated time is not acceptable.
+	Pause        time.Duration
+	PauseInvalid bool
 }
 
 // Dialect encodes and decodes the platform's protocol with callers and upstreams.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -48,6 +48,9 @@
 	// a factor, and by a fixed number of requests per second on top.
 	ColdRateFactor float64
 	ColdRateBurst  float64
+	// DrainTime is the time after the first response of a leaving upstream from which it must
+	// receive no further requests of clients; with 0 it receives none from that response on.
+	DrainTime time.Duration
 }
 
 // Validate checks the settings that a Server requires.
