Send nothing to upstreams that leave or ask for no traffic

A leaving upstream got requests until its registration changed, and one that asked for no traffic by 503 with Retry-After got more of them, since a refusal led to a pause of 50 ms at most. One instance of the decisions per VM is now shared by requests, stage calls, memory queries and releases. Other VMs learn of leaving upstreams by metadata of Ping, collected for 20 to 50 ms. If all upstreams of a pool are paused, callers are refused at once with a Retry-After that is not before the first end.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -71,6 +71,11 @@
 	t.tried[upstreamLease.entry.ID] = true
 	upstreamLease.recordResponse()
 	info := t.s.dialect.DecodeResponse(exchange.Status, exchange.Header)
+	if info.RequestID != "" && info.RequestID != t.requestInfo.ID {
+		// A late copy of an earlier response must not begin another pause.
+		info.Pause, info.PauseInvalid = 0, false
+	}
+	t.s.signals.record(t.view, upstreamLease.entry, info)
 	if info.RequestID == "" {
 		// A late second copy of this response could not be told from the response to the next
 		// request on the connection.
@@ -106,11 +111,16 @@
 		return attemptNotSent, "another upstream has the address", true
 	case info.InputsMissing:
 		return attemptInputsMissing, "results of the stages are gone", true
+	case info.NotRun && info.Pause > 0:
+		return attemptRejected, pauseDetail, true
 	case info.NotRun:
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordRejection(now) })
 		return attemptRejected, "the upstream has no place", true
 	}
 	t.mayHaveRun = true
+	if info.Pause > 0 {
+		return attemptBroken, pauseDetail + " and may have run the request", true
+	}
 	if info.RequestID == "" || info.Encoded || !info.Sealed {
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		return attemptBroken, "the answer is not the upstream's own: it has no request ID, no seal, or an encoding", true
@@ -118,6 +128,9 @@
 	return 0, "", false
 }
 
+// pauseDetail says in logs that an upstream asked for no traffic, which is no failure of it.
+const pauseDetail = "the upstream asks for no traffic"
+
 // responseTimeout returns how long an attempt may take until its first progress: the first event
 // of a stream, or the whole response of another request.
 func (t *transaction) responseTimeout() time.Duration {
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -14,7 +14,7 @@
 // refusalNames are the names of refusals in messages between VMs.
 var refusalNames = [...]string{
 	stagepool.NoRefusal: "", stagepool.Overloaded: "overloaded", stagepool.InputsMissing: "inputs_gone",
-	stagepool.Failed: "failed", stagepool.NoUpstream: "no_upstream", stagepool.OwnerChanged: "moved",
+	stagepool.Failed: "failed", stagepool.NoUpstream: "no_upstream", stagepool.OwnerChanged: "moved", stagepool.Paused: "paused",
 }
 
 // parseRefusal returns the refusal with the name. An unknown name, which a newer version may
@@ -81,8 +81,10 @@
 	return &hoistv1.ReleaseResponse{}, nil
 }
 
-// Ping returns at once, which shows that this VM is responsive.
-func (f fleetServer) Ping(context.Context, *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
+// Ping returns at once, which shows that this VM is responsive. It may carry a report of leaving
+// upstreams.
+func (f fleetServer) Ping(ctx context.Context, _ *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
+	f.s.recordLeavingReport(ctx)
 	return &hoistv1.PingResponse{}, nil
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -110,6 +110,9 @@
 		response.writeTo(t)
 		return nil
 	case attemptRejected:
+		if failure := t.blockedPoolError(t.s.view.Load()); failure != nil {
+			return failure
+		}
 		return t.newError(errkind.Overloaded, detail)
 	}
 	if t.responseStarted {
@@ -125,6 +128,7 @@
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
 	for {
 		view := t.s.view.Load()
+		placementRequest.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
 		upstreamLease, status := t.s.upstreams.acquire(view, t.pool, placementRequest)
 		if upstreamLease != nil {
 			return upstreamLease, nil
@@ -135,6 +139,9 @@
 		if status == placement.NoneInService {
 			return nil, t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 		}
+		if failure := t.blockedPoolError(view); failure != nil {
+			return nil, failure
+		}
 		if t.s.now() >= giveUpAt {
 			return nil, t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" is at a limit or was tried")
 		}
@@ -142,11 +149,27 @@
 	}
 }
 
+// blockedPoolError returns the refusal of the request if all upstreams of its pool that are in service
+// ask for no traffic or have left, and nil otherwise.
+func (t *transaction) blockedPoolError(view *View) *errkind.Error {
+	until, blocked := t.s.signals.poolBlock(t.arrived, view.InService[t.pool])
+	if !blocked {
+		return nil
+	}
+	t.s.metrics.callsWithheld.WithLabelValues("request").Inc()
+	if until == 0 {
+		return t.newError(errkind.NoUpstream, "each upstream of pool "+t.pool+" is leaving")
+	}
+	t.retryNotBefore = until
+	return t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" asks for no traffic or is leaving")
+}
+
 // placementRequest describes the request for the placement on an upstream.
 func (t *transaction) placementRequest() *placement.Request {
 	return &placement.Request{
 		Prefix: t.sharedPrefix(), InputZone: t.inputZone(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
-		FleetWeight: float64(t.s.fleetSize.Load()) / smallFleetSize,
+		FleetWeight:  float64(t.s.fleetSize.Load()) / smallFleetSize,
+		Restrictions: t.s.signals.restrictions(t.arrived, t.view.InService[t.pool]),
 	}
 }
 
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -67,7 +67,9 @@
 }
 
 func (testDialect) DecodeResponse(status int, header http.Header) ResponseInfo {
+	pause, err := time.ParseDuration(header.Get("Pause"))
 	return ResponseInfo{
+		Leaving: header.Get("Leaving") != "", Pause: pause, PauseInvalid: err != nil && header.Get("Pause") != "", UpstreamID: header.Get("Upstream-Id"),
 		RequestID: header.Get("Request"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, InputsMissing: status == http.StatusConflict,
 		Encoded: header.Get("Content-Encoding") != "",
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,9 @@
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
 	panics       *prometheus.CounterVec
+	// upstreamSignals counts signals by kind, and callsWithheld what they kept from upstreams.
+	upstreamSignals *prometheus.CounterVec
+	callsWithheld   *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -46,8 +49,14 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
 		}, []string{"scope"}),
+		upstreamSignals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_upstream_signals_total", Help: "Signals of upstreams that they leave or ask for no traffic, and ignored ones, by kind.",
+		}, []string{"signal"}),
+		callsWithheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_calls_withheld_total", Help: "Requests refused, and releases and queries dropped, since upstreams leave or ask for no traffic.",
+		}, []string{"call"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.upstreamSignals, m.callsWithheld)
 	return m
 }
 
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
@@ -59,6 +60,7 @@
 // callOutcomeNames are the names of call outcomes in logs and metrics.
 var callOutcomeNames = [...]string{
 	stagepool.CallAnswered: "answered", stagepool.CallRejected: "rejected",
+	stagepool.CallPaused:      "paused",
 	stagepool.CallMisdirected: "misdirected", stagepool.CallFailed: "broken", stagepool.CallNotSent: "unsent",
 }
 
@@ -70,7 +72,10 @@
 		return stagepool.CallFailed, nil, nil, err
 	}
 	var results []stagepool.PieceResult
+	var info ResponseInfo
+	recordSignals := r.signalRecorder(address)
 	request.Verify = func(response *outbound.Response) (err error) {
+		info = recordSignals(response)
 		if response.Status == http.StatusOK {
 			results, err = r.decodeResults(call, response.Body)
 		}
@@ -85,8 +90,9 @@
 	if err != nil {
 		return stagepool.CallFailed, nil, nil, err
 	}
-	info := r.dialect.DecodeResponse(response.Status, response.Header)
 	switch {
+	case info.Pause > 0 && !info.Misdirected:
+		return stagepool.CallPaused, nil, nil, nil
 	case info.Misdirected:
 		return stagepool.CallMisdirected, nil, nil, nil
 	case info.NotRun:
@@ -97,6 +103,24 @@
 	return stagepool.CallAnswered, results, info.Load, nil
 }
 
+// signalRecorder returns a function that decodes the head of a response and records its signals. It
+// must be called before the request is sent, since the signals belong to the upstream that has the
+// address at that time.
+func (r *poolRunner) signalRecorder(address string) func(*outbound.Response) ResponseInfo {
+	view := r.view()
+	var entry *registry.Entry
+	if view != nil {
+		entry = view.ByAddress[address]
+	}
+	return func(response *outbound.Response) ResponseInfo {
+		info := r.dialect.DecodeResponse(response.Status, response.Header)
+		if entry != nil {
+			r.signals.record(view, entry, info)
+		}
+		return info
+	}
+}
+
 // decodeResults decodes the results of a batch and checks that they belong to it. A response
 // names no batch, so a second copy of an earlier response shows only by its handles.
 func (r *poolRunner) decodeResults(call stagepool.Call, body []byte) ([]stagepool.PieceResult, error) {
@@ -117,6 +141,9 @@
 func (r *poolRunner) queryMemory(upstream, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), memoryQueryTimeout)
 	defer cancel()
+	if !r.mayCall(address, "memory_query") {
+		return // The scheduler continues without a response.
+	}
 	freeBytes, err := r.fetchFreeMemory(ctx, address)
 	if err != nil {
 		// The scheduler continues without a response after a timeout of its own.
@@ -128,16 +155,27 @@
 }
 
 func (r *poolRunner) fetchFreeMemory(ctx context.Context, address string) (int64, error) {
+	recordSignals := r.signalRecorder(address)
 	response, err := r.client.Do(ctx, address, r.dialect.EncodeMemoryQuery(address), maxStageResponseBytes)
 	if err != nil {
 		return 0, err
 	}
+	recordSignals(response)
 	if response.Status != http.StatusOK {
 		return 0, errors.Newf("status %d", response.Status)
 	}
 	return r.dialect.DecodeFreeMemory(response.Body)
 }
 
+// mayCall reports whether a call that is not work may be sent to the upstream at an address.
+func (r *poolRunner) mayCall(address, call string) bool {
+	view := r.view()
+	if view == nil || view.ByAddress[address] == nil {
+		return true
+	}
+	return r.signals.mayCall(instanceOf(view.ByAddress[address]), call)
+}
+
 // flushReleases sends the pending releases of an upstream.
 func (r *poolRunner) flushReleases(upstream string) {
 	var handles []string
@@ -152,8 +190,12 @@
 	r.update(func() { r.scheduler.ConfirmReleased(handles) })
 }
 
-// sendRelease tells an upstream to delete results and reports whether the call succeeded.
+// sendRelease tells an upstream to delete results and reports whether the call succeeded. While the
+// upstream asks for no traffic, the release is dropped and the results expire.
 func (r *poolRunner) sendRelease(address string, handles []string) bool {
+	if !r.mayCall(address, "release") {
+		return false
+	}
 	request, err := r.dialect.EncodeRelease(address, handles)
 	if err != nil {
 		r.logger.Error("failed to encode a release", obs.ErrorField(err))
@@ -161,9 +203,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if _, err := r.client.Do(ctx, address, request, maxStageResponseBytes); err != nil {
+	recordSignals := r.signalRecorder(address)
+	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
+	if err != nil {
 		r.logger.Info("release failed; the upstream keeps the results until they expire", zap.String("address", address), zap.Int("results", len(handles)), obs.ErrorField(err))
 		return false
 	}
-	return true
+	return recordSignals(response).Pause == 0
 }
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -46,6 +46,9 @@
 	metrics *metrics
 	contain *containment
 	handles recentHandles
+	signals *upstreamSignals
+	// view returns the current view.
+	view func() *View
 
 	mu sync.Mutex
 	// batch and entries are the configuration that was last applied.
@@ -63,7 +66,7 @@
 
 func newPoolRunner(pool string, s *Server) *poolRunner {
 	r := &poolRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals, view: s.view.Load,
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
 	}
@@ -84,6 +87,7 @@
 func (r *poolRunner) locked(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.scheduler.SetBlocks(r.signals.blocks(r.entries))
 	if r.contain.run("pool "+r.pool, f) {
 		r.reset()
 	}
@@ -167,7 +171,11 @@
 		r.logger.Info("stage refused", zap.String("request", job.Request), zap.String("pool", r.pool), zap.Int("stage", job.Stage),
 			zap.Int("pieces", job.Pieces), zap.Int("waiting", r.scheduler.WaitingPieces()), zap.Duration("expected", expectedEnd.Sub(now)),
 			zap.Duration("limit", job.Deadline.Sub(now)))
-		waiter.done <- stageResult{refusal: refusal, retryAfter: expectedEnd.Sub(job.Deadline)}
+		result := stageResult{refusal: refusal, retryAfter: expectedEnd.Sub(job.Deadline)}
+		if refusal == stagepool.Paused {
+			result.retryAfter = pauseLeft(expectedEnd, now)
+		}
+		waiter.done <- result
 	})
 	return id
 }
@@ -187,6 +195,12 @@
 	})
 }
 
+// pauseLeft returns the time until the end of a pause, rounded up to the milliseconds of messages
+// between VMs: rounded down, callers would return too early.
+func pauseLeft(until, now clock.Instant) time.Duration {
+	return max(until.Sub(now), 0).Truncate(time.Millisecond) + time.Millisecond
+}
+
 func (r *poolRunner) onDispatchTimer() { r.update(func() {}) }
 
 // applyDecisions performs what the scheduler decided. The caller holds the lock.
@@ -210,6 +224,10 @@
 			if outcome.Refusal == stagepool.OwnerChanged {
 				result.owner = r.newOwner
 			}
+			if outcome.Refusal == stagepool.Paused {
+				until, _ := r.signals.poolBlock(now, r.entries)
+				result.retryAfter = pauseLeft(until, now)
+			}
 			waiter.done <- result
 		}
 	}
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -44,7 +44,7 @@
 	levels := t.route.Levels()
 	levelStart := t.s.now()
 	var reserved []reservation
-	t.levelDues, t.shards = nil, make([]string, len(t.route.Stages))
+	t.levelDues, t.shards, t.stagesPausedUntil = nil, make([]string, len(t.route.Stages)), 0
 	expectedEnds := make([]clock.Instant, maxLevel(levels)+1)
 	for level := maxLevel(levels); level > 0; level-- {
 		levelEnd := levelStart
@@ -61,10 +61,15 @@
 	}
 	t.levelDues = stagepool.SpreadSlack(expectedEnds, t.due.Add(-t.finalCallTime()))
 	excess := levelStart.Add(t.finalCallTime()).Sub(t.admissionLimit())
-	if excess <= 0 {
+	isPaused := t.stagesPausedUntil != 0 && !t.mayHaveRun
+	if excess <= 0 && !isPaused {
 		return nil
 	}
 	t.s.cancelReservations(reserved)
+	if isPaused {
+		t.retryNotBefore = t.stagesPausedUntil
+		return t.newError(errkind.Overloaded, "each upstream of a stage asks for no traffic")
+	}
 	t.retryAfter = t.admissionRetryDelay(excess)
 	return t.newError(errkind.Overloaded, "the stages would take "+levelStart.Sub(t.s.now()).String())
 }
@@ -109,25 +114,27 @@
 		StageID: stagepool.StageID{Request: t.requestInfo.ID, Stage: stage}, Pieces: t.pieces(stage), ResultBytes: t.route.Stages[stage].ResultBytes,
 		Arrives: arrives, Due: t.stageDue(level), Priority: t.stagePriority(),
 	}
-	expected, ok := t.s.reserveAt(t.ctx, chosen.resource(), r)
+	first, ok := t.s.reserveAt(t.ctx, chosen, r)
 	if !ok {
 		return nil, 0
 	}
+	expected := first.end
 	fullCall := chosen.batch.CallTime + time.Duration(chosen.batch.MaxPieces)*chosen.batch.PieceTime
 	maxWait := fullCall / spillWaitDivisor
-	if !expected.After(min(r.Due.Add(-maxWait), arrives.Add(fullCall+maxWait))) {
+	if first.pausedUntil == 0 && !expected.After(min(r.Due.Add(-maxWait), arrives.Add(fullCall+maxWait))) {
 		return chosen, expected
 	}
-	best := shardOffer{shard: chosen, end: expected}
+	best := first
 	var unused []reservation
 	for _, offer := range t.reserveAtAll(t.s.otherShards(view, chosen, maxSpillShards), r) {
 		worse := offer
-		if offer.end.Add(fullCall / spillGainDivisor).Before(best.end) {
+		if offer.isBetter(best, fullCall/spillGainDivisor) {
 			best, worse = offer, best
 		}
 		unused = append(unused, reservation{shard: worse.shard.resource(), id: r.StageID})
 	}
 	t.shards[stage] = best.shard.Name
+	t.stagesPausedUntil = max(t.stagesPausedUntil, best.pausedUntil)
 	t.s.cancelReservations(unused)
 	return best.shard, best.end
 }
@@ -136,6 +143,18 @@
 type shardOffer struct {
 	shard *poolShard
 	end   clock.Instant
+	// pausedUntil is when the shard may start the stage at the earliest, if all of its upstreams ask
+	// for no traffic when the stage arrives; 0 otherwise.
+	pausedUntil clock.Instant
+}
+
+// isBetter reports whether the offer is to be taken rather than another one: that is paused and this
+// one is not, or ends later by more than the gain.
+func (o shardOffer) isBetter(other shardOffer, gain time.Duration) bool {
+	if (o.pausedUntil == 0) != (other.pausedUntil == 0) {
+		return o.pausedUntil == 0
+	}
+	return o.end.Add(gain).Before(other.end)
 }
 
 // reserveAtAll reserves capacity for a stage in all of the shards at the same time, and returns the
@@ -147,8 +166,8 @@
 			var offer *shardOffer
 			defer func() { responses <- offer }()
 			t.s.contain.run("reservation", func() {
-				if end, ok := t.s.reserveAt(t.ctx, shard.resource(), r); ok {
-					offer = &shardOffer{shard: shard, end: end}
+				if made, ok := t.s.reserveAt(t.ctx, shard, r); ok {
+					offer = &made
 				}
 			})
 		}()
--- a/internal/edge/reserveclient.go
+++ b/internal/edge/reserveclient.go
@@ -2,32 +2,41 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 // reserveTimeout bounds one reservation call. Without a response the request continues: the
 // pool decides again when the stage is submitted.
 const reserveTimeout = 100 * time.Millisecond
 
+// pausedMetadataKey is the key of the trailer of Reserve which states for how many milliseconds all
+// upstreams of the shard ask for no traffic.
+const pausedMetadataKey = "hoist-paused-ms"
+
 // reserveAt reserves capacity for a stage at the owner of a shard, and returns when the stage is
 // expected to be done. It returns false if the owner did not respond or has changed.
-func (s *Server) reserveAt(ctx context.Context, shard fleet.Resource, r stagepool.Reservation) (clock.Instant, bool) {
-	owner := s.gossip.owner(shard)
+func (s *Server) reserveAt(ctx context.Context, shard *poolShard, r stagepool.Reservation) (shardOffer, bool) {
+	owner := s.gossip.owner(shard.resource())
 	if owner.Name == s.settings.VM {
 		runner := s.poolRunner(shard.Name)
 		if runner == nil {
-			return 0, false
+			return shardOffer{}, false
 		}
-		return runner.reserve(r), true
+		end, pausedUntil := runner.reserve(r)
+		return shardOffer{shard: shard, end: end, pausedUntil: pausedUntil}, true
 	}
 	now, requestCtx := s.now(), ctx
 	request := &hoistv1.ReserveRequest{
@@ -38,8 +47,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var response *hoistv1.ReserveResponse
+	var trailer metadata.MD
 	err := s.peers.call(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Reserve(ctx, request)
+		response, err = client.Reserve(ctx, request, grpc.Trailer(&trailer))
 		return err
 	})
 	if err == nil || requestCtx.Err() == nil {
@@ -48,13 +58,30 @@
 	if err != nil {
 		s.logger.Info("failed to reserve a stage", zap.String("request", r.Request), zap.String("pool", shard.Name),
 			zap.String("owner", owner.Name), obs.ErrorField(err))
-		return 0, false
+		return shardOffer{}, false
 	}
 	if response.GetOwner() != "" {
 		s.gossip.recordRedirect(shard.Name, owner.Name, redirectFromProto(response.GetOwner(), response.GetOwnerEntry()))
-		return 0, false
+		return shardOffer{}, false
+	}
+	now = s.now()
+	return shardOffer{
+		shard: shard, end: now.Add(time.Duration(response.GetEndMs()) * time.Millisecond), pausedUntil: parsePausedTrailer(now, trailer),
+	}, true
+}
+
+// parsePausedTrailer returns the end of the pause that the trailer of Reserve states, or 0 if it
+// states none that is acceptable.
+func parsePausedTrailer(now clock.Instant, trailer metadata.MD) clock.Instant {
+	values := trailer.Get(pausedMetadataKey)
+	if len(values) == 0 {
+		return 0
 	}
-	return s.now().Add(time.Duration(response.GetEndMs()) * time.Millisecond), true
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || ms <= 0 || ms > upstreamsignal.MaxPause.Milliseconds()+1 {
+		return 0
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
 }
 
 // cancelReservations cancels reservations without waiting for the responses.
@@ -85,7 +112,7 @@
 
 // Reserve reserves capacity for a stage of a shard that this VM owns, or cancels the reservation.
 // If another VM owns the shard, it returns that VM.
-func (f fleetServer) Reserve(_ context.Context, r *hoistv1.ReserveRequest) (*hoistv1.ReserveResponse, error) {
+func (f fleetServer) Reserve(ctx context.Context, r *hoistv1.ReserveRequest) (*hoistv1.ReserveResponse, error) {
 	if owner := f.s.gossip.owner(f.s.resourceOf(r.GetPool())); owner.Name != f.s.settings.VM {
 		return &hoistv1.ReserveResponse{Owner: owner.Name, OwnerEntry: entryToProto(owner)}, nil
 	}
@@ -101,17 +128,28 @@
 		runner.cancelReservation(id)
 		return &hoistv1.ReserveResponse{}, nil
 	}
-	end := runner.reserve(stagepool.Reservation{
+	end, pausedUntil := runner.reserve(stagepool.Reservation{
 		StageID: id, Pieces: int(r.GetPieces()), ResultBytes: int64(r.GetResultBytes()), Priority: int(r.GetPriority()),
 		Arrives: now.Add(time.Duration(r.GetArrivesMs()) * time.Millisecond), Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond),
 	})
+	if pausedUntil != 0 {
+		// Without the trailer the caller is refused all the same, with an earlier time to retry.
+		_ = grpc.SetTrailer(ctx, metadata.Pairs(pausedMetadataKey, strconv.FormatInt(pauseLeft(pausedUntil, now).Milliseconds(), 10)))
+	}
 	return &hoistv1.ReserveResponse{EndMs: end.Sub(now).Milliseconds()}, nil
 }
 
-func (r *poolRunner) reserve(reservation stagepool.Reservation) clock.Instant {
-	var end clock.Instant
-	r.locked(func() { end = r.scheduler.Reserve(r.now(), reservation) })
-	return end
+// reserve reserves capacity for a stage, and returns when it is expected to be done. If all upstreams
+// ask for no traffic when the stage arrives, it also returns the earliest end of that.
+func (r *poolRunner) reserve(reservation stagepool.Reservation) (end, pausedUntil clock.Instant) {
+	r.locked(func() {
+		now := r.now()
+		end = r.scheduler.Reserve(now, reservation)
+		if until, blocked := r.signals.poolBlock(now, r.entries); blocked && until > reservation.Arrives {
+			pausedUntil = until
+		}
+	})
+	return end, pausedUntil
 }
 
 func (r *poolRunner) cancelReservation(id stagepool.StageID) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -224,12 +225,22 @@
 // retryDelay returns when the caller of a refused request should return, from the usual delay of the
 // kind of error. Many callers are often refused at the same time and must not return together.
 func (t *transaction) retryDelay(usual time.Duration) time.Duration {
+	if t.retryNotBefore != 0 {
+		// The upstreams accept no earlier request, so that maxRetryAfter does not apply.
+		return max(t.retryNotBefore.Sub(t.s.now()), minRetryAfter) + rand.N(minRetryAfter)
+	}
 	if t.retryAfter > 0 {
 		return min(max(t.retryAfter, minRetryAfter), maxRetryAfter)
 	}
 	return usual/2 + rand.N(usual)
 }
 
+// formatRetryAfter returns a delay in seconds, rounded up to hundredths: rounded down, callers would
+// return too early.
+func formatRetryAfter(delay time.Duration) string {
+	return strconv.FormatFloat(math.Ceil(delay.Seconds()*100)/100, 'f', 2, 64)
+}
+
 // writeError writes an error response of this proxy.
 func (t *transaction) writeError(failure *errkind.Error) {
 	if t.requestBody == nil {
@@ -239,7 +250,7 @@
 	header := t.w.Header()
 	header.Set("Content-Type", "application/problem+json")
 	if errorResponse.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(t.retryDelay(errorResponse.RetryAfter).Seconds(), 'f', 2, 64))
+		header.Set("Retry-After", formatRetryAfter(t.retryDelay(errorResponse.RetryAfter)))
 	}
 	body := `{"type":"about:blank","title":` + strconv.Quote(errorResponse.Title) + `,"status":` + strconv.Itoa(errorResponse.Status) +
 		`,"kind":"` + errorResponse.Name + `","run":"` + failure.RunState.String() + `"}` + "\n"
@@ -261,6 +272,9 @@
 	if t.route.Kind != catalog.Idempotent && len(t.view.InService[t.pool]) == 0 {
 		return t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 	}
+	if failure := t.blockedPoolError(t.view); failure != nil {
+		return failure
+	}
 	if failure := t.prepareInputs(); failure != nil {
 		return failure
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -63,6 +63,7 @@
 	gossip    *gossip
 	peers     *peers
 	upstreams *upstreams
+	signals   *upstreamSignals
 	// requestMemory and responseMemory bound the memory for bodies.
 	requestMemory  *bodyMemory
 	responseMemory *bodyMemory
@@ -114,6 +115,7 @@
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
+	s.signals = newUpstreamSignals(options.Now, options.Logger, s.metrics, options.Settings.DrainTime, s.reportLeaving)
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
@@ -267,10 +269,12 @@
 	return ""
 }
 
-// sweepLoop closes connections to upstreams that were idle for too long.
+// sweepLoop closes connections to upstreams that were idle for too long, and drops signals of
+// upstreams that have no effect any more.
 func (s *Server) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		s.client.CloseExpired()
+		s.signals.retain(s.view.Load())
 	}
 }
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -6,6 +6,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 const (
@@ -66,6 +67,9 @@
 			return t.timeoutError()
 		}
 		t.retryAfter = result.retryAfter
+		if result.refusal == stagepool.Paused {
+			t.retryNotBefore = t.s.now().Add(min(result.retryAfter, upstreamsignal.MaxPause))
+		}
 		return t.newError(errkind.Overloaded, "stages: "+refusalNames[result.refusal])
 	}
 }
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -69,6 +69,12 @@
 	// retryAfter is the delay after which a refused caller should retry; 0 means the default of
 	// the refusal's kind.
 	retryAfter time.Duration
+	// retryNotBefore is when the upstreams of a pool accept traffic again at the earliest, if the
+	// request is refused for that reason.
+	retryNotBefore clock.Instant
+	// stagesPausedUntil is when the stages can run at the earliest, if all upstreams of one of them
+	// ask for no traffic; 0 otherwise.
+	stagesPausedUntil clock.Instant
 }
 
 // remaining returns the time until the deadline.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -22,6 +22,8 @@
 	ByID map[string]*registry.Entry
 	// ZoneOf holds the zone of each upstream by its address.
 	ZoneOf map[string]string
+	// ByAddress holds all registered upstreams by address.
+	ByAddress map[string]*registry.Entry
 	// Shards holds the shards of all pools that run stages by name, ShardsOf by pool and in a fixed
 	// order, and ShardAt by the addresses of their upstreams.
 	Shards   map[string]*poolShard
@@ -50,11 +52,12 @@
 	view := &View{
 		Revision: revision, Catalog: c, ZonesOut: zonesOut,
 		InService: map[string][]*registry.Entry{}, ByID: make(map[string]*registry.Entry, len(entries)), ZoneOf: make(map[string]string, len(entries)),
-		Shards: map[string]*poolShard{}, ShardsOf: map[string][]*poolShard{}, ShardAt: map[string]*poolShard{},
+		ByAddress: make(map[string]*registry.Entry, len(entries)),
+		Shards:    map[string]*poolShard{}, ShardsOf: map[string][]*poolShard{}, ShardAt: map[string]*poolShard{},
 	}
 	for _, entry := range entries {
 		view.ByID[entry.ID] = entry
-		view.ZoneOf[entry.Address] = entry.Zone
+		view.ZoneOf[entry.Address], view.ByAddress[entry.Address] = entry.Zone, entry
 		if c == nil || c.Pools[entry.Pool] == nil || entry.Draining || zonesOut[entry.Zone] {
 			continue
 		}
