Bound reports of leaving upstreams and log the end of pauses

The line of a refused request has the time until the pause ends in retry_after. All tests of the package pass with the race detector.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -160,7 +160,7 @@
 	if until == 0 {
 		return t.newError(errkind.NoUpstream, "each upstream of pool "+t.pool+" is leaving")
 	}
-	t.retryNotBefore = until
+	t.refuseUntil(until)
 	return t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" asks for no traffic or is leaving")
 }
 
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -67,7 +67,7 @@
 	}
 	t.s.cancelReservations(reserved)
 	if isPaused {
-		t.retryNotBefore = t.stagesPausedUntil
+		t.refuseUntil(t.stagesPausedUntil)
 		return t.newError(errkind.Overloaded, "each upstream of a stage asks for no traffic")
 	}
 	t.retryAfter = t.admissionRetryDelay(excess)
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -68,7 +68,7 @@
 		}
 		t.retryAfter = result.retryAfter
 		if result.refusal == stagepool.Paused {
-			t.retryNotBefore = t.s.now().Add(min(result.retryAfter, upstreamsignal.MaxPause))
+			t.refuseUntil(t.s.now().Add(min(result.retryAfter, upstreamsignal.MaxPause)))
 		}
 		return t.newError(errkind.Overloaded, "stages: "+refusalNames[result.refusal])
 	}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -122,6 +122,11 @@
 	return t.route.Kind == catalog.Idempotent || (t.route.Kind == catalog.Stream && t.route.Resumable)
 }
 
+// refuseUntil sets the delay after which the caller should retry to the end of a pause of upstreams.
+func (t *transaction) refuseUntil(until clock.Instant) {
+	t.retryNotBefore, t.retryAfter = until, until.Sub(t.s.now())
+}
+
 // newError returns an error of the kind. If the request may have run, a kind that promises the
 // opposite is replaced by UpstreamFailed with an unknown run state.
 func (t *transaction) newError(kind errkind.Kind, detail string) *errkind.Error {
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -30,6 +30,9 @@
 	// maxReportedUpstreams bounds the upstreams in one report, and maxUpstreamIDBytes their IDs.
 	maxReportedUpstreams = 256
 	maxUpstreamIDBytes   = 256
+	// maxReportedInstances is the size of the table up to which reports are recorded, so that signals
+	// which this VM receives itself always have room.
+	maxReportedInstances = 4096
 )
 
 // Labels of the metrics of signals.
@@ -133,6 +136,10 @@
 func (s *upstreamSignals) recordReport(i upstreamsignal.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.table.Len() >= maxReportedInstances {
+		s.metrics.upstreamSignals.WithLabelValues(signalReportInvalid).Inc()
+		return
+	}
 	if s.table.RecordLeaving(s.now(), i) {
 		s.metrics.upstreamSignals.WithLabelValues(signalLeavingReported).Inc()
 		s.logger.Info("upstream leaves, as another VM reports", zap.String("upstream", i.ID), zap.Int64("start", i.Start))
