--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,9 @@
 	// response could not be told from the next response.
 	stageConnectionsClosed *prometheus.CounterVec
 	bodiesRevoked          prometheus.Counter
+	// upstreamSignals counts signals by kind, and callsWithheld what they kept from upstreams.
+	upstreamSignals *prometheus.CounterVec
+	callsWithheld   *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -56,8 +59,15 @@
 		bodiesRevoked: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hoist_edge_response_bodies_revoked_total", Help: "Responses broken off since they held most of the memory for responses while others waited for it.",
 		}),
+		upstreamSignals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_upstream_signals_total", Help: "Signals of upstreams that they leave or ask for no traffic, and ignored ones, by kind.",
+		}, []string{"signal"}),
+		callsWithheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_calls_withheld_total", Help: "Requests refused, and releases and queries dropped, since upstreams leave or ask for no traffic.",
+		}, []string{"call"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.stageConnectionsClosed, m.bodiesRevoked)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
+		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld)
 	return m
 }
 
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -70,6 +70,12 @@
 	// retryAfter is the delay after which a refused caller should retry; 0 means the default of
 	// the refusal's kind.
 	retryAfter time.Duration
+	// retryNotBefore is when the upstreams of a pool accept traffic again at the earliest, if the
+	// request is refused for that reason.
+	retryNotBefore clock.Instant
+	// stagesPausedUntil is when the stages can run at the earliest, if all upstreams of one of them
+	// ask for no traffic; 0 otherwise.
+	stagesPausedUntil clock.Instant
 }
 
 // remaining returns the time until the deadline.
@@ -117,6 +123,11 @@
 	return t.route.Kind == catalog.Idempotent || (t.route.Kind == catalog.Stream && t.route.Resumable)
 }
 
+// refuseUntil sets the delay after which the caller should retry to the end of a pause of upstreams.
+func (t *transaction) refuseUntil(until clock.Instant) {
+	t.retryNotBefore, t.retryAfter = until, until.Sub(t.s.now())
+}
+
 // newError returns an error of the kind. If the request may have run, a kind that promises the
 // opposite is replaced by UpstreamFailed with an unknown run state.
 func (t *transaction) newError(kind errkind.Kind, detail string) *errkind.Error {
