--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -72,6 +72,8 @@
 	startedAt clock.Instant
 	// version counts the changes to which VMs are leaving and which claim what.
 	version uint64
+	// dropped are the addresses of entries that were deleted since the last call of TakeDropped.
+	dropped []string
 }
 
 // New returns a directory that holds only this VM.
@@ -156,9 +158,10 @@
 		}
 	}
 	before := len(d.names)
-	for name, entry := range d.entries {
-		if now.Sub(entry.lastReachableAt) > unreachableRetention {
+	for _, name := range d.names {
+		if entry := d.entries[name]; now.Sub(entry.lastReachableAt) > unreachableRetention {
 			delete(d.entries, name)
+			d.dropped = append(d.dropped, entry.Address)
 		}
 	}
 	if len(d.entries) == before {
@@ -168,6 +171,13 @@
 	return true
 }
 
+// TakeDropped returns the addresses of the VMs that left the directory since the last call.
+func (d *Directory) TakeDropped() []string {
+	out := d.dropped
+	d.dropped = nil
+	return out
+}
+
 // EntriesForMessage returns up to n entries for a message, this VM's first. Up to half
 // of them are recently changed ones; the others are sent in round-robin order.
 func (d *Directory) EntriesForMessage(now clock.Instant, n int) []Entry {
