Apply changed settings while hoist-edge runs, and divide limits by the VMs that may exist

Cause: SIGHUP validated the settings file and dropped it, so VMs with dead seeds never found each other, and each used the limits of the whole fleet.

The settings file is read every second and on SIGHUP. Seeds, bounds and the memory limit take effect at once, each change is logged, and names, zones, addresses and ports are named as taking effect at the next start. Hellos also go to former peers and callers. The cold rate, the retry budget with its first token, and the share of connections are divided by fleet.SizeBound. Parts of the cold rate below one request per second get turns of their own; ranks decide as before where VMs know each other.

--- a/cmd/hoist-edge/main.go
+++ b/cmd/hoist-edge/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -23,6 +24,10 @@
 // collector runs more often. The rest is for stacks, kernel buffers and the program itself.
 const memoryLimitFraction = 0.7
 
+// settingsCheckInterval is the time between two checks of the settings file, which the platform may
+// change without a signal.
+const settingsCheckInterval = time.Second
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -42,13 +47,14 @@
 }
 
 func run(ctx context.Context, command *cli.Command) error {
-	settings, err := platform.LoadSettings(command.String("settings"))
+	// Without a handler, a SIGHUP would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	file, settings, err := platform.OpenSettings(command.String("settings"))
 	if err != nil || command.Bool("check") {
 		return err
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
-	}
+	setMemoryLimit(settings.MemoryBytes)
 	registry := obs.NewRegistry()
 	dropped := obs.NewDropCounter(registry)
 	out := obs.NewAsyncWriter(os.Stdout, dropped)
@@ -72,17 +78,57 @@
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go checkSettingsOnReload(hangups, command.String("settings"), logger)
+	go (&reloader{file: file, server: server, logger: logger}).run(ctx, hangups)
 	return server.Run(ctx)
 }
 
-// checkSettingsOnReload validates the settings file on each SIGHUP. Changed settings take
-// effect only at the next start.
-func checkSettingsOnReload(hangups <-chan os.Signal, path string, logger *zap.Logger) {
-	for range hangups {
-		_, err := platform.LoadSettings(path)
-		logger.Info("settings file changed; it takes effect at the next start", obs.ErrorField(err))
+// reloader applies changes of the settings file.
+type reloader struct {
+	file   *platform.SettingsFile
+	server *edge.Server
+	logger *zap.Logger
+}
+
+// run checks the settings file regularly and on each SIGHUP until the context ends.
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(settingsCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			if !r.check() {
+				r.logger.Info("settings file not changed")
+			}
+		case <-ticker.C:
+			r.check()
+		}
+	}
+}
+
+// check applies the settings file if it changed, and reports whether it did.
+func (r *reloader) check() bool {
+	next, changed, err := r.file.Check()
+	if err == nil && !changed {
+		return false
+	}
+	if err != nil {
+		r.logger.Error("settings file ignored", obs.ErrorField(err))
+		return true
+	}
+	settings, err := r.server.Reload(next)
+	if err != nil {
+		r.logger.Error("settings file ignored", obs.ErrorField(err))
+		return true
+	}
+	setMemoryLimit(settings.MemoryBytes)
+	return true
+}
+
+// setMemoryLimit derives the limit of the Go runtime from the memory of the VM, if that is known.
+func setMemoryLimit(vmBytes int64) {
+	if vmBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(vmBytes)))
 	}
 }
--- a/internal/edge/coldshare.go
+++ b/internal/edge/coldshare.go
@@ -1,15 +1,14 @@
 package edge
 
 import (
-	"math"
-
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 // coldRateFraction is the fraction of the rate limit of a cold upstream that the VMs use
 // together. The rest is a margin for a network partition, in which each part of the fleet
-// divides the limit among fewer VMs.
+// divides the limit among fewer VMs once it has forgotten the others.
 const coldRateFraction = 0.6
 
 // coldShare divides the rate limit of a cold upstream among the VMs. It is computed for the cold
@@ -20,11 +19,13 @@
 	burst   float64
 	self    rendezvous.Hash
 	vms     []rendezvous.Hash
+	// size is the number of VMs that may exist.
+	size int
 }
 
-func newColdShare(c *catalog.Catalog, s *Settings, names []string) *coldShare {
+func newColdShare(c *catalog.Catalog, s *Settings, names []string, size int) *coldShare {
 	share := &coldShare{
-		catalog: c, factor: max(s.ColdRateFactor, 1), burst: s.ColdRateBurst, self: rendezvous.HashOf(s.VM), vms: make([]rendezvous.Hash, 0, len(names)),
+		catalog: c, factor: max(s.ColdRateFactor, 1), burst: s.ColdRateBurst, self: rendezvous.HashOf(s.VM), vms: make([]rendezvous.Hash, 0, len(names)), size: size,
 	}
 	for _, name := range names {
 		share.vms = append(share.vms, rendezvous.HashOf(name))
@@ -32,20 +33,15 @@
 	return share
 }
 
-// limit returns how many requests per second this VM may send to a cold upstream. If there are
-// more VMs than requests, the first VMs in the ranking of the upstream may send one each.
-func (c *coldShare) limit(pool, id string) int {
+// rate returns what this VM may send to a cold upstream.
+func (c *coldShare) rate(pool, id string) placement.ColdRate {
 	if c.catalog == nil || c.catalog.Pools[pool] == nil || c.catalog.Pools[pool].ColdRequestsPerSecond <= 0 {
-		return math.MaxInt
-	}
-	total := int((c.catalog.Pools[pool].ColdRequestsPerSecond*c.factor + c.burst) * coldRateFraction)
-	if share := total / max(len(c.vms), 1); share > 0 {
-		return share
-	}
-	if c.rank(id) < total {
-		return 1
+		return placement.UnlimitedColdRate
 	}
-	return 0
+	total := (c.catalog.Pools[pool].ColdRequestsPerSecond*c.factor + c.burst) * coldRateFraction
+	return placement.DivideColdRate(total, placement.ColdFleet{
+		Size: c.size, Known: len(c.vms), Rank: c.rank(id), Hash: rendezvous.Hash(rendezvous.WeightOf(rendezvous.HashOf(id), c.self)),
+	})
 }
 
 // rank returns the number of VMs before this one in the ranking of the upstream.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -155,7 +155,7 @@
 	if view.Catalog == nil || view.Catalog.Pools[pool] == nil || view.Catalog.Pools[pool].MaxConnections == 0 {
 		return 0
 	}
-	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.fleetSize.Load())))
+	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.connectionDivisor.Load())))
 }
 
 // sharedPrefix returns the parts of the prompt by which the request is placed; empty if the route
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -27,8 +27,6 @@
 	suspicionTimeout = 800 * time.Millisecond
 	pauseThreshold   = 1200 * time.Millisecond
 	gossipInterval   = 50 * time.Millisecond
-	helloInterval    = 150 * time.Millisecond
-	reseedInterval   = 5 * time.Second
 	// reportDelayPerVM is how long changes of the membership are collected, for each VM of the fleet,
 	// since the work that follows grows with the fleet.
 	reportDelayPerVM = 500 * time.Microsecond
@@ -47,11 +45,12 @@
 	parts   *partGuard
 	conn    *net.UDPConn
 	port    int
-	seeds   []string
 	// onMembershipChange is called when the members or their status changed, and onClaimChange
 	// when only the directory did, such as the pools that VMs own or whether they are leaving.
 	onMembershipChange func()
 	onClaimChange      func()
+	// onSizeChange is called when a divisor of limits changed.
+	onSizeChange func()
 
 	mu         sync.Mutex
 	membership *membership.Machine
@@ -59,12 +58,16 @@
 	// membershipVersion and directoryVersion are the versions at the last call of reportChanges.
 	membershipVersion     uint64
 	directoryVersion      uint64
-	lastHello             clock.Instant
 	lastUnresponsiveCheck clock.Instant
 	lastReport            clock.Instant
 	// alone is set while no other VM is reachable.
 	alone         bool
 	directorySync directorySync
+	// hellos decides where hellos are sent, and sizes by how many VMs limits are divided.
+	hellos *fleet.HelloTargets
+	sizes  *fleet.SizeBound
+	// reportedSize is the size at the last call of reportSize.
+	reportedSize fleetSize
 }
 
 func newGossip(s *Settings, now func() clock.Instant, logger *zap.Logger, contain *containment, parts *partGuard, onMembershipChange, onClaimChange func()) (*gossip, error) {
@@ -79,10 +82,13 @@
 		ProbeInterval: probeInterval, DirectTimeout: directTimeout, ProbeTimeout: probeTimeout,
 		SuspicionTimeout: suspicionTimeout, PauseThreshold: pauseThreshold,
 	})
-	return &gossip{
-		now: now, logger: logger, contain: contain, parts: parts, conn: conn, port: s.GossipPort, seeds: s.Seeds, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange,
+	g := &gossip{
+		now: now, logger: logger, contain: contain, parts: parts, conn: conn, port: s.GossipPort, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange, onSizeChange: func() {},
 		membership: machine, directory: fleet.New(now(), self), alone: true,
-	}, nil
+		hellos: fleet.NewHelloTargets(s.PeerListen, s.Seeds), sizes: fleet.NewSizeBound(now()),
+	}
+	g.sizes.Configure(s.SeedLag, g.hellos.SeedCount())
+	return g, nil
 }
 
 // run sends and receives membership messages until the context ends.
@@ -126,6 +132,7 @@
 	g.parts.mergeBlocks(datagram.GetBlocks())
 	g.sendMessages(g.applyDatagram(datagram))
 	if datagram.GetHello() {
+		g.rememberCaller(datagram)
 		g.answerHello(datagram, from)
 	}
 	g.reportChanges()
@@ -165,37 +172,44 @@
 	out := g.membership.Tick(now)
 	if g.directory.UpdateReachability(now, g.membership.Members()) {
 		g.membership.SetMembers(now, g.directory.Members())
+		for _, address := range g.directory.TakeDropped() {
+			g.hellos.Remember(address)
+		}
 	}
+	g.sizes.Record(now, g.directory.Size())
 	g.mu.Unlock()
 	g.sendMessages(out)
 	g.sendHellos(now)
 	g.compareDirectories(now)
 	g.sendHelloToUnresponsive(now)
 	g.reportChanges()
+	g.reportSize()
 }
 
-// sendHellos requests the directory of the seeds: at short intervals while no other VM is
-// reachable, and at longer intervals afterwards, so that parts of the fleet that have removed
-// each other from their directories find each other again.
+// sendHellos requests the directory of other VMs.
 func (g *gossip) sendHellos(now clock.Instant) {
 	g.mu.Lock()
-	interval := reseedInterval
-	if g.directory.IsAlone(now) {
-		interval = helloInterval
+	targets := g.hellos.Next(now, g.directory.IsAlone(now))
+	g.mu.Unlock()
+	for _, address := range targets {
+		g.writeDatagram(g.newHello(), g.gossipAddress(address))
 	}
-	due := g.lastHello == 0 || now.Sub(g.lastHello) >= interval
-	if due {
-		g.lastHello = now
+}
+
+// rememberCaller keeps the address of a VM that sent a hello but did not enter the directory, such
+// as one whose entry is older than what the directory has of it.
+func (g *gossip) rememberCaller(hello *hoistv1.Datagram) {
+	if len(hello.GetDirectory()) == 0 {
+		return
 	}
-	own := g.directory.Self().Address
-	g.mu.Unlock()
-	if !due {
+	caller := entryFromProto(hello.GetDirectory()[0])
+	if to := g.gossipAddress(caller.Address); to == nil || to.IP == nil {
 		return
 	}
-	for _, seed := range g.seeds {
-		if seed != own {
-			g.writeDatagram(g.newHello(), g.gossipAddress(seed))
-		}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if known, ok := g.directory.Entry(caller.Name); !ok || known.Address != caller.Address {
+		g.hellos.Remember(caller.Address)
 	}
 }
 
--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -116,7 +116,7 @@
 // closes and requests are refused. Then idle connections close, and the running requests have until
 // shortly before the end of the grace period. Requests that arrive meanwhile are still refused.
 func (s *Server) shutDown(servers *servers) {
-	schedule := s.stop.begin(s.now(), s.settings.GracePeriod)
+	schedule := s.stop.begin(s.now(), s.inForce.Load().GracePeriod)
 	s.gossip.leave()
 	s.updatePoolClaims()
 	s.logger.Info("stopping", zap.Int64("in_flight", s.inFlight.Load()))
--- /dev/null
+++ b/internal/edge/reload.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"reflect"
+
+	"go.uber.org/zap"
+)
+
+// settingField is one setting that a reload compares.
+type settingField struct {
+	// name is the name in logs and in docs/settings.md.
+	name  string
+	value func(*Settings) any
+	// apply copies the setting; nil if a change takes effect only at the next start.
+	apply func(to, from *Settings)
+}
+
+// settingFields lists all settings. Addresses, ports and names identify the VM to others or
+// are bound to sockets; the capacity is part of the VM's entry in the directories of others.
+var settingFields = []settingField{
+	{"node", func(s *Settings) any { return s.VM }, nil},
+	{"zone", func(s *Settings) any { return s.Zone }, nil},
+	{"ip", func(s *Settings) any { return s.IP }, nil},
+	{"listen.front", func(s *Settings) any { return s.Listen }, nil},
+	{"listen.ready", func(s *Settings) any { return s.ReadyListen }, nil},
+	{"listen.control", func(s *Settings) any { return s.PeerListen }, nil},
+	{"port_range", func(s *Settings) any { return s.GossipPort }, nil},
+	{"metrics port", func(s *Settings) any { return s.MetricsPort }, nil},
+	{"platform.address", func(s *Settings) any { return s.Store }, nil},
+	{"limits.cpu_share", func(s *Settings) any { return s.Capacity }, nil},
+	{"seeds", func(s *Settings) any { return s.Seeds }, func(to, from *Settings) { to.Seeds = from.Seeds }},
+	{"seed_lag_s", func(s *Settings) any { return s.SeedLag }, func(to, from *Settings) { to.SeedLag = from.SeedLag }},
+	{"limits.memory_mb", func(s *Settings) any { return s.MemoryBytes }, func(to, from *Settings) { to.MemoryBytes = from.MemoryBytes }},
+	{"grace_s", func(s *Settings) any { return s.GracePeriod }, func(to, from *Settings) { to.GracePeriod = from.GracePeriod }},
+	{"revoke_ms", func(s *Settings) any { return s.KeyRevocationTimeout }, func(to, from *Settings) { to.KeyRevocationTimeout = from.KeyRevocationTimeout }},
+	{"retry_budget", func(s *Settings) any { return s.RetryRatio }, func(to, from *Settings) { to.RetryRatio = from.RetryRatio }},
+	{"budget_slack", func(s *Settings) any { return s.RetryBurst }, func(to, from *Settings) { to.RetryBurst = from.RetryBurst }},
+	{"budget_window_s", func(s *Settings) any { return s.RetryWindow }, func(to, from *Settings) { to.RetryWindow = from.RetryWindow }},
+	{"cold_overage", func(s *Settings) any { return s.ColdRateFactor }, func(to, from *Settings) { to.ColdRateFactor = from.ColdRateFactor }},
+	{"cold_slack", func(s *Settings) any { return s.ColdRateBurst }, func(to, from *Settings) { to.ColdRateBurst = from.ColdRateBurst }},
+}
+
+// Reload applies the settings that may change while the server runs, and logs each change and each
+// setting that takes effect only at the next start. Invalid settings are ignored and returned as
+// an error. It returns the settings in force.
+func (s *Server) Reload(next Settings) (Settings, error) {
+	s.reloadMu.Lock()
+	defer s.reloadMu.Unlock()
+	old := *s.inForce.Load()
+	if err := next.Validate(); err != nil {
+		return old, err
+	}
+	current := old
+	for _, field := range settingFields {
+		from, to := field.value(&old), field.value(&next)
+		if reflect.DeepEqual(from, to) {
+			continue
+		}
+		detail := []zap.Field{zap.String("setting", field.name), zap.Any("from", from), zap.Any("to", to)}
+		if field.apply == nil {
+			s.logger.Warn("setting changed; it takes effect at the next start", detail...)
+			continue
+		}
+		field.apply(&current, &next)
+		s.logger.Info("setting changed", detail...)
+	}
+	s.inForce.Store(&current)
+	s.gossip.configure(&current)
+	s.updateShares()
+	return current, nil
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -122,7 +122,7 @@
 
 // keysOutdated reports whether an API key may have been revoked longer ago than allowed.
 func (s *Server) keysOutdated(age time.Duration) bool {
-	maxAge := s.settings.KeyRevocationTimeout
+	maxAge := s.inForce.Load().KeyRevocationTimeout
 	return maxAge > 0 && float64(age) > keyAgeFraction*float64(maxAge)
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -49,7 +49,10 @@
 
 // Server is the edge process of one VM.
 type Server struct {
+	// settings are those of the start; inForce has later changes.
 	settings Settings
+	inForce  atomic.Pointer[Settings]
+	reloadMu sync.Mutex
 	dialect  Dialect
 	client   *outbound.Client
 	now      func() clock.Instant
@@ -87,8 +90,11 @@
 	// own.
 	stageResponses       zoneResponses
 	reservationResponses zoneResponses
-	fleetSize            atomic.Int64
-	inFlight             atomic.Int64
+	// fleetSize is the number of known VMs, and connectionDivisor the number of VMs that share
+	// the connections to an upstream.
+	fleetSize         atomic.Int64
+	connectionDivisor atomic.Int64
+	inFlight          atomic.Int64
 	// peerStages is the number of stages that this VM runs for other VMs.
 	peerStages atomic.Int64
 	stop       *plannedStop
@@ -119,11 +125,14 @@
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
+	s.inForce.Store(&options.Settings)
 	var err error
 	s.gossip, err = newGossip(&s.settings, options.Now, options.Logger, s.contain, s.parts, s.onFleetChange, s.updatePoolClaims)
 	if err != nil {
 		return nil, err
 	}
+	s.gossip.onSizeChange = s.updateShares
+	s.connectionDivisor.Store(int64(s.gossip.size().connections))
 	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView, s.gossip.isClaimed)
 	return s, nil
 }
@@ -153,7 +162,7 @@
 func (s *Server) setView(view *View) {
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	s.upstreams.update(view, &s.settings, s.gossip.vmNames())
+	s.upstreams.update(view, s.inForce.Load(), s.gossip.vmNames(), s.gossip.size().rates)
 	s.view.Store(view)
 }
 
@@ -161,10 +170,11 @@
 func (s *Server) updateShares() {
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	names := s.gossip.vmNames()
+	names, size := s.gossip.vmNames(), s.gossip.size()
 	s.fleetSize.Store(int64(len(names)))
+	s.connectionDivisor.Store(int64(size.connections))
 	if view := s.view.Load(); view != nil {
-		s.upstreams.update(view, &s.settings, names)
+		s.upstreams.update(view, s.inForce.Load(), names, size.rates)
 	}
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -29,6 +29,8 @@
 	MetricsPort int
 	// Seeds are the PeerListen addresses of some VMs. They may be out of date.
 	Seeds []string
+	// SeedLag is the time after the start of VMs by which the seeds name VMs that are running.
+	SeedLag time.Duration
 	// Store is the IP:port of the store of published items.
 	Store       string
 	MemoryBytes int64
@@ -63,6 +65,15 @@
 	if s.VM == "" || s.Zone == "" {
 		return errors.New("the VM name or its zone is missing")
 	}
+	for name, value := range map[string]float64{
+		"grace period": s.GracePeriod.Seconds(), "key revocation timeout": s.KeyRevocationTimeout.Seconds(), "seed lag": s.SeedLag.Seconds(),
+		"retry ratio": s.RetryRatio, "retry burst": s.RetryBurst, "retry window": s.RetryWindow.Seconds(),
+		"cold rate factor": s.ColdRateFactor, "cold rate burst": s.ColdRateBurst, "memory": float64(s.MemoryBytes),
+	} {
+		if value < 0 {
+			return errors.Newf("the %s is %v; expected no negative number", name, value)
+		}
+	}
 	if s.GossipPort <= 0 {
 		return errors.Newf("the gossip port is %d; expected a positive number", s.GossipPort)
 	}
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -71,7 +71,7 @@
 	rank := s.indexOfSelf(ranking)
 	uptime := s.now().Sub(s.startedAt)
 	if len(ranking) <= 1 {
-		return nil, uptime > discoveryTimeout || len(s.settings.Seeds) == 0
+		return nil, uptime > discoveryTimeout || len(s.inForce.Load().Seeds) == 0
 	}
 	age, complete := s.follower.age()
 	if !complete {
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -29,6 +29,8 @@
 	// refillPerSecond is the number of retries per second that a pool's budget gains without
 	// requests.
 	refillPerSecond float64
+	// initialTokens is what the retry budget of a pool starts with.
+	initialTokens float64
 	// tokensPerRequest is what a first attempt adds to the retry budget of its pool.
 	tokensPerRequest float64
 	// zones infers which zones are cut off from this VM.
@@ -42,7 +44,7 @@
 type upstreamState struct {
 	placement.Upstream
 	entry *registry.Entry
-	// share is the division from which ColdRateLimit was computed.
+	// share is the division from which ColdRate was computed.
 	share *coldShare
 }
 
@@ -53,13 +55,15 @@
 	}
 }
 
-// update applies a view and the names of the VMs that may be running.
-func (u *upstreams) update(view *View, s *Settings, names []string) {
+// update applies a view, the names of the known VMs, and the number of VMs that limits on rates are
+// divided by.
+func (u *upstreams) update(view *View, s *Settings, names []string, vms int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.refillPerSecond = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(len(names)) / 2
+	u.refillPerSecond = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(max(vms, 1)) / 2
+	u.initialTokens = min(1, s.RetryBurst/float64(max(vms, 1))/2)
 	u.tokensPerRequest = min(maxRetryRatio, s.RetryRatio/2)
-	u.coldShare = newColdShare(view.Catalog, s, names)
+	u.coldShare = newColdShare(view.Catalog, s, names, vms)
 	for id, entry := range view.ByID {
 		state := u.states[id]
 		if state == nil || state.entry.StartID != entry.StartID {
@@ -122,7 +126,7 @@
 			continue
 		}
 		if state.ColdUntil > now && state.share != u.coldShare {
-			state.ColdRateLimit, state.share = u.coldShare.limit(pool, state.ID), u.coldShare
+			state.ColdRate, state.share = u.coldShare.rate(pool, state.ID), u.coldShare
 		}
 		out = append(out, &state.Upstream)
 	}
@@ -202,7 +206,7 @@
 	b := u.budgets[pool]
 	if b == nil {
 		b = &retry.Budget{}
-		b.AddTokens(1)
+		b.AddTokens(u.initialTokens)
 		u.budgets[pool] = b
 	}
 	return b
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -12,7 +12,7 @@
 func newUpstreams(n int) []*Upstream {
 	out := make([]*Upstream, n)
 	for i := range out {
-		out[i] = &Upstream{ID: fmt.Sprint("u", i), Zone: fmt.Sprint("z", i%3), ColdRateLimit: 1 << 30}
+		out[i] = &Upstream{ID: fmt.Sprint("u", i), Zone: fmt.Sprint("z", i%3), ColdRate: UnlimitedColdRate}
 	}
 	return out
 }
@@ -63,7 +63,7 @@
 // TestColdRateLimit guards against exceeding the rate limit of a cold upstream in any
 // one-second window.
 func TestColdRateLimit(t *testing.T) {
-	u := &Upstream{ID: "u", ColdUntil: clock.Instant(10 * time.Second), ColdRateLimit: 2}
+	u := &Upstream{ID: "u", ColdUntil: clock.Instant(10 * time.Second), ColdRate: ColdRate{PerSecond: 2}}
 	var starts []clock.Instant
 	for now := clock.Instant(0); now < clock.Instant(3*time.Second); now = now.Add(10 * time.Millisecond) {
 		if chosen := pick(now, &Request{}, []*Upstream{u}); chosen != nil {
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -31,9 +31,8 @@
 	// InFlight is the number of requests of this VM in progress.
 	InFlight  int
 	ColdUntil clock.Instant
-	// ColdRateLimit is the number of requests per second that this VM may send during the cold
-	// start of the upstream.
-	ColdRateLimit int
+	// ColdRate is what this VM may send during the cold start of the upstream.
+	ColdRate ColdRate
 
 	idHash              rendezvous.Hash
 	backoffUntil        clock.Instant
@@ -110,7 +109,7 @@
 
 // atColdRateLimit reports whether another request would exceed the rate limit of a cold start.
 func (u *Upstream) atColdRateLimit(now clock.Instant) bool {
-	return u.ColdUntil > now && len(u.startsInWindow(now)) >= u.ColdRateLimit
+	return u.ColdUntil > now && !u.ColdRate.allows(now, len(u.startsInWindow(now)))
 }
 
 func (u *Upstream) startsInWindow(now clock.Instant) []clock.Instant {
