Ask an upstream that came back for its state before it gets requests

Cause: while the store is down no table tells that an upstream is in a cold start, so one that came back after a crash or a refused connection got requests at the full rate until it answered one.

placement.ReturnCheck decides when to ask: once after a refused connection, after a crash that this or another VM saw, and after a start under the same ID, when a request next needs an upstream of the pool. A refused question is repeated only for requests, after a pause, since the upstream has not come back yet. Only pools with a health path and a limit for cold starts are concerned.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -142,6 +142,9 @@
 	}
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
 	if errors.Is(err, outbound.ErrNotSent) {
+		if outbound.IsRefused(err) {
+			upstreamLease.recordLost()
+		}
 		if outbound.IsTimeout(err) {
 			upstreamLease.recordTimeout()
 		}
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -61,6 +61,7 @@
 	if t.events == 0 {
 		parts = t.promptParts()
 	}
+	s.upstreams.recordLost(entry.ID, entry.StartID)
 	s.recordCrash(t.fingerprint, entry.ID, entry.Zone)
 	s.parts.recordCrash(entry.ID, entry.StartID, parts)
 	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
@@ -107,6 +108,7 @@
 func (f fleetServer) Strike(_ context.Context, r *hoistv1.StrikeRequest) (*hoistv1.StrikeResponse, error) {
 	var fp poison.Fingerprint
 	copy(fp[:], r.GetFingerprint())
+	f.s.upstreams.recordLost(r.GetUpstream(), int64(r.GetUpstreamStart()))
 	f.s.recordCrash(fp, r.GetUpstream(), r.GetZone())
 	f.s.parts.recordCrash(r.GetUpstream(), int64(r.GetUpstreamStart()), partsFromProto(r.GetParts()))
 	return &hoistv1.StrikeResponse{}, nil
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -94,6 +94,9 @@
 	DecodeRequest(header http.Header) (RequestInfo, error)
 	// UpstreamHeader returns the header of the request for the upstream.
 	UpstreamHeader(header http.Header, request UpstreamRequest) http.Header
+	// EncodeHealthQuery encodes a query for the state of an upstream at the health path of its
+	// pool. The response is decoded by DecodeResponse.
+	EncodeHealthQuery(address, upstream, path string) *outbound.Request
 	// DecodeResponse decodes the status and header of an upstream's response.
 	DecodeResponse(status int, header http.Header) ResponseInfo
 	// EncodeStageCall encodes a batch of pieces.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -135,7 +135,7 @@
 		if status == placement.NoneInService {
 			return nil, t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 		}
-		if t.s.now() >= giveUpAt {
+		if t.s.now() >= giveUpAt && !t.s.upstreams.isAsking(view, t.pool) {
 			return nil, t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" is at a limit or was tried")
 		}
 		sleep(t.ctx, busyRetryInterval)
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -66,8 +66,15 @@
 	return header
 }
 
+func (testDialect) EncodeHealthQuery(address, upstream, path string) *outbound.Request {
+	return &outbound.Request{Method: http.MethodGet, Target: path, Host: address, Header: http.Header{"Upstream": {upstream}}}
+}
+
 func (testDialect) DecodeResponse(status int, header http.Header) ResponseInfo {
+	cold, _ := time.ParseDuration(header.Get("Cold")) // 0 if not stated.
 	return ResponseInfo{
+		ColdRemaining: cold,
+
 		RequestID: header.Get("Request"), Sealed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest, InputsMissing: status == http.StatusConflict,
 		Encoded: header.Get("Content-Encoding") != "",
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,7 @@
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
 	panics       *prometheus.CounterVec
+	healthChecks *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -47,7 +48,10 @@
 			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
 		}, []string{"scope"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
+	m.healthChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hoist_edge_health_queries_total", Help: "Health queries to upstreams that may have come back, by end.",
+	}, []string{"end"})
+	registry.MustRegister(m.healthChecks, m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
 	return m
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -120,6 +120,7 @@
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
+	s.upstreams.askHealth = func(q healthQuestion) { go s.askHealth(q) }
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -39,6 +39,8 @@
 	isZoneSuspect func(zone string) bool
 	// coldShare divides the rate limits of cold upstreams among the VMs.
 	coldShare *coldShare
+	// askHealth asks an upstream for its state, without waiting for the answer.
+	askHealth func(healthQuestion)
 }
 
 type upstreamState struct {
@@ -50,7 +52,7 @@
 
 func newUpstreams(now func() clock.Instant, isZoneSuspect func(zone string) bool) *upstreams {
 	return &upstreams{
-		now: now, isZoneSuspect: isZoneSuspect, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
+		now: now, isZoneSuspect: isZoneSuspect, askHealth: func(healthQuestion) {}, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
 		prefixSelectors: map[string]*placement.PrefixSelector{}, refilledAt: now(),
 	}
 }
@@ -67,8 +69,12 @@
 	for id, entry := range view.ByID {
 		state := u.states[id]
 		if state == nil || state.entry.StartID != entry.StartID {
+			restarted := state != nil
 			state = &upstreamState{Upstream: placement.Upstream{ID: id, Zone: entry.Zone}, entry: entry}
 			u.states[id] = state
+			if restarted {
+				state.Return.RecordLost(u.now())
+			}
 		}
 		state.entry = entry
 		state.ColdUntil = max(state.ColdUntil, entry.ColdUntil)
@@ -102,8 +108,11 @@
 	defer u.mu.Unlock()
 	now := u.now()
 	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
-	choice, status := placement.Pick(now, request, u.candidates(view, pool))
+	candidates := u.candidates(view, pool)
+	u.askReturned(view, pool, candidates, true)
+	choice, status := placement.Pick(now, request, candidates)
 	if status != placement.Found {
+		u.askReturned(view, pool, candidates, false)
 		return nil, status
 	}
 	state := u.states[choice.Upstream.ID]
@@ -118,7 +127,7 @@
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
 func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
 	now := u.now()
-	entries := view.InService[pool]
+	entries, needsHealth := view.InService[pool], view.healthPath(pool) != ""
 	out := make([]*placement.Upstream, 0, len(entries))
 	for i := range entries {
 		state := u.states[entries[i].ID]
@@ -128,6 +137,9 @@
 		if state.ColdUntil > now && state.share != u.coldShare {
 			state.ColdRate, state.share = u.coldShare.rate(pool, state.ID), u.coldShare
 		}
+		if !needsHealth {
+			state.Return = placement.ReturnCheck{}
+		}
 		out = append(out, &state.Upstream)
 	}
 	return out
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -60,6 +60,9 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
+// IsRefused reports whether the error is a refused connection: no process listens at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Stats counts events of a Client.
 type Stats struct {
 	Dials  atomic.Int64
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -143,7 +143,7 @@
 
 // isAvailable reports whether the upstream may take the request within all limits.
 func (r *Request) isAvailable(now clock.Instant, u *Upstream) bool {
-	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
+	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now) && !u.Return.Blocks(now)
 }
 
 // inBackoff reports whether the upstream, or its whole zone, failed a short time ago.
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -33,6 +33,8 @@
 	ColdUntil clock.Instant
 	// ColdRate is what this VM may send during the cold start of the upstream.
 	ColdRate ColdRate
+	// Return decides when to ask the upstream for its state.
+	Return ReturnCheck
 
 	idHash              rendezvous.Hash
 	backoffUntil        clock.Instant
