--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,3 +164,20 @@
 		t.Errorf("the messages covered %d of 20 VMs", len(seen))
 	}
 }
+
+// TestDroppedAddresses guards against forgetting where VMs were that a long partition removed from the
+// directory: they may be the only ones that are running when it ends.
+func TestDroppedAddresses(t *testing.T) {
+	d := New(0, Entry{Name: "self", Address: "self:1"})
+	d.Merge(0, []Entry{{Name: "b", Address: "b:1"}, {Name: "a", Address: "a:1"}})
+	if d.UpdateReachability(clock.Instant(unreachableRetention), nil) || len(d.TakeDropped()) > 0 {
+		t.Error("dropped before the retention time was over")
+	}
+	d.UpdateReachability(clock.Instant(unreachableRetention)+1, nil)
+	if got := d.TakeDropped(); !slices.Equal(got, []string{"a:1", "b:1"}) {
+		t.Errorf("dropped %v", got)
+	}
+	if got := d.TakeDropped(); len(got) > 0 {
+		t.Errorf("%v were returned twice", got)
+	}
+}
