--- a/cmd/hoist-edge/main.go
+++ b/cmd/hoist-edge/main.go
@@ -99,7 +99,7 @@
 			return
 		case <-hangups:
 			if !r.check() {
-				r.logger.Info("settings file not changed")
+				r.logger.Info("SIGHUP without a change of the settings file since the last check")
 			}
 		case <-ticker.C:
 			r.check()
