Name changed settings without the field names of the platform

Cause: only platform/ may know the names of fields in the settings file. The log lines of a reload use the names of edge.Settings, and docs/settings.md maps them to the fields.

--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -8,7 +8,7 @@
 
 // settingField is one setting that a reload compares.
 type settingField struct {
-	// name is the name in logs and in docs/settings.md.
+	// name is the name in logs, which docs/settings.md maps to the fields of the settings file.
 	name  string
 	value func(*Settings) any
 	// apply copies the setting; nil if a change takes effect only at the next start.
@@ -18,26 +18,26 @@
 // settingFields lists all settings. Addresses, ports and names identify the VM to others or
 // are bound to sockets; the capacity is part of the VM's entry in the directories of others.
 var settingFields = []settingField{
-	{"node", func(s *Settings) any { return s.VM }, nil},
+	{"VM name", func(s *Settings) any { return s.VM }, nil},
 	{"zone", func(s *Settings) any { return s.Zone }, nil},
-	{"ip", func(s *Settings) any { return s.IP }, nil},
-	{"listen.front", func(s *Settings) any { return s.Listen }, nil},
-	{"listen.ready", func(s *Settings) any { return s.ReadyListen }, nil},
-	{"listen.control", func(s *Settings) any { return s.PeerListen }, nil},
-	{"port_range", func(s *Settings) any { return s.GossipPort }, nil},
+	{"IP address", func(s *Settings) any { return s.IP }, nil},
+	{"listen address", func(s *Settings) any { return s.Listen }, nil},
+	{"readiness address", func(s *Settings) any { return s.ReadyListen }, nil},
+	{"peer address", func(s *Settings) any { return s.PeerListen }, nil},
+	{"gossip port", func(s *Settings) any { return s.GossipPort }, nil},
 	{"metrics port", func(s *Settings) any { return s.MetricsPort }, nil},
-	{"platform.address", func(s *Settings) any { return s.Store }, nil},
-	{"limits.cpu_share", func(s *Settings) any { return s.Capacity }, nil},
+	{"store address", func(s *Settings) any { return s.Store }, nil},
+	{"CPU capacity", func(s *Settings) any { return s.Capacity }, nil},
 	{"seeds", func(s *Settings) any { return s.Seeds }, func(to, from *Settings) { to.Seeds = from.Seeds }},
-	{"seed_lag_s", func(s *Settings) any { return s.SeedLag }, func(to, from *Settings) { to.SeedLag = from.SeedLag }},
-	{"limits.memory_mb", func(s *Settings) any { return s.MemoryBytes }, func(to, from *Settings) { to.MemoryBytes = from.MemoryBytes }},
-	{"grace_s", func(s *Settings) any { return s.GracePeriod }, func(to, from *Settings) { to.GracePeriod = from.GracePeriod }},
-	{"revoke_ms", func(s *Settings) any { return s.KeyRevocationTimeout }, func(to, from *Settings) { to.KeyRevocationTimeout = from.KeyRevocationTimeout }},
-	{"retry_budget", func(s *Settings) any { return s.RetryRatio }, func(to, from *Settings) { to.RetryRatio = from.RetryRatio }},
-	{"budget_slack", func(s *Settings) any { return s.RetryBurst }, func(to, from *Settings) { to.RetryBurst = from.RetryBurst }},
-	{"budget_window_s", func(s *Settings) any { return s.RetryWindow }, func(to, from *Settings) { to.RetryWindow = from.RetryWindow }},
-	{"cold_overage", func(s *Settings) any { return s.ColdRateFactor }, func(to, from *Settings) { to.ColdRateFactor = from.ColdRateFactor }},
-	{"cold_slack", func(s *Settings) any { return s.ColdRateBurst }, func(to, from *Settings) { to.ColdRateBurst = from.ColdRateBurst }},
+	{"seed lag", func(s *Settings) any { return s.SeedLag }, func(to, from *Settings) { to.SeedLag = from.SeedLag }},
+	{"memory", func(s *Settings) any { return s.MemoryBytes }, func(to, from *Settings) { to.MemoryBytes = from.MemoryBytes }},
+	{"grace period", func(s *Settings) any { return s.GracePeriod }, func(to, from *Settings) { to.GracePeriod = from.GracePeriod }},
+	{"key revocation timeout", func(s *Settings) any { return s.KeyRevocationTimeout }, func(to, from *Settings) { to.KeyRevocationTimeout = from.KeyRevocationTimeout }},
+	{"retry ratio", func(s *Settings) any { return s.RetryRatio }, func(to, from *Settings) { to.RetryRatio = from.RetryRatio }},
+	{"retry burst", func(s *Settings) any { return s.RetryBurst }, func(to, from *Settings) { to.RetryBurst = from.RetryBurst }},
+	{"retry window", func(s *Settings) any { return s.RetryWindow }, func(to, from *Settings) { to.RetryWindow = from.RetryWindow }},
+	{"cold rate factor", func(s *Settings) any { return s.ColdRateFactor }, func(to, from *Settings) { to.ColdRateFactor = from.ColdRateFactor }},
+	{"cold rate burst", func(s *Settings) any { return s.ColdRateBurst }, func(to, from *Settings) { to.ColdRateBurst = from.ColdRateBurst }},
 }
 
 // Reload applies the settings that may change while the server runs, and logs each change and each
--- a/internal/edge/reload_test.go
+++ b/internal/edge/reload_test.go
@@ -85,7 +85,7 @@
 		}
 	}
 	const applied, atStart = "setting changed", "setting changed; it takes effect at the next start"
-	want := map[string]string{"node": atStart, "platform.address": atStart, "grace_s": applied, "retry_budget": applied}
+	want := map[string]string{"VM name": atStart, "store address": atStart, "grace period": applied, "retry ratio": applied}
 	if !reflect.DeepEqual(logged, want) {
 		t.Errorf("logged %v, want %v", logged, want)
 	}
