--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -142,7 +142,7 @@
 		if failure := t.blockedPoolError(view); failure != nil {
 			return nil, failure
 		}
-		if t.s.now() >= giveUpAt {
+		if t.s.now() >= giveUpAt && !t.s.upstreams.isAsking(view, t.pool) {
 			return nil, t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" is at a limit or was tried")
 		}
 		sleep(t.ctx, busyRetryInterval)
@@ -178,7 +178,7 @@
 	if view.Catalog == nil || view.Catalog.Pools[pool] == nil || view.Catalog.Pools[pool].MaxConnections == 0 {
 		return 0
 	}
-	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.fleetSize.Load())))
+	return max(1, view.Catalog.Pools[pool].MaxConnections/max(1, int(s.connectionDivisor.Load())))
 }
 
 // sharedPrefix returns the parts of the prompt by which the request is placed; empty if the route
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,7 @@
 	// upstreamSignals counts signals by kind, and callsWithheld what they kept from upstreams.
 	upstreamSignals *prometheus.CounterVec
 	callsWithheld   *prometheus.CounterVec
+	healthChecks *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -66,8 +67,11 @@
 			Name: "hoist_edge_calls_withheld_total", Help: "Requests refused, and releases and queries dropped, since upstreams leave or ask for no traffic.",
 		}, []string{"call"}),
 	}
+	m.healthChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hoist_edge_health_queries_total", Help: "Health queries to upstreams that may have come back, by end.",
+	}, []string{"end"})
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
-		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld)
+		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks)
 	return m
 }
 
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -29,6 +29,8 @@
 	// refillPerSecond is the number of retries per second that a pool's budget gains without
 	// requests.
 	refillPerSecond float64
+	// initialTokens is what the retry budget of a pool starts with.
+	initialTokens float64
 	// tokensPerRequest is what a first attempt adds to the retry budget of its pool.
 	tokensPerRequest float64
 	// zones infers which zones are cut off from this VM.
@@ -37,34 +39,42 @@
 	isZoneSuspect func(zone string) bool
 	// coldShare divides the rate limits of cold upstreams among the VMs.
 	coldShare *coldShare
+	// askHealth asks an upstream for its state, without waiting for the answer.
+	askHealth func(healthQuestion)
 }
 
 type upstreamState struct {
 	placement.Upstream
 	entry *registry.Entry
-	// share is the division from which ColdRateLimit was computed.
+	// share is the division from which ColdRate was computed.
 	share *coldShare
 }
 
 func newUpstreams(now func() clock.Instant, isZoneSuspect func(zone string) bool) *upstreams {
 	return &upstreams{
-		now: now, isZoneSuspect: isZoneSuspect, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
+		now: now, isZoneSuspect: isZoneSuspect, askHealth: func(healthQuestion) {}, states: map[string]*upstreamState{}, budgets: map[string]*retry.Budget{},
 		prefixSelectors: map[string]*placement.PrefixSelector{}, refilledAt: now(),
 	}
 }
 
-// update applies a view and the names of the VMs that may be running.
-func (u *upstreams) update(view *View, s *Settings, names []string) {
+// update applies a view, the names of the known VMs, and the number of VMs that limits on rates are
+// divided by.
+func (u *upstreams) update(view *View, s *Settings, names []string, vms int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.refillPerSecond = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(len(names)) / 2
+	u.refillPerSecond = s.RetryBurst / max(s.RetryWindow.Seconds(), 1) / float64(max(vms, 1)) / 2
+	u.initialTokens = min(1, s.RetryBurst/float64(max(vms, 1))/2)
 	u.tokensPerRequest = min(maxRetryRatio, s.RetryRatio/2)
-	u.coldShare = newColdShare(view.Catalog, s, names)
+	u.coldShare = newColdShare(view.Catalog, s, names, vms)
 	for id, entry := range view.ByID {
 		state := u.states[id]
 		if state == nil || state.entry.StartID != entry.StartID {
+			restarted := state != nil
 			state = &upstreamState{Upstream: placement.Upstream{ID: id, Zone: entry.Zone}, entry: entry}
 			u.states[id] = state
+			if restarted {
+				state.Return.RecordLost(u.now())
+			}
 		}
 		state.entry = entry
 		state.ColdUntil = max(state.ColdUntil, entry.ColdUntil)
@@ -98,8 +108,11 @@
 	defer u.mu.Unlock()
 	now := u.now()
 	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
-	choice, status := placement.Pick(now, request, u.candidates(view, pool))
+	candidates := u.candidates(view, pool)
+	u.askReturned(view, pool, candidates, true)
+	choice, status := placement.Pick(now, request, candidates)
 	if status != placement.Found {
+		u.askReturned(view, pool, candidates, false)
 		return nil, status
 	}
 	state := u.states[choice.Upstream.ID]
@@ -114,7 +127,7 @@
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
 func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
 	now := u.now()
-	entries := view.InService[pool]
+	entries, needsHealth := view.InService[pool], view.healthPath(pool) != ""
 	out := make([]*placement.Upstream, 0, len(entries))
 	for i := range entries {
 		state := u.states[entries[i].ID]
@@ -122,7 +135,10 @@
 			continue
 		}
 		if state.ColdUntil > now && state.share != u.coldShare {
-			state.ColdRateLimit, state.share = u.coldShare.limit(pool, state.ID), u.coldShare
+			state.ColdRate, state.share = u.coldShare.rate(pool, state.ID), u.coldShare
+		}
+		if !needsHealth {
+			state.Return = placement.ReturnCheck{}
 		}
 		out = append(out, &state.Upstream)
 	}
@@ -202,7 +218,7 @@
 	b := u.budgets[pool]
 	if b == nil {
 		b = &retry.Budget{}
-		b.AddTokens(1)
+		b.AddTokens(u.initialTokens)
 		u.budgets[pool] = b
 	}
 	return b
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -65,6 +65,13 @@
 	return &upstreamSignals{now: now, logger: logger, metrics: m, report: report, table: upstreamsignal.New(drain)}
 }
 
+// setDrain sets the time for which a leaving upstream may still get requests.
+func (s *upstreamSignals) setDrain(drain time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetDrain(drain)
+}
+
 func instanceOf(entry *registry.Entry) upstreamsignal.Instance {
 	return upstreamsignal.Instance{ID: entry.ID, Start: entry.StartID}
 }
