--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 )
 
@@ -53,10 +54,21 @@
 	attemptBroken: "broken", attemptFailed: "failed", attemptAborted: "over",
 }
 
+// placementResults are what the owner of an engine learns of the outcomes.
+var placementResults = [...]enginepool.Result{
+	attemptDone: enginepool.Completed, attemptNotSent: enginepool.Unreachable, attemptRejected: enginepool.Rejected, attemptInputsMissing: enginepool.Aborted,
+	attemptBroken: enginepool.Unreachable, attemptFailed: enginepool.Failed, attemptAborted: enginepool.Aborted,
+}
+
 // attempt sends the request to one upstream and forwards its response to the caller. It also
 // returns an error response that was not forwarded, and a detail for logs.
-func (t *transaction) attempt(upstreamLease *lease) (attemptOutcome, *bufferedResponse, string) {
+func (t *transaction) attempt(upstreamLease *lease) (outcome attemptOutcome, response *bufferedResponse, detail string) {
 	defer upstreamLease.release()
+	if upstreamLease.placed != nil {
+		defer func() {
+			t.s.endPlacement(upstreamLease.placed, upstreamLease.outcome(placementResults[outcome]), upstreamLease.cold)
+		}()
+	}
 	t.upstream = upstreamLease.entry.ID
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
@@ -94,6 +106,7 @@
 // whether it does. Otherwise the body decides, and the upstream may have run the request.
 func (t *transaction) checkResponseHead(upstreamLease *lease, info ResponseInfo) (outcome attemptOutcome, detail string, isFinal bool) {
 	if info.ColdRemaining > 0 {
+		upstreamLease.cold = info.ColdRemaining
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordColdStart(now, info.ColdRemaining) })
 	}
 	switch {
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -45,12 +46,23 @@
 	PromptPrefix []PrefixPart
 	PromptTokens int
 	OutputTokens int
+	// OutputHint is the caller's estimate of the output in tokens; 0 if not stated. OutputTokens is
+	// its limit.
+	OutputHint int
 	// Pieces is the number of pieces of each stage.
 	Pieces []int
 	// ContentKey identifies the content for stages without inputs.
 	ContentKey string
 }
 
+// expectedOutput returns the expected size of the output in tokens.
+func (r *RequestInfo) expectedOutput() int {
+	if r.OutputHint > 0 {
+		return min(r.OutputHint, max(r.OutputTokens, 0))
+	}
+	return max(r.OutputTokens, 0) / 2
+}
+
 // UpstreamRequest is what the edge adds to a request for the upstream.
 type UpstreamRequest struct {
 	Upstream  string
@@ -104,6 +116,8 @@
 	EncodeMemoryQuery(address string) *outbound.Request
 	// DecodeFreeMemory decodes an upper bound on the free memory for results, in bytes.
 	DecodeFreeMemory(body []byte) (int64, error)
+	// DecodeEngineReport decodes the load of an engine; the query is that for the free memory.
+	DecodeEngineReport(body []byte) (enginepool.Report, error)
 	// HandleAddress returns the IP:port of the upstream that holds a result.
 	HandleAddress(handle string) string
 	// EncodeRelease encodes the release of results.
--- /dev/null
+++ b/internal/edge/enginerunner.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+)
+
+// engineReportTimeout bounds the query for the load of an engine.
+const engineReportTimeout = 200 * time.Millisecond
+
+// engineRunner places requests on the engines of one shard on the VM that owns the shard.
+type engineRunner struct {
+	pool    string
+	dialect Dialect
+	client  *outbound.Client
+	now     func() clock.Instant
+	logger  *zap.Logger
+	metrics *metrics
+	contain *containment
+
+	mu        sync.Mutex
+	placer    *enginepool.Pool
+	addresses map[string]string
+	// reportIDs is reused between calls.
+	reportIDs []string
+}
+
+func newEngineRunner(pool string, s *Server) *engineRunner {
+	return &engineRunner{
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
+		placer: enginepool.New(), addresses: map[string]string{},
+	}
+}
+
+// engineLimits returns the limits of the engines of a pool.
+func engineLimits(e *catalog.Engine) enginepool.Limits {
+	limits := enginepool.Limits{Concurrency: e.Concurrency, CacheTokens: e.CacheTokens}
+	if e.LinkBytesPerSecond > 0 {
+		limits.CopyTimePerToken = e.CacheBytesPerToken / e.LinkBytesPerSecond * float64(time.Second)
+	}
+	return limits
+}
+
+// configure applies the limits of the pool and the engines in service.
+func (r *engineRunner) configure(engine *catalog.Engine, entries []*registry.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.addresses)
+	engines := make([]enginepool.Engine, 0, len(entries))
+	for _, entry := range entries {
+		engines = append(engines, enginepool.Engine{ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil})
+		r.addresses[entry.ID] = entry.Address
+	}
+	r.placer.Configure(engineLimits(engine), engines)
+}
+
+// place chooses the engine for a request.
+func (r *engineRunner) place(request *enginepool.Request) (placed enginepool.Placement, ok bool) {
+	r.contain.run("placement", func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		now := r.now()
+		placed, ok = r.placer.Place(now, request)
+		r.queryReports(now)
+	})
+	return placed, ok
+}
+
+// end records the end of a request.
+func (r *engineRunner) end(id string, outcome enginepool.Outcome, cold time.Duration) {
+	r.contain.run("placement", func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		now := r.now()
+		r.placer.End(now, id, outcome)
+		if cold > 0 {
+			r.placer.RecordColdStart(now, outcome.Engine, cold)
+		}
+	})
+}
+
+// queryReports asks the engines for their load of which the owner knows too little. The caller holds
+// the lock.
+func (r *engineRunner) queryReports(now clock.Instant) {
+	r.reportIDs = r.placer.ReportsWanted(now, r.reportIDs[:0])
+	for _, id := range r.reportIDs {
+		go r.queryReport(id, r.addresses[id])
+	}
+}
+
+// queryReport asks one engine for its load.
+func (r *engineRunner) queryReport(id, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineReportTimeout)
+	defer cancel()
+	report, err := r.fetchReport(ctx, address)
+	valid := false
+	if err == nil {
+		r.mu.Lock()
+		valid = r.placer.RecordReport(r.now(), id, report)
+		r.mu.Unlock()
+	}
+	if !valid {
+		r.metrics.engineReports.WithLabelValues("ignored").Inc()
+		r.logger.Info("load of an engine not available", zap.String("pool", r.pool), zap.String("upstream", id), obs.ErrorField(err))
+		return
+	}
+	r.metrics.engineReports.WithLabelValues("used").Inc()
+}
+
+func (r *engineRunner) fetchReport(ctx context.Context, address string) (enginepool.Report, error) {
+	response, err := r.client.Do(ctx, address, r.dialect.EncodeMemoryQuery(address), maxStageResponseBytes)
+	if err != nil {
+		return enginepool.Report{}, err
+	}
+	if response.Status != http.StatusOK {
+		return enginepool.Report{}, errors.Newf("status %d", response.Status)
+	}
+	return r.dialect.DecodeEngineReport(response.Body)
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -123,6 +123,9 @@
 func (t *transaction) acquireUpstream() (*lease, *errkind.Error) {
 	placementRequest := t.placementRequest()
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
+	if placed := t.acquirePlaced(t.s.view.Load(), placementRequest); placed != nil {
+		return placed, nil
+	}
 	for {
 		view := t.s.view.Load()
 		upstreamLease, status := t.s.upstreams.acquire(view, t.pool, placementRequest)
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
@@ -89,6 +90,10 @@
 	return address
 }
 
+func (testDialect) DecodeEngineReport([]byte) (enginepool.Report, error) {
+	return enginepool.Report{}, nil
+}
+
 func (testDialect) EncodeMemoryQuery(address string) *outbound.Request {
 	return &outbound.Request{Method: http.MethodGet, Target: "/memory", Host: address, Header: http.Header{}}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 )
 
 // latencyBuckets are in seconds. Objectives lie between 0.1 s and a few seconds.
@@ -21,6 +23,11 @@
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
 	panics       *prometheus.CounterVec
+	// placements, promptTokens and placementWait show the work of the owners of engines.
+	placements    *prometheus.CounterVec
+	promptTokens  *prometheus.CounterVec
+	placementWait *prometheus.HistogramVec
+	engineReports *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -46,8 +53,21 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
 		}, []string{"scope"}),
+		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_placements_total", Help: "Placements of requests on engines by pool and by who decided: owner or vm.",
+		}, []string{"pool", "decided_by"}),
+		promptTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_prompt_tokens_total", Help: "Prompt tokens that the chosen engine had cached or was to copy, by pool.",
+		}, []string{"pool", "source"}),
+		placementWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "hoist_edge_placement_wait_seconds", Help: "Expected wait for other prompts at the chosen engine.", Buckets: latencyBuckets,
+		}, []string{"pool"}),
+		engineReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_engine_reports_total", Help: "Queries for the load of engines: used or ignored.",
+		}, []string{"result"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
+		m.placements, m.promptTokens, m.placementWait, m.engineReports)
 	return m
 }
 
@@ -61,3 +81,11 @@
 	m.requests.WithLabelValues(route, outcome).Inc()
 	m.latency.WithLabelValues(route).Observe(elapsed.Seconds())
 }
+
+// recordPlacement records the placement of a request by the owner of its engine.
+func (m *metrics) recordPlacement(pool string, placed *enginepool.Placement) {
+	m.placements.WithLabelValues(pool, "owner").Inc()
+	m.promptTokens.WithLabelValues(pool, "cached").Add(float64(placed.CachedTokens))
+	m.promptTokens.WithLabelValues(pool, "copied").Add(float64(placed.CopiedTokens))
+	m.placementWait.WithLabelValues(pool).Observe(placed.Wait.Seconds())
+}
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -199,5 +199,6 @@
 	s.updateZones()
 	for _, released := range s.gossip.updateClaims(s.ownableResources(view)) {
 		s.handOver(released.Resource.Name, released.NewOwner)
+		s.dropEngineRunner(released.Resource.Name)
 	}
 }
--- /dev/null
+++ b/internal/edge/placeclient.go
@@ -0,0 +1,290 @@
+package edge
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+)
+
+const (
+	// placeTimeout bounds the question to the owner of a shard of engines. Without an answer this VM
+	// chooses by itself.
+	placeTimeout = 60 * time.Millisecond
+	// placeBackoff is how long an owner is not asked again after it did not answer.
+	placeBackoff = time.Second
+	// endPlacementTimeout bounds the report of the end of a request. If it is lost, the owner counts
+	// the request for some seconds more.
+	endPlacementTimeout = 500 * time.Millisecond
+	// spillWait is the expected wait at the engines of a shard from which on a second shard is asked.
+	spillWait = 100 * time.Millisecond
+	// maxPlaceTries bounds the engines that owners name for one attempt.
+	maxPlaceTries = 2
+)
+
+// engineOwners tracks which owners of shards of engines did not answer. The zero value is ready to
+// use.
+type engineOwners struct {
+	mu      sync.Mutex
+	skipped map[string]clock.Instant
+}
+
+// skip makes an owner count as not answering for some time.
+func (e *engineOwners) skip(name string, until clock.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.skipped == nil {
+		e.skipped = map[string]clock.Instant{}
+	}
+	e.skipped[name] = until
+}
+
+// isSkipped reports whether an owner did not answer a short time ago.
+func (e *engineOwners) isSkipped(name string, now clock.Instant) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	until, ok := e.skipped[name]
+	if ok && now >= until {
+		delete(e.skipped, name)
+	}
+	return ok && now < until
+}
+
+// enginePlacement is the placement of a request by the owner of a shard of engines.
+type enginePlacement struct {
+	enginepool.Placement
+	// id identifies the send of the request.
+	id    string
+	shard *poolShard
+	owner fleet.Entry
+}
+
+// placesByOwner reports whether the owners of shards place the requests to a pool. In a small fleet a
+// VM sees enough of the load by itself.
+func (s *Server) placesByOwner(view *View, pool string) bool {
+	return s.fleetSize.Load() > smallFleetSize && len(view.ShardsOf[pool]) > 0 && view.ShardsOf[pool][0].engine != nil
+}
+
+// acquirePlaced asks the owner of a shard for an engine. It returns nil if no owner answers or none
+// of the named engines may be used by this VM.
+func (t *transaction) acquirePlaced(view *View, request *placement.Request) *lease {
+	if !t.s.placesByOwner(view, t.pool) {
+		return nil
+	}
+	t.placements++
+	excluded := make([]string, 0, len(t.tried)+maxPlaceTries)
+	for id := range t.tried {
+		excluded = append(excluded, id)
+	}
+	for range maxPlaceTries {
+		placed := t.placeOnShards(view, excluded)
+		if placed == nil {
+			t.s.metrics.placements.WithLabelValues(t.pool, "vm").Inc()
+			return nil
+		}
+		if l := t.s.upstreams.acquireNamed(view, t.pool, placed, request); l != nil {
+			t.s.metrics.recordPlacement(t.pool, &placed.Placement)
+			t.s.logger.Info("engine chosen", zap.String("request", t.requestInfo.ID), zap.String("shard", placed.shard.Name), zap.String("owner", placed.owner.Name),
+				zap.String("upstream", placed.Engine), zap.Duration("wait", placed.Wait), zap.Duration("expected", placed.Expected),
+				zap.Int("prompt", t.requestInfo.PromptTokens), zap.Int("cached", placed.CachedTokens), zap.Int("copied", placed.CopiedTokens))
+			return l
+		}
+		t.s.endPlacement(placed, enginepool.Outcome{Engine: placed.Engine, Result: enginepool.Aborted}, 0)
+		excluded = append(excluded, placed.Engine)
+	}
+	return nil
+}
+
+// placeOnShards asks the owner of the first shard of the request, and that of the second one if the
+// engines of the first are busy.
+func (t *transaction) placeOnShards(view *View, excluded []string) *enginePlacement {
+	first, second := t.engineShards(view)
+	var best *enginePlacement
+	for _, shard := range []*poolShard{first, second} {
+		if shard == nil {
+			continue
+		}
+		placed := t.placeOn(shard, excluded)
+		if placed == nil {
+			continue
+		}
+		if best == nil {
+			best = placed
+		} else {
+			worse := placed
+			if placed.Expected < best.Expected {
+				best, worse = placed, best
+			}
+			t.s.endPlacement(worse, enginepool.Outcome{Engine: worse.Engine, Result: enginepool.Aborted}, 0)
+		}
+		if best.Wait < spillWait {
+			break
+		}
+	}
+	return best
+}
+
+// engineShards returns the shards to ask for an engine: the first ones of the prompt among those in
+// the zone of large inputs or, if it has none, among those that can be reached.
+func (t *transaction) engineShards(view *View) (first, second *poolShard) {
+	inputZone := t.inputZone()
+	var shards []*poolShard
+	for _, shard := range view.ShardsOf[t.pool] {
+		if len(shard.entries) > 0 && t.s.takesReservations(shard.Zone) {
+			shards = append(shards, shard)
+		}
+	}
+	i, j := enginepool.RankShards(t.shardKey(), shardOptions(shards))
+	if i < 0 {
+		return nil, nil
+	}
+	first = shards[i]
+	if j >= 0 {
+		second = shards[j]
+	}
+	if inputZone == "" || first.Zone == "" || first.Zone == inputZone {
+		return first, second
+	}
+	var local []*poolShard
+	for _, shard := range shards {
+		if shard.Zone == inputZone {
+			local = append(local, shard)
+		}
+	}
+	if i, _ := enginepool.RankShards(t.shardKey(), shardOptions(local)); i >= 0 {
+		return local[i], first
+	}
+	return first, second
+}
+
+func shardOptions(shards []*poolShard) []enginepool.Shard {
+	options := make([]enginepool.Shard, 0, len(shards))
+	for _, shard := range shards {
+		options = append(options, enginepool.Shard{Name: shard.hash, Engines: len(shard.entries)})
+	}
+	return options
+}
+
+// shardKey returns the hash by which the shards are ranked: that of the last shared part of the
+// prompt or, without one, that of the request.
+func (t *transaction) shardKey() rendezvous.Hash {
+	if t.route.HasPromptPrefixes {
+		if parts := t.promptParts(); len(parts) > 0 {
+			return rendezvous.Hash(parts[len(parts)-1])
+		}
+	}
+	return rendezvous.HashOf(t.requestInfo.ID)
+}
+
+// engineZone returns the zone of the engines that will probably run the request, or "" if any may.
+func (t *transaction) engineZone() string {
+	if first, _ := t.engineShards(t.view); first != nil {
+		return first.Zone
+	}
+	return ""
+}
+
+// placeOn asks the owner of a shard for an engine. It returns nil if the owner does not answer, has
+// changed, or has no engine for the request.
+func (t *transaction) placeOn(shard *poolShard, excluded []string) *enginePlacement {
+	s := t.s
+	owner := s.gossip.owner(shard.resource())
+	request := t.engineRequest(excluded)
+	if owner.Name == s.settings.VM {
+		runner := s.engineRunner(shard.Name)
+		if runner == nil {
+			return nil
+		}
+		placed, ok := runner.place(request)
+		if !ok {
+			return nil
+		}
+		return &enginePlacement{Placement: placed, id: request.ID, shard: shard, owner: owner}
+	}
+	if s.engineOwners.isSkipped(owner.Name, s.now()) {
+		return nil
+	}
+	response := t.callPlace(owner, shard, request)
+	if response == nil || response.GetUpstream() == "" {
+		return nil
+	}
+	return &enginePlacement{
+		Placement: enginepool.Placement{
+			Engine: response.GetUpstream(), CacheSource: response.GetCacheSource(), Expected: time.Duration(response.GetExpectedUs()) * time.Microsecond,
+			Wait: time.Duration(response.GetWaitUs()) * time.Microsecond, CachedTokens: int(response.GetCachedTokens()), CopiedTokens: int(response.GetCopiedTokens()),
+		},
+		id: request.ID, shard: shard, owner: owner,
+	}
+}
+
+// callPlace calls the owner of a shard. It returns nil if the owner does not answer or has changed.
+func (t *transaction) callPlace(owner fleet.Entry, shard *poolShard, request *enginepool.Request) *hoistv1.PlaceResponse {
+	s := t.s
+	ctx, cancel := context.WithTimeout(t.ctx, placeTimeout)
+	defer cancel()
+	var response *hoistv1.PlaceResponse
+	err := s.peers.callWithoutPing(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
+		response, err = client.Place(ctx, placeRequestToProto(shard.Name, request))
+		return err
+	})
+	if err != nil {
+		if t.ctx.Err() == nil {
+			s.engineOwners.skip(owner.Name, s.now().Add(placeBackoff))
+			s.logger.Info("owner of engines did not answer; choosing without it", zap.String("request", t.requestInfo.ID),
+				zap.String("shard", shard.Name), zap.String("owner", owner.Name), obs.ErrorField(err))
+		}
+		return nil
+	}
+	if response.GetOwner() != "" {
+		s.gossip.recordRedirect(shard.Name, owner.Name, redirectFromProto(response.GetOwner(), response.GetOwnerEntry()))
+		return nil
+	}
+	return response
+}
+
+// engineRequest describes the request for the placement on an engine. Each send has its own ID.
+func (t *transaction) engineRequest(excluded []string) *enginepool.Request {
+	request := &enginepool.Request{
+		ID: t.requestInfo.ID + "/" + strconv.Itoa(t.placements), PromptTokens: t.requestInfo.PromptTokens, OutputTokens: t.requestInfo.expectedOutput(),
+		InputZone: t.inputZone(), Excluded: excluded,
+	}
+	if !t.route.HasPromptPrefixes {
+		return request
+	}
+	for _, part := range t.requestInfo.PromptPrefix[:max(len(t.requestInfo.PromptPrefix)-1, 0)] {
+		request.Parts = append(request.Parts, enginepool.Part{ID: uint64(poison.PartOf(part.ID)), Tokens: part.Tokens})
+	}
+	return request
+}
+
+// endPlacement reports the end of a request to the owner that placed it, without waiting.
+func (s *Server) endPlacement(placed *enginePlacement, outcome enginepool.Outcome, cold time.Duration) {
+	if placed.owner.Name == s.settings.VM {
+		if runner := s.engineRunner(placed.shard.Name); runner != nil {
+			runner.end(placed.id, outcome, cold)
+		}
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endPlacementTimeout)
+		defer cancel()
+		err := s.peers.callWithoutPing(ctx, placed.owner, func(ctx context.Context, client hoistv1.FleetClient) error {
+			_, err := client.EndPlacement(ctx, outcomeToProto(placed.shard.Name, placed.id, outcome, cold))
+			return err
+		})
+		if err != nil {
+			s.logger.Debug("failed to report the end of a request to the owner of its engine", zap.String("owner", placed.owner.Name), obs.ErrorField(err))
+		}
+	}()
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -98,6 +98,10 @@
 	poolRunnersMu sync.Mutex
 	poolRunners   map[string]*poolRunner
 
+	engineRunnersMu sync.Mutex
+	engineRunners   map[string]*engineRunner
+	engineOwners    engineOwners
+
 	poisonMu sync.Mutex
 	// poison tracks the requests during which upstreams crashed.
 	poison *poison.Table
@@ -109,7 +113,7 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
-		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
+		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
@@ -134,10 +138,11 @@
 	if view.Catalog != nil {
 		s.startup.setConfigured()
 	}
+	s.configureEngineRunners(view)
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
 	for name, runner := range s.poolRunners {
-		if shard := view.Shards[name]; shard != nil {
+		if shard := view.Shards[name]; shard != nil && shard.engine == nil {
 			runner.configure(shard.batch, shard.entries)
 			continue
 		}
@@ -184,7 +189,7 @@
 		return runner
 	}
 	view := s.view.Load()
-	if view == nil || view.Shards[name] == nil {
+	if view == nil || view.Shards[name] == nil || view.Shards[name].engine != nil {
 		return nil
 	}
 	shard := view.Shards[name]
--- a/internal/edge/stagezone.go
+++ b/internal/edge/stagezone.go
@@ -17,6 +17,9 @@
 	if t.dependentCount(stage) > 0 || definition.ResultBytes*int64(t.pieces(stage)) < minZoneTransferBytes {
 		return ""
 	}
+	if t.s.placesByOwner(t.view, t.pool) {
+		return t.engineZone()
+	}
 	return t.s.upstreams.pickZone(t.view, t.pool, t.placementRequest())
 }
 
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -97,6 +97,9 @@
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
+	if event.hasData {
+		upstreamLease.recordEvent(t.s.now())
+	}
 	if event.hasData && !upstreamLease.eventSent {
 		upstreamLease.eventSent = true
 		t.recordFirstEvent(upstreamLease)
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/retry"
@@ -88,6 +90,15 @@
 	// cacheSource is the address of the upstream that probably caches the prompt prefix of the
 	// request; empty if it is this one or not known.
 	cacheSource string
+	// placed is the placement by the owner of the engine; nil if this VM chose the upstream itself.
+	placed *enginePlacement
+	// firstEvent and lastEvent are the times of the first and the latest event, and events their
+	// number.
+	firstEvent clock.Instant
+	lastEvent  clock.Instant
+	events     int
+	// cold is the remaining cold start that the upstream stated.
+	cold time.Duration
 	// eventSent is set once an event of the response was forwarded to the caller.
 	eventSent bool
 }
@@ -111,6 +122,43 @@
 	return l, placement.Found
 }
 
+// acquireNamed takes the engine that the owner of its shard chose, and counts the request as in
+// flight there. It returns nil if the limits of this VM do not allow it.
+func (u *upstreams) acquireNamed(view *View, pool string, placed *enginePlacement, request *placement.Request) *lease {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.now()
+	state := u.states[placed.Engine]
+	if state == nil || !isInService(view, pool, placed.Engine) {
+		return nil
+	}
+	u.updateColdRateLimit(now, pool, state)
+	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
+	if !placement.IsAvailable(now, request, &state.Upstream) {
+		return nil
+	}
+	state.RecordStart(now)
+	l := &lease{upstreams: u, state: state, entry: state.entry, started: now, placed: placed}
+	if source := u.states[placed.CacheSource]; source != nil {
+		l.cacheSource = source.entry.Address
+	}
+	return l
+}
+
+// isInService reports whether an upstream of a pool may get new work.
+func isInService(view *View, pool, id string) bool {
+	entry := view.ByID[id]
+	return entry != nil && entry.Pool == pool && !entry.Draining && !view.ZonesOut[entry.Zone]
+}
+
+// updateColdRateLimit computes the share of this VM of the rate limit of an upstream in a cold start.
+// The caller holds the lock.
+func (u *upstreams) updateColdRateLimit(now clock.Instant, pool string, state *upstreamState) {
+	if state.ColdUntil > now && state.share != u.coldShare {
+		state.ColdRateLimit, state.share = u.coldShare.limit(pool, state.ID), u.coldShare
+	}
+}
+
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
 func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
 	now := u.now()
@@ -121,9 +169,7 @@
 		if state == nil {
 			continue
 		}
-		if state.ColdUntil > now && state.share != u.coldShare {
-			state.ColdRateLimit, state.share = u.coldShare.limit(pool, state.ID), u.coldShare
-		}
+		u.updateColdRateLimit(now, pool, state)
 		out = append(out, &state.Upstream)
 	}
 	return out
@@ -161,6 +207,27 @@
 	change(l.upstreams.now(), &l.state.Upstream)
 }
 
+// recordEvent records an event of the response.
+func (l *lease) recordEvent(now clock.Instant) {
+	if l.events == 0 {
+		l.firstEvent = now
+	}
+	l.lastEvent = now
+	l.events++
+}
+
+// outcome returns what the owner of the engine learns from the request.
+func (l *lease) outcome(result enginepool.Result) enginepool.Outcome {
+	o := enginepool.Outcome{Engine: l.entry.ID, Result: result, Events: l.events}
+	if l.events > 0 {
+		o.FirstEvent = max(l.firstEvent.Sub(l.started), 1)
+	}
+	if l.events > 1 {
+		o.EventGap = l.lastEvent.Sub(l.firstEvent) / time.Duration(l.events-1)
+	}
+	return o
+}
+
 // recordTimeout records that a connection to the leased upstream timed out.
 func (l *lease) recordTimeout() {
 	l.update(func(now clock.Instant, u *placement.Upstream) { l.upstreams.zones.RecordTimeout(now, u.Zone, u.ID) })
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -7,6 +7,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
@@ -22,8 +23,9 @@
 	ByID map[string]*registry.Entry
 	// ZoneOf holds the zone of each upstream by its address.
 	ZoneOf map[string]string
-	// Shards holds the shards of all pools that run stages by name, ShardsOf by pool and in a fixed
-	// order, and ShardAt by the addresses of their upstreams.
+	// Shards holds the shards of all pools that run stages and of all pools of engines by name, and
+	// ShardsOf by pool and in a fixed order. ShardAt holds those that run stages by the addresses of
+	// their upstreams.
 	Shards   map[string]*poolShard
 	ShardsOf map[string][]*poolShard
 	ShardAt  map[string]*poolShard
@@ -36,8 +38,13 @@
 // poolShard is the part of a pool of stages that one VM owns.
 type poolShard struct {
 	stagepool.Shard
-	pool  string
-	batch catalog.Batch
+	pool string
+	// hash is the hash of the name.
+	hash rendezvous.Hash
+	// batch describes the upstreams that run stages, and engine those that run a language model; it
+	// is nil for the others.
+	batch  catalog.Batch
+	engine *catalog.Engine
 	// entries are the upstreams in service.
 	entries []*registry.Entry
 }
@@ -64,7 +71,7 @@
 	return view
 }
 
-// addShards divides the pools that run stages into shards. Upstreams that are draining or out of
+// addShards divides the pools that run stages and the pools of engines into shards. Upstreams that are draining or out of
 // service belong to a shard as well, since they hold results, and since the shards then do not
 // change when a zone leaves or returns.
 func (v *View) addShards(entries []*registry.Entry, isShard func(name string) bool) {
@@ -73,7 +80,7 @@
 	}
 	byPool := map[string][]*registry.Entry{}
 	for _, entry := range entries {
-		if pool := v.Catalog.Pools[entry.Pool]; pool != nil && pool.Batch != nil {
+		if pool := v.Catalog.Pools[entry.Pool]; pool != nil && (pool.Batch != nil || pool.Engine != nil) {
 			byPool[entry.Pool] = append(byPool[entry.Pool], entry)
 		}
 	}
@@ -98,10 +105,16 @@
 func (v *View) addToShard(id stagepool.Shard, entry *registry.Entry) {
 	shard := v.Shards[id.Name]
 	if shard == nil {
-		shard = &poolShard{Shard: id, pool: entry.Pool, batch: *v.Catalog.Pools[entry.Pool].Batch}
+		pool := v.Catalog.Pools[entry.Pool]
+		shard = &poolShard{Shard: id, pool: entry.Pool, hash: rendezvous.HashOf(id.Name), engine: pool.Engine}
+		if pool.Batch != nil {
+			shard.batch, shard.engine = *pool.Batch, nil
+		}
 		v.Shards[id.Name] = shard
 	}
-	v.ShardAt[entry.Address] = shard
+	if shard.engine == nil {
+		v.ShardAt[entry.Address] = shard
+	}
 	if !entry.Draining && !v.ZonesOut[entry.Zone] {
 		shard.entries = append(shard.entries, entry)
 	}
--- a/pkg/catalog/pool.go
+++ b/pkg/catalog/pool.go
@@ -44,4 +44,8 @@
 	Concurrency int
 	// CacheTokens is the memory for running requests and cached prefixes, in tokens.
 	CacheTokens int64
+	// CacheBytesPerToken is the size of a cached token, and LinkBytesPerSecond the rate at which
+	// upstreams copy cached tokens from each other; 0 if they do not.
+	CacheBytesPerToken float64
+	LinkBytesPerSecond float64
 }
--- /dev/null
+++ b/pkg/enginepool/place.go
@@ -0,0 +1,221 @@
+package enginepool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+const (
+	// interferenceWeight is the cost of reading a prompt for each stream that runs at the engine,
+	// as a fraction of the reading time: the engine reads chunks of the prompt between the tokens
+	// of its streams, whose events come later by that.
+	interferenceWeight = 0.03
+	// readWeight is the cost of reading relative to waiting. The reading of one request delays
+	// those that come after it.
+	readWeight = 1.25
+	// copySetupTime is the time that a copy of cached tokens takes besides the transfer.
+	copySetupTime = 5 * time.Millisecond
+	// crossZoneCopyFactor is how much longer a copy between zones takes.
+	crossZoneCopyFactor = 2
+	// otherZoneCost is the cost of moving large inputs to an engine in another zone.
+	otherZoneCost = 30 * time.Millisecond
+	// errorCost is the relative cost of one recent error of an engine.
+	errorCost = 2
+	// memoryFraction is the fraction of the memory that requests in flight may fill, since the
+	// output of a request may be longer than expected.
+	memoryFraction = 0.9
+)
+
+// Request is a request to place.
+type Request struct {
+	ID string
+	// Parts are the parts of the prompt that other requests may share, in prompt order.
+	Parts []Part
+	// PromptTokens is the size of the whole prompt, and OutputTokens the expected size of the
+	// output.
+	PromptTokens int
+	OutputTokens int
+	// InputZone is the zone that holds large inputs of the request; empty if there are none.
+	InputZone string
+	// Excluded are the engines that must not be chosen.
+	Excluded []string
+}
+
+// Placement is the engine chosen for a request, with what decided.
+type Placement struct {
+	Engine string
+	// CacheSource is the engine from which the chosen one should copy parts of the prompt; empty
+	// if there is none.
+	CacheSource string
+	// Expected is the expected time to the first event, of which Wait is the time for the prompts
+	// ahead.
+	Expected time.Duration
+	Wait     time.Duration
+	// CachedTokens is the number of tokens that the engine has read before, and CopiedTokens that
+	// of those it should copy.
+	CachedTokens int
+	CopiedTokens int
+}
+
+// offer is what an engine costs for a request.
+type offer struct {
+	engine *engine
+	source *engine
+	cost   float64
+	wait   time.Duration
+	// read is the time until the first event after the wait, of which readTime is spent on
+	// readTokens.
+	read       time.Duration
+	readTime   time.Duration
+	readTokens int
+	cached     int
+	copied     int
+}
+
+// Place chooses an engine and counts the request as in flight there until End. It returns false
+// if no engine may take it now: none is in service, warm and out of backoff, or has room for it.
+func (p *Pool) Place(now clock.Instant, r *Request) (Placement, bool) {
+	p.expire(now)
+	if old := p.flights[r.ID]; old != nil {
+		p.drop(r.ID, old)
+	}
+	holders := p.parts.holders(now, r.Parts)
+	var best offer
+	for _, e := range p.engines {
+		if !p.isAvailable(now, e, r) {
+			continue
+		}
+		if o := p.offer(now, e, r, &holders); best.engine == nil || o.cost < best.cost {
+			best = o
+		}
+	}
+	if best.engine == nil {
+		return Placement{}, false
+	}
+	p.start(now, r, &best)
+	placed := Placement{
+		Engine: best.engine.ID, Expected: best.wait + best.read, Wait: best.wait, CachedTokens: best.cached, CopiedTokens: best.copied,
+	}
+	if best.source != nil {
+		placed.CacheSource = best.source.ID
+	}
+	return placed, true
+}
+
+// isAvailable reports whether an engine may take a request.
+func (p *Pool) isAvailable(now clock.Instant, e *engine, r *Request) bool {
+	switch {
+	case !e.inService, e.ColdUntil > now, e.health.InBackoff(now):
+		return false
+	case p.limits.CacheTokens > 0 && e.running > 0 && float64(e.usedTokens(now)+r.tokens()) > memoryFraction*float64(p.limits.CacheTokens):
+		return false
+	}
+	return !slices.Contains(r.Excluded, e.ID)
+}
+
+// tokens is the memory that the request needs, in tokens.
+func (r *Request) tokens() int64 { return int64(r.PromptTokens) + int64(r.OutputTokens) }
+
+// offer returns what an engine costs for a request.
+func (p *Pool) offer(now clock.Instant, e *engine, r *Request, holders *partHolders) offer {
+	pace := e.pace.factor(now, p.gap)
+	o := offer{engine: e, cached: holders.cachedAt(e), wait: p.wait(now, e)}
+	o.readTokens = max(r.PromptTokens-o.cached, 0)
+	o.read = p.time.firstEvent(o.readTokens, pace)
+	if source, copied := p.copySource(e, holders, o.cached); source != nil {
+		copyTime := p.copyTime(e, source, copied)
+		if read := p.time.firstEvent(o.readTokens-copied, pace) + copyTime; read < o.read {
+			o.source, o.copied, o.read = source, copied, read
+			o.readTokens -= copied
+		}
+	}
+	o.readTime = p.time.reading(o.readTokens, pace)
+	streams := float64(e.running + e.report.running(now))
+	o.cost = float64(o.wait) + float64(o.read) + (readWeight-1+interferenceWeight*streams)*float64(o.readTime)
+	if r.InputZone != "" && e.Zone != r.InputZone {
+		o.cost += float64(otherZoneCost)
+	}
+	o.cost *= 1 + errorCost*e.health.ErrorScore(now)
+	return o
+}
+
+// wait returns the time until the engine begins to read another prompt: it reads those in flight
+// first, and takes no more requests than it processes at a time.
+func (p *Pool) wait(now clock.Instant, e *engine) time.Duration {
+	wait := max(e.readUntil.Sub(now), 0) + e.report.wait(now)
+	running := e.running + e.report.running(now)
+	if p.limits.Concurrency > 0 && running >= p.limits.Concurrency {
+		perPlace := p.duration.or(defaultDuration) / time.Duration(p.limits.Concurrency)
+		wait = max(wait, time.Duration(running-p.limits.Concurrency+1)*perPlace)
+	}
+	return wait
+}
+
+// copySource returns the engine from which another one can copy most of what it lacks of the shared
+// parts, and the tokens of that; nil if there is none. An engine of the same zone is preferred.
+func (p *Pool) copySource(to *engine, holders *partHolders, cached int) (source *engine, tokens int) {
+	if p.limits.CopyTimePerToken <= 0 || holders.longest <= cached {
+		return nil, 0
+	}
+	for _, e := range p.engines {
+		if e == to || holders.cachedAt(e) < holders.longest {
+			continue
+		}
+		if source == nil || isBetterSource(to, e, source) {
+			source = e
+		}
+	}
+	return source, holders.longest - cached
+}
+
+// isBetterSource reports whether an engine should rather copy from a than from b: from its own zone,
+// and from one that reads less.
+func isBetterSource(to, a, b *engine) bool {
+	if inZone := a.Zone == to.Zone; inZone != (b.Zone == to.Zone) {
+		return inZone
+	}
+	return a.readUntil < b.readUntil
+}
+
+func (p *Pool) copyTime(to, from *engine, tokens int) time.Duration {
+	perToken := p.limits.CopyTimePerToken
+	if to.Zone != from.Zone {
+		perToken *= crossZoneCopyFactor
+	}
+	return copySetupTime + time.Duration(perToken*float64(tokens))
+}
+
+// start counts the request as in flight at the engine of the offer.
+func (p *Pool) start(now clock.Instant, r *Request, o *offer) {
+	e := o.engine
+	f := p.newFlight()
+	*f = flight{
+		engine: e, placedAt: now, expires: now.Add(p.maxFlightTime()), tokens: r.tokens(),
+		readTokens: o.readTokens, readTime: o.readTime, wait: o.wait,
+	}
+	p.flights[r.ID] = f
+	e.running++
+	e.tokens += f.tokens
+	e.readUntil = max(e.readUntil, now).Add(o.readTime)
+	shared := 0
+	for _, part := range r.Parts[:min(len(r.Parts), maxParts)] {
+		shared += part.Tokens
+		if p.parts.add(e, part, e.readUntil) {
+			f.parts[f.count] = part.ID
+			f.count++
+		}
+	}
+	p.parts.addPrivate(e, max(r.PromptTokens-shared, 0)+r.OutputTokens)
+	p.parts.evict(e, p.limits.CacheTokens)
+}
+
+func (p *Pool) newFlight() *flight {
+	if n := len(p.free); n > 0 {
+		f := p.free[n-1]
+		p.free = p.free[:n-1]
+		return f
+	}
+	return &flight{}
+}
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -141,6 +141,12 @@
 	return out
 }
 
+// IsAvailable reports whether an upstream that was chosen elsewhere may take the request within all
+// limits of this VM.
+func IsAvailable(now clock.Instant, r *Request, u *Upstream) bool {
+	return r.isAvailable(now, u) && !r.inBackoff(now, u)
+}
+
 // isAvailable reports whether the upstream may take the request within all limits.
 func (r *Request) isAvailable(now clock.Instant, u *Upstream) bool {
 	return !r.Tried[u.ID] && (r.MaxInFlight <= 0 || u.InFlight < r.MaxInFlight) && !u.atColdRateLimit(now)
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -120,3 +120,9 @@
 	}
 	return u.recentStarts[first:]
 }
+
+// InBackoff reports whether the upstream failed a short time ago and should get no request.
+func (u *Upstream) InBackoff(now clock.Instant) bool { return u.inBackoff(now) }
+
+// ErrorScore returns the number of recent errors, of which older ones count less.
+func (u *Upstream) ErrorScore(now clock.Instant) float64 { return u.currentErrorScore(now) }
