--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -70,6 +70,17 @@
 	owner fleet.Entry
 }
 
+// copyFrom makes the engine copy the parts of the prompt that only an engine of the other shard has.
+func (p *enginePlacement) copyFrom(other *enginePlacement) {
+	switch {
+	case p.CachedTokens+p.CopiedTokens >= other.CachedTokens+other.CopiedTokens:
+	case other.CacheSource != "":
+		p.CacheSource, p.CopiedTokens = other.CacheSource, other.CachedTokens+other.CopiedTokens-p.CachedTokens
+	default:
+		p.CacheSource, p.CopiedTokens = other.Engine, other.CachedTokens-p.CachedTokens
+	}
+}
+
 // placesByOwner reports whether the owners of shards place the requests to a pool. In a small fleet a
 // VM sees enough of the load by itself.
 func (s *Server) placesByOwner(view *View, pool string) bool {
@@ -126,6 +137,7 @@
 			if placed.Expected < best.Expected {
 				best, worse = placed, best
 			}
+			best.copyFrom(worse)
 			t.s.endPlacement(worse, enginepool.Outcome{Engine: worse.Engine, Result: enginepool.Aborted}, 0)
 		}
 		if best.Wait < spillWait {
@@ -257,7 +269,7 @@
 func (t *transaction) engineRequest(excluded []string) *enginepool.Request {
 	request := &enginepool.Request{
 		ID: t.requestInfo.ID + "/" + strconv.Itoa(t.placements), PromptTokens: t.requestInfo.PromptTokens, OutputTokens: t.requestInfo.expectedOutput(),
-		InputZone: t.inputZone(), Excluded: excluded,
+		InputZone: t.inputZone(), Excluded: excluded, Slack: max(t.due.Sub(t.s.now()), 0),
 	}
 	if !t.route.HasPromptPrefixes {
 		return request
--- a/internal/edge/placeserver.go
+++ b/internal/edge/placeserver.go
@@ -80,7 +80,7 @@
 func placeRequestToProto(shard string, r *enginepool.Request) *hoistv1.PlaceRequest {
 	out := &hoistv1.PlaceRequest{
 		Pool: shard, Request: r.ID, PromptTokens: uint32(max(r.PromptTokens, 0)), OutputTokens: uint32(max(r.OutputTokens, 0)),
-		InputZone: r.InputZone, Excluded: r.Excluded,
+		InputZone: r.InputZone, Excluded: r.Excluded, SlackUs: r.Slack.Microseconds(),
 	}
 	for _, part := range r.Parts {
 		out.Parts = append(out.Parts, &hoistv1.PromptPart{Id: part.ID, Tokens: uint32(max(part.Tokens, 0))})
@@ -93,6 +93,7 @@
 	out := &enginepool.Request{
 		ID: r.GetRequest(), PromptTokens: int(r.GetPromptTokens()), OutputTokens: int(r.GetOutputTokens()),
 		InputZone: r.GetInputZone(), Excluded: excluded[:min(len(excluded), maxPlaceParts)],
+		Slack: max(time.Duration(r.GetSlackUs())*time.Microsecond, 0),
 	}
 	for _, part := range parts[:min(len(parts), maxPlaceParts)] {
 		out.Parts = append(out.Parts, enginepool.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -15,6 +15,12 @@
 	// readWeight is the cost of reading relative to waiting. The reading of one request delays
 	// those that come after it.
 	readWeight = 1.25
+	// slackDivisor sets how much later than at the fastest engine the first event may come for the
+	// sake of an engine that has to read less: the time that is left then, divided by it. Within
+	// that time waiting costs the fraction slackWaitWeight of reading, since the caller does not
+	// notice it and the work is saved for others.
+	slackDivisor    = 3
+	slackWaitWeight = 0.2
 	// copySetupTime is the time that a copy of cached tokens takes besides the transfer.
 	copySetupTime = 5 * time.Millisecond
 	// crossZoneCopyFactor is how much longer a copy between zones takes.
@@ -39,6 +45,8 @@
 	OutputTokens int
 	// InputZone is the zone that holds large inputs of the request; empty if there are none.
 	InputZone string
+	// Slack is the time in which the first event should come; 0 if there is no objective.
+	Slack time.Duration
 	// Excluded are the engines that must not be chosen.
 	Excluded []string
 }
@@ -81,16 +89,7 @@
 	if old := p.flights[r.ID]; old != nil {
 		p.drop(r.ID, old)
 	}
-	holders := p.parts.holders(now, r.Parts)
-	var best offer
-	for _, e := range p.engines {
-		if !p.isAvailable(now, e, r) {
-			continue
-		}
-		if o := p.offer(now, e, r, &holders); best.engine == nil || o.cost < best.cost {
-			best = o
-		}
-	}
+	best := p.choose(now, r)
 	if best.engine == nil {
 		return Placement{}, false
 	}
@@ -104,6 +103,39 @@
 	return placed, true
 }
 
+// choose returns the offer of the best engine. Its engine is nil if none may take the request.
+func (p *Pool) choose(now clock.Instant, r *Request) offer {
+	holders := p.parts.holders(now, r.Parts)
+	p.offers = p.offers[:0]
+	var fastest offer
+	for _, e := range p.engines {
+		if !p.isAvailable(now, e, r) {
+			continue
+		}
+		o := p.offer(now, e, r, &holders)
+		p.offers = append(p.offers, o)
+		if fastest.engine == nil || o.cost < fastest.cost {
+			fastest = o
+		}
+	}
+	best := fastest
+	limit := fastest.expected() + max(r.Slack-fastest.expected(), 0)/slackDivisor
+	for i := range p.offers {
+		if o := &p.offers[i]; o.expected() <= limit && o.workCost() < best.workCost() {
+			best = *o
+		}
+	}
+	return best
+}
+
+// expected returns the expected time to the first event.
+func (o *offer) expected() time.Duration { return o.wait + o.read }
+
+// workCost returns the cost of an offer that is early enough for its caller.
+func (o *offer) workCost() float64 {
+	return float64(o.readTime) + slackWaitWeight*(o.cost-float64(o.readTime))
+}
+
 // isAvailable reports whether an engine may take a request.
 func (p *Pool) isAvailable(now clock.Instant, e *engine, r *Request) bool {
 	switch {
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -91,6 +91,8 @@
 	parts   parts
 	time    timeModel
 	gap     mean
+	// offers is reused between placements.
+	offers []offer
 	// duration is the typical time of a request at an engine.
 	duration  mean
 	expiredAt clock.Instant
