--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -147,10 +147,11 @@
 	return best
 }
 
-// engineShards returns the shards to ask for an engine: the first ones of the prompt among those in
-// the zone of large inputs or, if it has none, among those that can be reached.
+// engineShards returns the shards to ask for an engine: the first ones of the prompt among those that
+// can be reached. Without shared parts of a prompt, those in the zone of large inputs come first. With
+// them they do not: reading a long part once more takes an engine tens of milliseconds, and moving
+// the inputs to the engines that have it a few.
 func (t *transaction) engineShards(view *View) (first, second *poolShard) {
-	inputZone := t.inputZone()
 	var shards []*poolShard
 	for _, shard := range view.ShardsOf[t.pool] {
 		if len(shard.entries) > 0 && t.s.takesReservations(shard.Zone) {
@@ -165,7 +166,8 @@
 	if j >= 0 {
 		second = shards[j]
 	}
-	if inputZone == "" || first.Zone == "" || first.Zone == inputZone {
+	inputZone := t.inputZone()
+	if inputZone == "" || first.Zone == "" || first.Zone == inputZone || len(t.promptParts()) > 0 {
 		return first, second
 	}
 	var local []*poolShard
--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -26,7 +26,7 @@
 	// crossZoneCopyFactor is how much longer a copy between zones takes.
 	crossZoneCopyFactor = 2
 	// otherZoneCost is the cost of moving large inputs to an engine in another zone.
-	otherZoneCost = 30 * time.Millisecond
+	otherZoneCost = 5 * time.Millisecond
 	// errorCost is the relative cost of one recent error of an engine.
 	errorCost = 2
 	// memoryFraction is the fraction of the memory that requests in flight may fill, since the
