--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -19,8 +19,13 @@
 	// sake of an engine that has to read less: the time that is left then, divided by it. Within
 	// that time waiting costs the fraction slackWaitWeight of reading, since the caller does not
 	// notice it and the work is saved for others.
-	slackDivisor    = 3
+	slackDivisor    = 4
 	slackWaitWeight = 0.2
+	// evictionWeight is the cost of a token that makes the engine evict another one, relative to the
+	// time to read it: some of what is evicted will be asked for again.
+	evictionWeight = 0.1
+	// copyWeight is the cost of the work of a copied token, relative to reading it.
+	copyWeight = 0.1
 	// copySetupTime is the time that a copy of cached tokens takes besides the transfer.
 	copySetupTime = 5 * time.Millisecond
 	// crossZoneCopyFactor is how much longer a copy between zones takes.
@@ -80,6 +85,8 @@
 	readTokens int
 	cached     int
 	copied     int
+	// work is the work that the request makes for the engines, in nanoseconds of their time.
+	work float64
 }
 
 // Place chooses an engine and counts the request as in flight there until End. It returns false
@@ -133,7 +140,7 @@
 
 // workCost returns the cost of an offer that is early enough for its caller.
 func (o *offer) workCost() float64 {
-	return float64(o.readTime) + slackWaitWeight*(o.cost-float64(o.readTime))
+	return o.work + slackWaitWeight*o.cost
 }
 
 // isAvailable reports whether an engine may take a request.
@@ -169,10 +176,23 @@
 	if r.InputZone != "" && e.Zone != r.InputZone {
 		o.cost += float64(otherZoneCost)
 	}
-	o.cost *= 1 + errorCost*e.health.ErrorScore(now)
+	o.work = p.work(e, r, &o)
+	o.cost = (o.cost + o.work - float64(o.readTime)) * (1 + errorCost*e.health.ErrorScore(now))
 	return o
 }
 
+// work returns the work that a request makes: reading, copying, and reading again what the engine
+// evicts for it.
+func (p *Pool) work(e *engine, r *Request, o *offer) float64 {
+	work := float64(o.readTime) + copyWeight*float64(p.time.reading(o.copied, 1))
+	if p.limits.CacheTokens > 0 {
+		added := r.tokens() - int64(o.cached)
+		evicted := min(max(e.cache.tokens+added-p.limits.CacheTokens, 0), added)
+		work += evictionWeight * float64(p.time.reading(int(evicted), 1))
+	}
+	return work
+}
+
 // wait returns the time until the engine begins to read another prompt: it reads those in flight
 // first, and takes no more requests than it processes at a time.
 func (p *Pool) wait(now clock.Instant, e *engine) time.Duration {
