--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 const (
@@ -26,6 +27,11 @@
 	evictionWeight = 0.1
 	// copyWeight is the cost of the work of a copied token, relative to reading it.
 	copyWeight = 0.1
+	// preferenceWeight is the probability that the engine which a part of a prompt prefers has it
+	// although this owner does not know: a previous owner may have placed it there.
+	preferenceWeight = 0.5
+	// maxPreferredPace is the pace up to which an engine is preferred by a part.
+	maxPreferredPace = 1.5
 	// copySetupTime is the time that a copy of cached tokens takes besides the transfer.
 	copySetupTime = 5 * time.Millisecond
 	// crossZoneCopyFactor is how much longer a copy between zones takes.
@@ -83,6 +89,7 @@
 	read       time.Duration
 	readTime   time.Duration
 	readTokens int
+	pace       float64
 	cached     int
 	copied     int
 	// work is the work that the request makes for the engines, in nanoseconds of their time.
@@ -130,6 +137,7 @@
 	if fastest < 0 {
 		return nil
 	}
+	preferred := p.prefer(r, &holders)
 	best := &p.offers[fastest]
 	limit := best.expected() + max(r.Slack-best.expected(), 0)/slackDivisor
 	for i := range p.offers {
@@ -137,9 +145,41 @@
 			best = o
 		}
 	}
+	if preferred != nil && preferred != best && best.source == nil {
+		best.source = preferred.engine
+	}
 	return best
 }
 
+// prefer makes an engine cheaper for a request whose last shared part no engine is known to have, and
+// returns its offer; nil if there is no such part. It is the first engine by rendezvous hashing, so
+// that parts are found again after a change of the owner, which loses what the old one knew.
+func (p *Pool) prefer(r *Request, holders *partHolders) *offer {
+	shared := min(len(r.Parts), maxParts)
+	if holders.count == shared {
+		return nil
+	}
+	var preferred *offer
+	highest, unknown := uint64(0), 0
+	for i := range p.offers {
+		o := &p.offers[i]
+		weight := rendezvous.WeightOf(rendezvous.Hash(r.Parts[shared-1].ID), o.engine.hash)
+		if o.pace <= maxPreferredPace && (preferred == nil || weight > highest) {
+			preferred, highest = o, weight
+		}
+	}
+	if preferred == nil {
+		return nil
+	}
+	for _, part := range r.Parts[holders.count:shared] {
+		unknown += part.Tokens
+	}
+	gain := preferenceWeight * float64(p.time.reading(unknown, preferred.pace))
+	preferred.work -= gain
+	preferred.cost -= gain
+	return preferred
+}
+
 // expected returns the expected time to the first event.
 func (o *offer) expected() time.Duration { return o.wait + o.read }
 
@@ -166,6 +206,7 @@
 func (p *Pool) fill(now clock.Instant, o *offer, r *Request, holders *partHolders) {
 	e := o.engine
 	pace := e.pace.factor(now, p.gap)
+	o.pace = pace
 	o.cached, o.wait = holders.cachedAt(e), p.wait(now, e)
 	o.readTokens = max(r.PromptTokens-o.cached, 0)
 	o.read = p.time.firstEvent(o.readTokens, pace)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -19,6 +19,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 // maxEngines is the number of engines of a shard whose caches are tracked. Shards are smaller; see
@@ -50,6 +51,8 @@
 // engine is the state of an engine at the owner.
 type engine struct {
 	Engine
+	// hash is the hash of the ID.
+	hash rendezvous.Hash
 	// index is the bit of the engine in the holders of parts; -1 if its cache is not tracked.
 	index     int
 	inService bool
@@ -131,7 +134,7 @@
 }
 
 func (p *Pool) add(entry Engine) *engine {
-	e := &engine{Engine: entry, index: p.freeIndex()}
+	e := &engine{Engine: entry, hash: rendezvous.HashOf(entry.ID), index: p.freeIndex()}
 	p.byID[e.ID] = e
 	p.engines = append(p.engines, e)
 	return e
--- a/pkg/enginepool/pool_test.go
+++ b/pkg/enginepool/pool_test.go
@@ -75,14 +75,33 @@
 	}
 }
 
+// TestNewOwnerFindsParts guards against reading all parts again after a change of the owner, which loses
+// what the old one knew.
+func TestNewOwnerFindsParts(t *testing.T) {
+	const parts = 200
+	old, next, same := newPool(10), newPool(10), 0
+	now := start
+	for i := range parts {
+		now = now.Add(200 * time.Millisecond)
+		request := Request{ID: fmt.Sprint(i), Parts: []Part{{ID: uint64(1000 + i), Tokens: 5000}}, PromptTokens: 6000, Slack: time.Second}
+		before, after := place(t, old, now, request), place(t, next, start.Add(time.Hour+time.Duration(i)*300*time.Millisecond), request)
+		if before.Engine == after.Engine {
+			same++
+		}
+	}
+	if same < parts*8/10 {
+		t.Errorf("the new owner found %d of %d parts", same, parts)
+	}
+}
+
 // TestUnreadPartIsNotCopied guards against a copy from an engine that has yet to read the part.
 func TestUnreadPartIsNotCopied(t *testing.T) {
 	p := newPool(2)
 	request := Request{ID: "first", Parts: []Part{{ID: 7, Tokens: 50_000}}, PromptTokens: 50_000}
 	first := place(t, p, start, request)
 	request.ID, request.Excluded = "second", []string{first.Engine}
-	if second := place(t, p, start.Add(time.Millisecond), request); second.CacheSource != "" {
-		t.Errorf("the part is copied from %s, which is still reading it", second.CacheSource)
+	if second := place(t, p, start.Add(time.Millisecond), request); second.CopiedTokens != 0 {
+		t.Errorf("%d tokens are copied from %s, which is still reading them", second.CopiedTokens, second.CacheSource)
 	}
 }
 
