Release inputs early when memory limits the size of a call

Results of a stage stay at their upstream until the next stage has ended, unless the pool that made them is short of memory. It counted as short only if a call could take no job at all, so that calls of two thirds of the size limit, with more pieces waiting, did not count.

--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -80,8 +80,10 @@
 	reservations map[StageID]Reservation
 	// meanCallTime is the moving average of the call time.
 	meanCallTime time.Duration
-	// memoryBoundAt is when a shortage of memory last limited a call.
-	memoryBoundAt clock.Instant
+	// memoryBoundAt is when a shortage of memory last left an upstream without a call, and
+	// memoryLimitedAt when it last left waiting pieces out of a call.
+	memoryBoundAt   clock.Instant
+	memoryLimitedAt clock.Instant
 	lastDispatch  clock.Instant
 	completed     throughput
 	startedAt     clock.Instant
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -223,8 +223,11 @@
 	maxPieces := p.batch.MaxPieces - len(selected)
 	if p.batch.ResultMemoryBytes > 0 && j.ResultBytes > 0 {
 		fitInMemory := int(max(freeBytes, 0) / j.ResultBytes)
-		if fitInMemory < n && fitInMemory < maxPieces && len(selected) == 0 {
-			p.memoryBoundAt = now
+		if fitInMemory < n && fitInMemory < maxPieces {
+			p.memoryLimitedAt = now
+			if len(selected) == 0 {
+				p.memoryBoundAt = now
+			}
 		}
 		maxPieces = min(maxPieces, fitInMemory)
 	}
@@ -432,7 +435,7 @@
 // isMemoryShort reports whether results should be released before the stages that read them have
 // ended.
 func (p *Pool) isMemoryShort(now clock.Instant) bool {
-	return p.memoryBoundAt != 0 && now.Sub(p.memoryBoundAt) < memoryShortDuration
+	return p.memoryLimitedAt != 0 && now.Sub(p.memoryLimitedAt) < memoryShortDuration
 }
 
 // memoryShortDuration is how long after a shortage of memory results are released early. It is
