--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// admissionSlack is how long after its objective a request may be expected to be answered when it
-	// arrives. A refused caller returns a second later at the earliest, so it gets its answer sooner if
-	// it is admitted; and pools run stages that are late after all others, so it delays nobody.
-	admissionSlack = 250 * time.Millisecond
+	// admissionMargin is how long before the end of its objective a request must be expected to be
+	// answered when it arrives. Under overload, the pools take longer than they expect, since not
+	// all batches are full, and a request that ends late has taken the place of another one.
+	admissionMargin = 100 * time.Millisecond
 	// spillWaitDivisor sets when other shards are asked: if a stage is expected to wait longer than a
 	// full call divided by it, or to end less than that before it is due. maxSpillShards is how
 	// many are asked, and spillGainDivisor how much sooner one of them must be, as a part of a full
@@ -81,7 +81,7 @@
 	if t.mayHaveRun {
 		return t.deadline
 	}
-	return min(t.due.Add(admissionSlack), t.deadline)
+	return min(t.due.Add(-admissionMargin), t.deadline)
 }
 
 func maxLevel(levels []int) int {
