--- /dev/null
+++ b/internal/edge/enginerunner.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+)
+
+// engineReportTimeout bounds the query for the load of an engine.
+const engineReportTimeout = 200 * time.Millisecond
+
+// engineRunner places requests on the engines of one shard on the VM that owns the shard.
+type engineRunner struct {
+	pool    string
+	dialect Dialect
+	client  *outbound.Client
+	now     func() clock.Instant
+	logger  *zap.Logger
+	metrics *metrics
+	contain *containment
+	signals *upstreamSignals
+
+	mu      sync.Mutex
+	placer  *enginepool.Pool
+	entries map[string]*registry.Entry
+	// reportIDs is reused between calls.
+	reportIDs []string
+}
+
+func newEngineRunner(pool string, s *Server) *engineRunner {
+	return &engineRunner{
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals,
+		placer: enginepool.New(), entries: map[string]*registry.Entry{},
+	}
+}
+
+// engineLimits returns the limits of the engines of a pool.
+func engineLimits(e *catalog.Engine) enginepool.Limits {
+	limits := enginepool.Limits{Concurrency: e.Concurrency, CacheTokens: e.CacheTokens}
+	if e.LinkBytesPerSecond > 0 {
+		limits.CopyTimePerToken = e.CacheBytesPerToken / e.LinkBytesPerSecond * float64(time.Second)
+	}
+	return limits
+}
+
+// configure applies the limits of the pool and the engines in service.
+func (r *engineRunner) configure(engine *catalog.Engine, entries []*registry.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.entries)
+	engines := make([]enginepool.Engine, 0, len(entries))
+	for _, entry := range entries {
+		engines = append(engines, enginepool.Engine{ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil})
+		r.entries[entry.ID] = entry
+	}
+	r.placer.Configure(engineLimits(engine), engines)
+}
+
+// place chooses the engine for a request.
+func (r *engineRunner) place(request *enginepool.Request) (placed enginepool.Placement, ok bool) {
+	r.contain.run("placement", func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		now := r.now()
+		placed, ok = r.placer.Place(now, request)
+		r.queryReports(now)
+	})
+	return placed, ok
+}
+
+// end records the end of a request.
+func (r *engineRunner) end(id string, outcome enginepool.Outcome, cold time.Duration) {
+	r.contain.run("placement", func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		now := r.now()
+		r.placer.End(now, id, outcome)
+		if cold > 0 {
+			r.placer.RecordColdStart(now, outcome.Engine, cold)
+		}
+	})
+}
+
+// queryReports asks the engines for their load of which the owner knows too little. The caller holds
+// the lock.
+func (r *engineRunner) queryReports(now clock.Instant) {
+	r.reportIDs = r.placer.ReportsWanted(now, r.reportIDs[:0])
+	for _, id := range r.reportIDs {
+		if entry := r.entries[id]; entry != nil {
+			go r.queryReport(entry)
+		}
+	}
+}
+
+// queryReport asks one engine for its load.
+func (r *engineRunner) queryReport(entry *registry.Entry) {
+	if !r.signals.mayCall(instanceOf(entry), "engine_report") {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), engineReportTimeout)
+	defer cancel()
+	report, err := r.fetchReport(ctx, entry.Address)
+	valid := false
+	if err == nil {
+		r.mu.Lock()
+		valid = r.placer.RecordReport(r.now(), entry.ID, report)
+		r.mu.Unlock()
+	}
+	if !valid {
+		r.metrics.engineReports.WithLabelValues("ignored").Inc()
+		r.logger.Info("load of an engine not available", zap.String("pool", r.pool), zap.String("upstream", entry.ID), obs.ErrorField(err))
+		return
+	}
+	r.metrics.engineReports.WithLabelValues("used").Inc()
+}
+
+func (r *engineRunner) fetchReport(ctx context.Context, address string) (enginepool.Report, error) {
+	request := r.dialect.EncodeMemoryQuery(address)
+	// The response does not say which query it belongs to.
+	request.SingleUse = true
+	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
+	if err != nil {
+		return enginepool.Report{}, err
+	}
+	if response.Status != http.StatusOK {
+		return enginepool.Report{}, errors.Newf("status %d", response.Status)
+	}
+	return r.dialect.DecodeEngineReport(response.Body)
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -126,6 +126,9 @@
 func (t *transaction) acquireUpstream() (*lease, *errkind.Error) {
 	placementRequest := t.placementRequest()
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
+	if placed := t.acquirePlaced(t.s.view.Load(), placementRequest); placed != nil {
+		return placed, nil
+	}
 	for {
 		view := t.s.view.Load()
 		placementRequest.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 )
 
 // latencyBuckets are in seconds. Objectives lie between 0.1 s and a few seconds.
@@ -28,7 +30,12 @@
 	// upstreamSignals counts signals by kind, and callsWithheld what they kept from upstreams.
 	upstreamSignals *prometheus.CounterVec
 	callsWithheld   *prometheus.CounterVec
-	healthChecks *prometheus.CounterVec
+	healthChecks    *prometheus.CounterVec
+	// placements, promptTokens and placementWait show the work of the owners of engines.
+	placements    *prometheus.CounterVec
+	promptTokens  *prometheus.CounterVec
+	placementWait *prometheus.HistogramVec
+	engineReports *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -66,12 +73,25 @@
 		callsWithheld: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_calls_withheld_total", Help: "Requests refused, and releases and queries dropped, since upstreams leave or ask for no traffic.",
 		}, []string{"call"}),
+		healthChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_health_queries_total", Help: "Health queries to upstreams that may have come back, by end.",
+		}, []string{"end"}),
+		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_placements_total", Help: "Placements of requests on engines by pool and by who decided: owner or vm.",
+		}, []string{"pool", "decided_by"}),
+		promptTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_prompt_tokens_total", Help: "Prompt tokens that the chosen engine had cached or was to copy, by pool.",
+		}, []string{"pool", "source"}),
+		placementWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "hoist_edge_placement_wait_seconds", Help: "Expected wait for other prompts at the chosen engine.", Buckets: latencyBuckets,
+		}, []string{"pool"}),
+		engineReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_engine_reports_total", Help: "Queries for the load of engines: used or ignored.",
+		}, []string{"result"}),
 	}
-	m.healthChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "hoist_edge_health_queries_total", Help: "Health queries to upstreams that may have come back, by end.",
-	}, []string{"end"})
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
-		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks)
+		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
+		m.placements, m.promptTokens, m.placementWait, m.engineReports)
 	return m
 }
 
@@ -85,3 +105,11 @@
 	m.requests.WithLabelValues(route, outcome).Inc()
 	m.latency.WithLabelValues(route).Observe(elapsed.Seconds())
 }
+
+// recordPlacement records the placement of a request by the owner of its engine.
+func (m *metrics) recordPlacement(pool string, placed *enginepool.Placement) {
+	m.placements.WithLabelValues(pool, "owner").Inc()
+	m.promptTokens.WithLabelValues(pool, "cached").Add(float64(placed.CachedTokens))
+	m.promptTokens.WithLabelValues(pool, "copied").Add(float64(placed.CopiedTokens))
+	m.placementWait.WithLabelValues(pool).Observe(placed.Wait.Seconds())
+}
