Send releases on connections of their own client

Each release had a connection of its own, since its response does not say which request it belongs to. Releases now share connections with releases only, where a second copy of a response does no harm.

--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -37,7 +37,6 @@
 	closedForContradiction   = "contradiction"
 	closedForStatus          = "status"
 	closedAfterMemoryQuery   = "memory_query"
-	closedAfterRelease       = "release"
 )
 
 // executeCall sends one batch and reports its outcome to the scheduler.
@@ -256,7 +255,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	recordSignals := r.signalRecorder(address)
-	response, err := r.doOnce(ctx, address, request, closedAfterRelease)
+	response, err := r.releases.Do(ctx, address, request, maxStageResponseBytes)
 	if err != nil {
 		r.logger.Info("release failed; the upstream keeps the results until they expire", zap.String("address", address), zap.Int("results", len(handles)), obs.ErrorField(err))
 		return false
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -41,12 +41,14 @@
 	pool    string
 	dialect Dialect
 	client  *outbound.Client
-	now     func() clock.Instant
-	logger  *zap.Logger
-	metrics *metrics
-	contain *containment
-	handles *recentHandles
-	signals *upstreamSignals
+	// releases is used for releases alone.
+	releases *outbound.Client
+	now      func() clock.Instant
+	logger   *zap.Logger
+	metrics  *metrics
+	contain  *containment
+	handles  *recentHandles
+	signals  *upstreamSignals
 	// view returns the current view.
 	view func() *View
 
@@ -66,7 +68,7 @@
 
 func newPoolRunner(pool string, s *Server) *poolRunner {
 	r := &poolRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
+		pool: pool, dialect: s.dialect, client: s.client, releases: s.releases, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
 		handles: &s.recentHandles, signals: s.signals, view: s.view.Load,
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -55,6 +55,9 @@
 	reloadMu sync.Mutex
 	dialect  Dialect
 	client   *outbound.Client
+	// releases sends releases of results. Their responses do not say which request they belong to, so
+	// no other request may use the same connections.
+	releases *outbound.Client
 	now      func() clock.Instant
 	logger   *zap.Logger
 	failures *zap.Logger
@@ -122,7 +125,7 @@
 // New returns a Server that is not running yet.
 func New(options Options) (*Server, error) {
 	s := &Server{
-		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
+		settings: options.Settings, dialect: options.Dialect, client: options.Client, releases: outbound.NewClient(options.Settings.IP), now: options.Now, logger: options.Logger, failures: options.Failures,
 		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
@@ -294,6 +297,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		s.client.CloseExpired()
+		s.releases.CloseExpired()
 		s.signals.retain(s.view.Load())
 	}
 }
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -86,9 +86,9 @@
 	// memoryLimitedAt when it last left waiting pieces out of a call.
 	memoryBoundAt   clock.Instant
 	memoryLimitedAt clock.Instant
-	lastDispatch  clock.Instant
-	completed     throughput
-	startedAt     clock.Instant
+	lastDispatch    clock.Instant
+	completed       throughput
+	startedAt       clock.Instant
 	// previousCallsUntil is when calls of the previous owner have ended at the latest.
 	previousCallsUntil clock.Instant
 }
