--- a/internal/edge/tables_test.go
+++ b/internal/edge/tables_test.go
@@ -29,9 +29,9 @@
 	for _, s := range f.servers {
 		ranking := s.gossip.ranking(readerRankingKey)
 		readers = ranking[:storeReaderCount]
-		sources, isReader := s.tableSources()
+		sources, role := s.tableSources()
 		switch {
-		case isReader:
+		case role != tableFollower:
 		case len(sources) == storeReaderCount && sources[0].Name == readers[0].Name:
 			fromReaders++
 		default:
