Read the store less often as a substitute while it is down

While the store is down, each VM whose tables are old tried to read it every 0.25 to 0.5 s. A VM that is no reader now waits 60 ms for each VM of the fleet between two tries, or until a peer has newer tables. The first try of each is as early as before, so a VM that the store serves is still found at once.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// readStore lists or watches the store once, and then waits before the next read if needed.
-func (f *follower) readStore(ctx context.Context) {
+// readStore lists or watches the store once, and then waits before the next read if needed. It reports
+// whether the read succeeded.
+func (f *follower) readStore(ctx context.Context) bool {
 	var err error
 	if f.mustList || !f.isComplete() {
 		err = f.list(ctx)
@@ -95,6 +96,7 @@
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		sleep(ctx, readRetryDelay+rand.N(readRetryDelay))
 	}
+	return err == nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -32,6 +32,12 @@
 	// readerAgeStep is the additional age of the tables at which each further VM in the ranking
 	// starts to read the store, so that after an outage they do not all start at once.
 	readerAgeStep = 40 * time.Millisecond
+	// overdueRetryPerVM is the time between two reads of the store by a VM that is no reader but has old
+	// tables, for each VM of the fleet: together they make no more than a few calls, each of which is
+	// charged, while the store is down. One of them finds out at once that it is back for some VMs.
+	overdueRetryPerVM = 60 * time.Millisecond
+	// overdueCheckInterval is the time between two checks whether a peer has sent newer tables meanwhile.
+	overdueCheckInterval = 100 * time.Millisecond
 	// discoveryTimeout is how long a VM waits after its start to discover other VMs before it
 	// acts as the only one.
 	discoveryTimeout = 500 * time.Millisecond
@@ -51,10 +57,14 @@
 // them from there; any other VM pulls them from a reader or a relay.
 func (s *Server) followTables(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; {
-		sources, isReader := s.tableSources()
+		sources, role := s.tableSources()
 		switch {
-		case isReader:
+		case role == storeReader:
 			s.follower.readStore(ctx)
+		case role == substituteReader:
+			if !s.follower.readStore(ctx) {
+				s.awaitPeerTables(ctx, time.Duration(s.fleetSize.Load())*overdueRetryPerVM)
+			}
 		case len(sources) == 0:
 			sleep(ctx, pullRetryDelay)
 		case !s.pullFrom(ctx, sources[(next+s.readerOffset)%len(sources)], pullHoldTime):
@@ -64,28 +74,57 @@
 	}
 }
 
-// tableSources returns the VMs from which this one may pull the tables, and whether it reads the
-// store instead.
-func (s *Server) tableSources() ([]fleet.Entry, bool) {
+// tableRole says how a VM gets the tables.
+type tableRole uint8
+
+const (
+	// tableFollower pulls them from another VM.
+	tableFollower tableRole = iota
+	// storeReader reads the store.
+	storeReader
+	// substituteReader reads the store because no VM has newer tables.
+	substituteReader
+)
+
+// awaitPeerTables waits for a time, or until a peer has sent tables that are not stale.
+func (s *Server) awaitPeerTables(ctx context.Context, wait time.Duration) {
+	until := s.now().Add(wait)
+	for ctx.Err() == nil && s.now() < until {
+		if age, complete := s.follower.age(); complete && age < staleTablesAge {
+			return
+		}
+		sleep(ctx, overdueCheckInterval)
+	}
+}
+
+// tableSources returns how this VM gets the tables, and the VMs from which it may pull them if it does
+// not read the store.
+func (s *Server) tableSources() ([]fleet.Entry, tableRole) {
 	ranking := s.gossip.ranking(readerRankingKey)
 	rank := s.indexOfSelf(ranking)
 	uptime := s.now().Sub(s.startedAt)
 	if len(ranking) <= 1 {
-		return nil, uptime > discoveryTimeout || len(s.inForce.Load().Seeds) == 0
+		if uptime > discoveryTimeout || len(s.inForce.Load().Seeds) == 0 {
+			return nil, storeReader
+		}
+		return nil, tableFollower
 	}
 	age, complete := s.follower.age()
 	if !complete {
 		age = uptime
 	}
 	overdue := age > staleTablesAge+time.Duration(max(rank, 0))*readerAgeStep
-	if (rank >= 0 && rank < storeReaderCount) || overdue {
-		return nil, true
+	switch {
+	case rank >= 0 && rank < storeReaderCount:
+		return nil, storeReader
+	case overdue:
+		return nil, substituteReader
 	}
 	readers := ranking[:min(storeReaderCount, len(ranking))]
 	if len(ranking) <= storeReaderCount*(s.maxDirectFollowers+1) {
-		return readers, false
+		return readers, tableFollower
 	}
-	return s.zoneSources(ranking, readers, complete), false
+	return s.zoneSources(ranking, readers, complete), tableFollower
 }
 
 // zoneSources returns the sources of a VM in a large fleet: the readers for a relay, and otherwise
