Copy cached prompts from the shard that had them before a zone left or returned

When a zone is taken out of service or comes back, its prompts move to other shards, whose engines read them again. The VM now asks the owner of the next shard of the prompt which engine has read it, and the chosen engine copies it from there. Engines out of service stay known for this as long as they are registered.

--- a/internal/edge/enginerunner.go
+++ b/internal/edge/enginerunner.go
@@ -54,17 +54,19 @@
 	return limits
 }
 
-// configure applies the limits of the pool and the engines in service.
-func (r *engineRunner) configure(engine *catalog.Engine, entries []*registry.Entry) {
+// configure applies the limits of the pool and the engines of the shard.
+func (r *engineRunner) configure(shard *poolShard, zonesOut map[string]bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.entries)
-	engines := make([]enginepool.Engine, 0, len(entries))
-	for _, entry := range entries {
-		engines = append(engines, enginepool.Engine{ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil})
+	engines := make([]enginepool.Engine, 0, len(shard.members))
+	for _, entry := range shard.members {
+		engines = append(engines, enginepool.Engine{
+			ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil, OutOfService: entry.Draining || zonesOut[entry.Zone],
+		})
 		r.entries[entry.ID] = entry
 	}
-	r.placer.Configure(engineLimits(engine), engines)
+	r.placer.Configure(engineLimits(shard.engine), engines)
 }
 
 // place chooses the engine for a request.
@@ -79,6 +81,16 @@
 	return placed, ok
 }
 
+// locate returns the engine that has read the longest beginning of a prompt, and its size in tokens.
+func (r *engineRunner) locate(parts []enginepool.Part) (engine string, tokens int) {
+	r.contain.run("placement", func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		engine, tokens = r.placer.Locate(r.now(), parts)
+	})
+	return engine, tokens
+}
+
 // end records the end of a request.
 func (r *engineRunner) end(id string, outcome enginepool.Outcome, cold time.Duration) {
 	r.contain.run("placement", func() {
--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -29,6 +29,10 @@
 	endPlacementTimeout = 500 * time.Millisecond
 	// spillWait is the expected wait at the engines of a shard from which on a second shard is asked.
 	spillWait = 100 * time.Millisecond
+	// locateTimeout bounds the question to another owner where a prompt was read, and minLocateTokens is
+	// the number of tokens to read from which on it is asked: reading these takes longer.
+	locateTimeout   = 20 * time.Millisecond
+	minLocateTokens = 1000
 	// maxPlaceTries bounds the engines that owners name for one attempt.
 	maxPlaceTries = 2
 )
@@ -107,6 +111,7 @@
 			t.s.metrics.placements.WithLabelValues(t.pool, "vm").Inc()
 			return nil
 		}
+		t.locateElsewhere(view, placed)
 		if l := t.s.upstreams.acquireNamed(view, t.pool, placed, request); l != nil {
 			t.s.metrics.recordPlacement(t.pool, &placed.Placement)
 			t.s.logger.Info("engine chosen", zap.String("request", t.requestInfo.ID), zap.String("shard", placed.shard.Name), zap.String("owner", placed.owner.Name),
@@ -150,6 +155,75 @@
 	return best
 }
 
+// locateElsewhere makes the chosen engine copy a prompt that no engine of its shard has read. Another
+// shard has if that one was the first one of the prompt until a zone left or returned.
+func (t *transaction) locateElsewhere(view *View, placed *enginePlacement) {
+	request := t.engineRequest(nil)
+	shared := 0
+	for _, part := range request.Parts {
+		shared += part.Tokens
+	}
+	known := placed.CachedTokens + placed.CopiedTokens
+	if shared-known < minLocateTokens {
+		return
+	}
+	shard := t.otherShard(view, placed.shard)
+	if shard == nil {
+		return
+	}
+	source, tokens := t.locateAt(shard, request)
+	if tokens > known {
+		placed.CacheSource, placed.CopiedTokens = source, tokens-placed.CachedTokens
+	}
+}
+
+// otherShard returns the first shard of the prompt other than the given one, also if its engines are out
+// of service; nil if there is none that can be reached.
+func (t *transaction) otherShard(view *View, chosen *poolShard) *poolShard {
+	var shards []*poolShard
+	var options []enginepool.Shard
+	for _, shard := range view.ShardsOf[t.pool] {
+		if shard != chosen && len(shard.members) > 0 && t.s.takesReservations(shard.Zone) {
+			shards = append(shards, shard)
+			options = append(options, enginepool.Shard{Name: shard.hash, Engines: len(shard.members)})
+		}
+	}
+	if i, _ := enginepool.RankShards(t.shardKey(), options); i >= 0 {
+		return shards[i]
+	}
+	return nil
+}
+
+// locateAt asks the owner of a shard which engine has read the beginning of the prompt.
+func (t *transaction) locateAt(shard *poolShard, request *enginepool.Request) (source string, tokens int) {
+	s := t.s
+	owner := s.gossip.owner(shard.resource())
+	if owner.Name == s.settings.VM {
+		if runner := s.engineRunner(shard.Name); runner != nil {
+			return runner.locate(request.Parts)
+		}
+		return "", 0
+	}
+	if s.engineOwners.isSkipped(owner.Name, s.now()) {
+		return "", 0
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, locateTimeout)
+	defer cancel()
+	message := placeRequestToProto(shard.Name, request)
+	message.Locate = true
+	err := s.peers.callBriefly(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) error {
+		response, err := client.Place(ctx, message)
+		if err == nil && response.GetOwner() == "" {
+			source, tokens = response.GetCacheSource(), int(response.GetCachedTokens())
+		}
+		return err
+	})
+	if err != nil {
+		s.logger.Debug("cached parts of a prompt not located", zap.String("request", t.requestInfo.ID), zap.String("owner", owner.Name), obs.ErrorField(err))
+	}
+	return source, tokens
+}
+
 // engineShards returns the shards to ask for an engine: the first ones of the prompt among those that
 // can be reached. Without shared parts of a prompt, those in the zone of large inputs come first. With
 // them they do not: reading a long part once more takes an engine tens of milliseconds, and moving
@@ -251,7 +325,7 @@
 	ctx, cancel := context.WithTimeout(t.ctx, placeTimeout)
 	defer cancel()
 	var response *hoistv1.PlaceResponse
-	err := s.peers.callWithoutPing(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
+	err := s.peers.callBriefly(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
 		response, err = client.Place(ctx, placeRequestToProto(shard.Name, request))
 		return err
 	})
@@ -296,7 +370,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endPlacementTimeout)
 		defer cancel()
-		err := s.peers.callWithoutPing(ctx, placed.owner, func(ctx context.Context, client hoistv1.FleetClient) error {
+		err := s.peers.callBriefly(ctx, placed.owner, func(ctx context.Context, client hoistv1.FleetClient) error {
 			_, err := client.EndPlacement(ctx, outcomeToProto(placed.shard.Name, placed.id, outcome, cold))
 			return err
 		})
--- a/internal/edge/placeserver.go
+++ b/internal/edge/placeserver.go
@@ -25,7 +25,7 @@
 	}
 	shard := view.Shards[name]
 	runner := newEngineRunner(shard.pool, s)
-	runner.configure(shard.engine, shard.entries)
+	runner.configure(shard, view.ZonesOut)
 	s.engineRunners[name] = runner
 	return runner
 }
@@ -36,7 +36,7 @@
 	defer s.engineRunnersMu.Unlock()
 	for name, runner := range s.engineRunners {
 		if shard := view.Shards[name]; shard != nil && shard.engine != nil {
-			runner.configure(shard.engine, shard.entries)
+			runner.configure(shard, view.ZonesOut)
 			continue
 		}
 		delete(s.engineRunners, name)
@@ -59,7 +59,12 @@
 	if runner == nil {
 		return nil, errUnknownShard
 	}
-	placed, _ := runner.place(placeRequestFromProto(r))
+	request := placeRequestFromProto(r)
+	if r.GetLocate() {
+		source, tokens := runner.locate(request.Parts)
+		return &hoistv1.PlaceResponse{CacheSource: source, CachedTokens: uint32(max(tokens, 0))}, nil
+	}
+	placed, _ := runner.place(request)
 	return &hoistv1.PlaceResponse{
 		Upstream: placed.Engine, CacheSource: placed.CacheSource, ExpectedUs: placed.Expected.Microseconds(), WaitUs: placed.Wait.Microseconds(),
 		CachedTokens: uint32(placed.CachedTokens), CopiedTokens: uint32(placed.CopiedTokens),
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -47,8 +47,9 @@
 	// is nil for the others.
 	batch  catalog.Batch
 	engine *catalog.Engine
-	// entries are the upstreams in service.
+	// entries are the upstreams in service, and members all that are registered.
 	entries []*registry.Entry
+	members []*registry.Entry
 }
 
 // resource returns the shard as a resource that a VM owns.
@@ -118,6 +119,7 @@
 	if shard.engine == nil {
 		v.ShardAt[entry.Address] = shard
 	}
+	shard.members = append(shard.members, entry)
 	if !entry.Draining && !v.ZonesOut[entry.Zone] {
 		shard.entries = append(shard.entries, entry)
 	}
--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -117,6 +117,17 @@
 	return placed, true
 }
 
+// Locate returns the engine from which the longest beginning of a prompt can be copied, and its size in
+// tokens; "" and 0 if no engine has read any of it.
+func (p *Pool) Locate(now clock.Instant, prompt []Part) (engine string, tokens int) {
+	holders := p.parts.holders(now, prompt)
+	p.findSources(&holders)
+	if len(p.sources) == 0 {
+		return "", 0
+	}
+	return p.sources[0].ID, holders.longest
+}
+
 // choose returns the offer of the best engine, or nil if none may take the request.
 func (p *Pool) choose(now clock.Instant, r *Request) *offer {
 	holders := p.parts.holders(now, r.Parts)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -46,6 +46,8 @@
 	Start int64
 	// ColdUntil is the end of a cold start.
 	ColdUntil clock.Instant
+	// OutOfService is set if the engine gets no requests. Others may still copy from it.
+	OutOfService bool
 }
 
 // engine is the state of an engine at the owner.
@@ -56,6 +58,8 @@
 	// index is the bit of the engine in the holders of parts; -1 if its cache is not tracked.
 	index     int
 	inService bool
+	// registered is set while the engine belongs to the shard.
+	registered bool
 	// running and tokens are the requests in flight and the memory that they need, in tokens.
 	running int
 	tokens  int64
@@ -107,14 +111,14 @@
 	return &Pool{byID: map[string]*engine{}, flights: map[string]*flight{}, parts: newParts(), time: newTimeModel()}
 }
 
-// Configure sets the limits and the engines in service. Requests in flight at other engines
+// Configure sets the limits and the engines of the shard. Requests in flight at other engines
 // continue. An engine that has started again has lost its cache and its requests.
-func (p *Pool) Configure(limits Limits, inService []Engine) {
+func (p *Pool) Configure(limits Limits, engines []Engine) {
 	p.limits = limits
 	for _, e := range p.engines {
-		e.inService = false
+		e.inService, e.registered = false, false
 	}
-	for _, entry := range inService {
+	for _, entry := range engines {
 		known := p.byID[entry.ID]
 		if known != nil && known.Start != entry.Start {
 			p.remove(known)
@@ -123,11 +127,11 @@
 		if known == nil {
 			known = p.add(entry)
 		}
-		known.Zone, known.inService = entry.Zone, true
+		known.Zone, known.inService, known.registered = entry.Zone, !entry.OutOfService, true
 		known.ColdUntil = max(known.ColdUntil, entry.ColdUntil)
 	}
 	for _, e := range slices.Clone(p.engines) {
-		if !e.inService && e.running == 0 {
+		if !e.registered && e.running == 0 {
 			p.remove(e)
 		}
 	}
--- a/pkg/enginepool/pool_test.go
+++ b/pkg/enginepool/pool_test.go
@@ -94,6 +94,31 @@
 	}
 }
 
+// TestEngineOutOfServiceIsCopiedFrom guards against requests to an engine whose zone was taken out of
+// service, and against reading again what it has read and others could copy.
+func TestEngineOutOfServiceIsCopiedFrom(t *testing.T) {
+	p := newPool(1)
+	request := Request{ID: "first", Parts: []Part{{ID: 7, Tokens: 5000}}, PromptTokens: 6000}
+	place(t, p, start, request)
+	engines := testEngines(1)
+	engines[0].OutOfService = true
+	p.Configure(testLimits, engines)
+	later := start.Add(time.Second)
+	request.ID = "second"
+	if placed, ok := p.Place(later, &request); ok {
+		t.Errorf("the request was placed at %s, which is out of service", placed.Engine)
+	}
+	if engine, tokens := p.Locate(later, request.Parts); engine != "a" || tokens != 5000 {
+		t.Errorf("located %d tokens at %q, expected 5000 at a", tokens, engine)
+	}
+	p.Configure(testLimits, nil)
+	p.End(later, "first", Outcome{Engine: "a"})
+	p.Configure(testLimits, nil)
+	if engine, _ := p.Locate(later, request.Parts); engine != "" {
+		t.Errorf("located at %s, which has left", engine)
+	}
+}
+
 // TestUnreadPartIsNotCopied guards against a copy from an engine that has yet to read the part.
 func TestUnreadPartIsNotCopied(t *testing.T) {
 	p := newPool(2)
