--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -86,11 +86,9 @@
 	// memoryLimitedAt when it last left waiting pieces out of a call.
 	memoryBoundAt   clock.Instant
 	memoryLimitedAt clock.Instant
-	lastDispatch    clock.Instant
-	completed       throughput
-	// arrivals measures the pieces that arrive, by rank.
-	arrivals  [maxPriority + 1]throughput
-	startedAt clock.Instant
+	lastDispatch  clock.Instant
+	completed     throughput
+	startedAt     clock.Instant
 	// previousCallsUntil is when calls of the previous owner have ended at the latest.
 	previousCallsUntil clock.Instant
 }
@@ -158,7 +156,6 @@
 	if expectedEnd.After(submitted.Deadline) && !hasReservation {
 		return 0, expectedEnd, Overloaded
 	}
-	p.arrivals[min(max(submitted.Priority, 0), maxPriority)].add(now, submitted.Pieces)
 	p.lastJobID++
 	j := &job{Job: submitted, id: p.lastJobID, pieces: make([]piece, submitted.Pieces), late: late}
 	p.jobs[j.id] = j
--- a/pkg/stagepool/reserve.go
+++ b/pkg/stagepool/reserve.go
@@ -48,33 +48,7 @@
 		}
 	}
 	p.reservations[r.StageID] = r
-	end := p.estimateEnd(now, ahead, r.Pieces, r.ResultBytes)
-	for range overtakingRounds {
-		wait := end.Sub(max(now, r.Arrives)) - p.expectedCallTime()
-		if wait <= 0 {
-			break
-		}
-		end = p.estimateEnd(now, ahead+p.overtakingPieces(now, r.Priority, wait), r.Pieces, r.ResultBytes)
-	}
-	return max(end, r.Arrives.Add(p.expectedCallTime()))
-}
-
-// overtakingRounds is the number of times that the wait of a stage is computed anew with the pieces
-// that overtake it meanwhile.
-const overtakingRounds = 2
-
-// overtakingPieces returns how many pieces of higher ranks will probably arrive and be queued ahead of
-// a stage while it waits, if they go on to arrive as they did. A stage of lower rank that does not
-// count them is admitted in a burst, overtaken until it is late, and dropped after other pools have
-// worked for its request.
-func (p *Pool) overtakingPieces(now clock.Instant, priority int, wait time.Duration) int {
-	priority = min(max(priority, 0), maxPriority)
-	pieces := 0.0
-	for rank := range priority {
-		lead := time.Duration(priority-rank) * priorityStep
-		pieces += p.arrivals[rank].perSecond(now) * min(lead, wait).Seconds()
-	}
-	return int(pieces)
+	return max(p.estimateEnd(now, ahead, r.Pieces, r.ResultBytes), r.Arrives.Add(p.expectedCallTime()))
 }
 
 func (p *Pool) lateWaitingPieces() int {
