--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -12,7 +12,7 @@
 	// interferenceWeight is the cost of reading a prompt for each stream that runs at the engine,
 	// as a fraction of the reading time: the engine reads chunks of the prompt between the tokens
 	// of its streams, whose events come later by that.
-	interferenceWeight = 0.03
+	interferenceWeight = 0.12
 	// readWeight is the cost of reading relative to waiting. The reading of one request delays
 	// those that come after it.
 	readWeight = 1.25
