Use more of the result memory while no result lacks it

A call of 32 pieces at an upstream with memory for 61 results left room for 26 under the margin of 5%, and so for 6 jobs of 4 pieces: under overload calls of 32 and 24 pieces took turns. The margin falls to 1.5% while no result has lacked memory for 5 s.

--- a/pkg/stagepool/memory.go
+++ b/pkg/stagepool/memory.go
@@ -93,6 +93,7 @@
 // others. If they cannot be queried, they are assumed to have been made at a steady rate, and so
 // to expire at one. Those of a previous owner end one TTL after the start of this one.
 func (p *Pool) recordOutOfMemory(now clock.Instant, u *upstream) {
+	p.outOfMemoryAt = now
 	u.backoffUntil = max(u.backoffUntil, now.Add(outOfMemoryBackoff))
 	u.outOfMemoryUntil = now.Add(outOfMemoryDuration)
 	if p.batch.ResultMemoryBytes >= minMemoryQueryBytes {
--- a/pkg/stagepool/pool.go
+++ b/pkg/stagepool/pool.go
@@ -86,6 +86,8 @@
 	// memoryLimitedAt when it last left waiting pieces out of a call.
 	memoryBoundAt   clock.Instant
 	memoryLimitedAt clock.Instant
+	// outOfMemoryAt is when an upstream last had no memory for a result, or when this owner began.
+	outOfMemoryAt clock.Instant
 	lastDispatch  clock.Instant
 	completed     throughput
 	startedAt     clock.Instant
@@ -95,7 +97,7 @@
 
 // New returns a pool without upstreams.
 func New(now clock.Instant) *Pool {
-	p := &Pool{upstreams: map[string]*upstream{}, jobs: map[JobID]*job{}, heldResults: map[string]heldResult{}, reservations: map[StageID]Reservation{}, budgetRefilledAt: now, startedAt: now}
+	p := &Pool{upstreams: map[string]*upstream{}, jobs: map[JobID]*job{}, heldResults: map[string]heldResult{}, reservations: map[StageID]Reservation{}, budgetRefilledAt: now, startedAt: now, outOfMemoryAt: now}
 	p.retryBudget.AddTokens(10 * retryRefillPerSecond)
 	p.previousCallsUntil = now.Add(previousCallsDuration)
 	return p
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -11,9 +11,23 @@
 // finish it sooner.
 const slowThreshold = 1.4
 
-// usableMemoryFraction is the fraction of the result memory that is used, since the sizes of
-// results are approximate.
-const usableMemoryFraction = 0.95
+// usableMemoryFraction is the fraction of the result memory that is used, since the sizes of results
+// are approximate. testedMemoryFraction is used once no result has lacked memory for memoryTestTime:
+// a few percent decide whether one more job fits beside the results of the call before.
+const (
+	usableMemoryFraction = 0.95
+	testedMemoryFraction = 0.985
+	memoryTestTime       = 5 * time.Second
+)
+
+// usableMemory returns the bytes of result memory of an upstream that are used.
+func (p *Pool) usableMemory(now clock.Instant) int64 {
+	fraction := usableMemoryFraction
+	if now.Sub(p.outOfMemoryAt) >= memoryTestTime {
+		fraction = testedMemoryFraction
+	}
+	return int64(fraction * float64(p.batch.ResultMemoryBytes))
+}
 
 // slot describes the next call that an upstream can run: when it can start, how slow it is
 // expected to be, and how much memory is free for its results.
@@ -28,13 +42,13 @@
 // slowness; the others are ordered by free memory, most first.
 func (p *Pool) slots(now clock.Instant) []slot {
 	var out []slot
-	useSuspects := !p.hasUpstreamOutside(p.suspectZones)
+	useSuspects, usable := !p.hasUpstreamOutside(p.suspectZones), p.usableMemory(now)
 	for _, id := range p.upstreamIDs {
 		u := p.upstreams[id]
 		if !u.inService || p.blocks[id] == NoEnd || (p.suspectZones[u.Zone] && !useSuspects) {
 			continue
 		}
-		freeBytes := int64(float64(p.batch.ResultMemoryBytes)*usableMemoryFraction) - u.usedBytes - u.currentExternalBytes(now)
+		freeBytes := usable - u.usedBytes - u.currentExternalBytes(now)
 		out = append(out, slot{
 			upstream: u, freeAt: max(u.availableAt(now, p.batch.Concurrency), p.blocks[id]), slowness: max(1, u.currentSlowness(now)), freeBytes: freeBytes,
 		})
