Weigh crashes against answers to the same request

Two crashes of upstreams made all VMs refuse each request with the same path, key and body for ten minutes, since no answer cleared its fingerprint: the edge never called Table.RecordSuccess.

poison.RequestTable weighs crashes and answers of whole requests as PartTable does for parts of prompts. A complete answer clears a request on all VMs; three crashes on two occasions without an answer block it (four if it was ever answered), for a minute at first. Crashes count by ID and start time. Crashes during a request that this VM answered often in the last two seconds do not count. Reports of crashes are collected for 30 ms into one call to each VM instead of one call for each broken request.

TestAnswersOutweighCrashes fails before (refused after two crashes) and passes now.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -1,13 +1,18 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"io"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -20,6 +25,12 @@
 	crashProbeTimeout = 300 * time.Millisecond
 	// crashReportTimeout bounds the report of a crash to a peer.
 	crashReportTimeout = 500 * time.Millisecond
+	// crashReportDelay is how long crashes are collected before they are reported. All requests that an
+	// upstream ran break within some milliseconds.
+	crashReportDelay = 30 * time.Millisecond
+	// maxReportedRequests bounds the requests of one crash that are reported and accepted.
+	maxReportedRequests = 256
+	fingerprintBytes    = len(poison.Fingerprint{})
 )
 
 // requestFingerprint identifies repeated sends of one request by API key, host, URI and body.
@@ -35,48 +46,141 @@
 // isPoisonRequest reports whether the request must not run because upstreams crashed while
 // running it.
 func (s *Server) isPoisonRequest(t *transaction) bool {
-	s.poisonMu.Lock()
-	defer s.poisonMu.Unlock()
-	verdict := s.poison.Check(s.now(), t.fingerprint)
-	return verdict == poison.Refuse || verdict == poison.Wait
+	return s.parts.checkRequest(t.fingerprint.RequestKey())
 }
 
-// checkForCrash checks whether an upstream crashed while it ran the request. It records a crash
-// and reports it to the other VMs. If the upstream's zone is probably cut off, silence says nothing
-// about the request.
-func (s *Server) checkForCrash(t *transaction, entry *registry.Entry) {
+// suspect is a request that an upstream had not answered when it crashed, and the parts of its prompt of
+// which no answer is known.
+type suspect struct {
+	fingerprint poison.Fingerprint
+	parts       []poison.Part
+}
+
+// suspect returns what is under suspicion if an upstream crashes while it runs the request.
+func (t *transaction) suspect() suspect {
+	if t.partsAnswered {
+		return suspect{fingerprint: t.fingerprint}
+	}
+	return suspect{fingerprint: t.fingerprint, parts: t.promptParts()}
+}
+
+// checkForCrash checks whether an upstream crashed while it ran the request, and reports whether it did.
+// It records a crash and reports it to the other VMs.
+func (s *Server) checkForCrash(t *transaction, entry *registry.Entry) bool {
+	err := s.probeForCrash(t.ctx, entry)
+	if err == nil {
+		return false
+	}
+	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
+		zap.String("route", t.route.Name), zap.Strings("prompt_parts", t.sharedParts()), obs.ErrorField(err))
+	s.recordCrash(entry, t.suspect())
+	return true
+}
+
+// probeForCrash returns the error of a new connection to an upstream; nil if the upstream has not crashed or
+// that is not known. If its zone is probably cut off, silence says nothing about the request.
+func (s *Server) probeForCrash(ctx context.Context, entry *registry.Entry) error {
 	if s.isZoneSuspect(entry.Zone) {
-		return
+		return nil
 	}
 	dialer := net.Dialer{Timeout: crashProbeTimeout}
-	conn, err := dialer.DialContext(t.ctx, "tcp4", entry.Address)
+	conn, err := dialer.DialContext(ctx, "tcp4", entry.Address)
 	if err == nil {
 		_ = conn.Close()
+		return nil
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// recordCrash records that an upstream crashed while it ran the requests, here and soon at the other VMs.
+func (s *Server) recordCrash(entry *registry.Entry, suspects ...suspect) {
+	var requests []poison.Part
+	var prompts [][]poison.Part
+	for _, each := range suspects {
+		requests, prompts = append(requests, each.fingerprint.RequestKey()), append(prompts, each.parts)
+	}
+	s.parts.recordCrashes(entry.ID, entry.StartID, requests, prompts)
+	for _, each := range suspects {
+		s.crashReports.add(entry, each, s.sendCrashes)
+	}
+}
+
+// crashReports collects the crashes that this VM notices until the other VMs learn of them. It is safe for
+// concurrent use.
+type crashReports struct {
+	mu sync.Mutex
+	// pending holds a report for each start of an upstream that crashed.
+	pending []*hoistv1.StrikeRequest
+}
+
+// add adds a request that an upstream ran when it crashed. The reports are sent together soon.
+func (c *crashReports) add(entry *registry.Entry, broken suspect, send func([]*hoistv1.StrikeRequest)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 {
+		time.AfterFunc(crashReportDelay, func() { send(c.take()) })
+	}
+	report := c.reportOf(entry)
+	for known := range slices.Chunk(report.GetFingerprint(), fingerprintBytes) {
+		if bytes.Equal(known, broken.fingerprint[:]) {
+			return
+		}
+	}
+	if len(report.GetFingerprint()) >= maxReportedRequests*fingerprintBytes {
 		return
 	}
-	if t.ctx.Err() != nil {
+	report.Fingerprint = append(report.Fingerprint, broken.fingerprint[:]...)
+	if len(broken.parts) == 0 || len(report.GetParts())+len(broken.parts) >= maxReportedParts {
 		return
 	}
-	var parts []poison.Part
-	if t.events == 0 {
-		parts = t.promptParts()
+	if len(report.GetParts()) > 0 {
+		report.Parts = append(report.Parts, messageSeparator)
 	}
-	s.recordCrash(t.fingerprint, entry.ID, entry.Zone)
-	s.parts.recordCrash(entry.ID, entry.StartID, parts)
-	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
-		zap.String("route", t.route.Name), zap.Strings("prompt_parts", t.sharedParts()), obs.ErrorField(err))
-	request := &hoistv1.StrikeRequest{
-		Fingerprint: t.fingerprint[:], Upstream: entry.ID, Zone: entry.Zone, Parts: partsToProto(parts), UpstreamStart: uint64(entry.StartID),
+	report.Parts = append(report.Parts, partsToProto(broken.parts)...)
+}
+
+// reportOf returns the report of the crash of one start of an upstream. The caller holds the lock.
+func (c *crashReports) reportOf(entry *registry.Entry) *hoistv1.StrikeRequest {
+	for _, report := range c.pending {
+		if report.GetUpstream() == entry.ID && report.GetUpstreamStart() == uint64(entry.StartID) {
+			return report
+		}
 	}
-	s.callPeers("failed to report the crash of an upstream", func(ctx context.Context, client hoistv1.FleetClient) error {
-		_, err := client.Strike(ctx, request)
-		return err
+	report := &hoistv1.StrikeRequest{Upstream: entry.ID, Zone: entry.Zone, UpstreamStart: uint64(entry.StartID)}
+	c.pending = append(c.pending, report)
+	return report
+}
+
+// take returns the collected reports and begins to collect new ones.
+func (c *crashReports) take() []*hoistv1.StrikeRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reports := c.pending
+	c.pending = nil
+	return reports
+}
+
+// sendCrashes reports crashes of upstreams to the other VMs.
+func (s *Server) sendCrashes(reports []*hoistv1.StrikeRequest) {
+	s.callPeers("failed to report crashes of upstreams", func(ctx context.Context, client hoistv1.FleetClient) error {
+		for _, report := range reports {
+			if _, err := client.Strike(ctx, report); err != nil {
+				return err
+			}
+		}
+		return nil
 	})
 }
 
-// sendClears tells the other VMs of parts of prompts that were answered.
-func (s *Server) sendClears(parts []poison.Part) {
+// sendClears tells the other VMs of parts of prompts and of requests that were answered.
+func (s *Server) sendClears(parts, requests []poison.Part) {
 	request := &hoistv1.ClearPartsRequest{Parts: partsToProto(parts)}
+	if len(requests) > 0 {
+		request.Parts = append(append(request.Parts, messageSeparator), partsToProto(requests)...)
+	}
 	s.callPeers("failed to report answered parts of prompts", func(ctx context.Context, client hoistv1.FleetClient) error {
 		_, err := client.ClearParts(ctx, request)
 		return err
@@ -97,17 +201,31 @@
 	}
 }
 
-func (s *Server) recordCrash(fp poison.Fingerprint, upstream, zone string) {
-	s.poisonMu.Lock()
-	defer s.poisonMu.Unlock()
-	s.poison.RecordCrash(s.now(), fp, upstream, zone)
-}
+// errFingerprints reports a crash with a list of fingerprints that has no valid length.
+var errFingerprints = status.Errorf(codes.InvalidArgument, "the fingerprints are not at most %d of %d bytes", maxReportedRequests, fingerprintBytes)
 
 // Strike records the crash of an upstream that another VM reported.
 func (f fleetServer) Strike(_ context.Context, r *hoistv1.StrikeRequest) (*hoistv1.StrikeResponse, error) {
-	var fp poison.Fingerprint
-	copy(fp[:], r.GetFingerprint())
-	f.s.recordCrash(fp, r.GetUpstream(), r.GetZone())
-	f.s.parts.recordCrash(r.GetUpstream(), int64(r.GetUpstreamStart()), partsFromProto(r.GetParts()))
+	n := len(r.GetFingerprint())
+	if n%fingerprintBytes != 0 || n > maxReportedRequests*fingerprintBytes {
+		return nil, errFingerprints
+	}
+	var requests []poison.Part
+	for fingerprint := range slices.Chunk(r.GetFingerprint(), fingerprintBytes) {
+		requests = append(requests, poison.Fingerprint(fingerprint).RequestKey())
+	}
+	f.s.parts.recordCrashes(r.GetUpstream(), int64(r.GetUpstreamStart()), requests, splitPrompts(partsFromProto(r.GetParts())))
 	return &hoistv1.StrikeResponse{}, nil
 }
+
+// splitPrompts returns the prompts of a list in which they are separated.
+func splitPrompts(parts []poison.Part) [][]poison.Part {
+	var prompts [][]poison.Part
+	for {
+		i := slices.Index(parts, messageSeparator)
+		if i < 0 {
+			return append(prompts, parts)
+		}
+		prompts, parts = append(prompts, parts[:i]), parts[i+1:]
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -29,6 +29,9 @@
 	t.s.upstreams.addRetryTokens(t.pool)
 	misdirected, reruns := 0, 0
 	for {
+		if t.s.isPoisonRequest(t) {
+			return t.poisonError()
+		}
 		if blocked := t.blockedParts(); blocked != nil {
 			return t.poisonPromptError(blocked)
 		}
--- a/internal/edge/partguard.go
+++ b/internal/edge/partguard.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,28 +22,36 @@
 	// random time of up to clearJitter is added, in which most of them learn it from one VM.
 	minClearDelay = 30 * time.Millisecond
 	clearJitter   = 90 * time.Millisecond
-	// maxDatagramBlocks bounds the blocks of a datagram, which must fit into one packet.
+	// maxDatagramBlocks bounds the blocks of parts and those of requests in a datagram, which must fit
+	// into one packet.
 	maxDatagramBlocks = 4
+	// messageSeparator separates prompts, and parts from requests, in lists of parts in messages.
+	messageSeparator = 0
 	// maxReportedParts bounds the parts of prompts that are accepted from one message.
 	maxReportedParts = 1024
 )
 
-// partGuard keeps requests from upstreams whose prompt has a part that crashes them. It is safe for
-// concurrent use.
+// partGuard keeps requests from upstreams that crash them, or whose prompt has a part that does. It is
+// safe for concurrent use.
 type partGuard struct {
 	now    func() clock.Instant
 	logger *zap.Logger
-	// sendClears tells the other VMs of parts that were answered.
-	sendClears func(parts []poison.Part)
+	// sendClears tells the other VMs of parts and requests that were answered.
+	sendClears func(parts, requests []poison.Part)
 
-	mu    sync.Mutex
-	table *poison.PartTable
-	// clears are the parts that the other VMs have yet to be told of.
-	clears map[poison.Part]bool
+	mu       sync.Mutex
+	table    *poison.PartTable
+	requests *poison.RequestTable
+	// clears and requestClears are what the other VMs have yet to be told of.
+	clears        map[poison.Part]bool
+	requestClears map[poison.Part]bool
 }
 
-func newPartGuard(now func() clock.Instant, logger *zap.Logger, sendClears func(parts []poison.Part)) *partGuard {
-	return &partGuard{now: now, logger: logger, sendClears: sendClears, table: poison.NewPartTable(), clears: map[poison.Part]bool{}}
+func newPartGuard(now func() clock.Instant, logger *zap.Logger, sendClears func(parts, requests []poison.Part)) *partGuard {
+	return &partGuard{
+		now: now, logger: logger, sendClears: sendClears, table: poison.NewPartTable(), requests: poison.NewRequestTable(),
+		clears: map[poison.Part]bool{}, requestClears: map[poison.Part]bool{},
+	}
 }
 
 // check returns the parts for which a prompt is refused; nil if it is not.
@@ -56,8 +66,21 @@
 	return blocked
 }
 
+// checkRequest reports whether a request is refused since it crashes upstreams.
+func (g *partGuard) checkRequest(request poison.Part) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	isBlocked := g.requests.Check(g.now(), request)
+	g.logBlocked()
+	return isBlocked
+}
+
 // logBlocked logs the blocks that began since the last call. The caller holds the lock.
 func (g *partGuard) logBlocked() {
+	for _, b := range g.requests.TakeNewlyBlocked() {
+		g.logger.Warn("request blocked", zap.String("fingerprint", formatParts(b.Parts)), zap.Int("blocks", b.Blocks),
+			zap.Duration("for", b.Until.Sub(g.now())), zap.Strings("upstreams", b.Upstreams))
+	}
 	for _, b := range g.table.TakeNewlyBlocked() {
 		g.logger.Warn("parts of prompts blocked", zap.String("parts", formatParts(b.Parts)), zap.Int("blocks", b.Blocks),
 			zap.Duration("for", b.Until.Sub(g.now())), zap.Strings("upstreams", b.Upstreams))
@@ -73,14 +96,36 @@
 	return strings.Join(texts, ",")
 }
 
-// recordCrash records that an upstream crashed before it began the answer to a request with the parts.
+// recordCrash records that an upstream crashed before it had answered a request with the parts.
 func (g *partGuard) recordCrash(upstream string, start int64, parts []poison.Part) {
+	g.recordCrashes(upstream, start, nil, [][]poison.Part{parts})
+}
+
+// recordCrashes records that one start of an upstream crashed while it ran the requests, and before it
+// had answered those with the prompts.
+func (g *partGuard) recordCrashes(upstream string, start int64, requests []poison.Part, prompts [][]poison.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.RecordCrash(g.now(), upstream+"/"+strconv.FormatInt(start, 10), parts)
+	name := upstream + "/" + strconv.FormatInt(start, 10)
+	for _, request := range requests {
+		g.requests.RecordCrash(g.now(), name, request)
+	}
+	for _, parts := range prompts {
+		g.table.RecordCrash(g.now(), name, parts)
+	}
 	g.logBlocked()
 }
 
+// recordRequestAnswer records that a request was answered completely on this VM.
+func (g *partGuard) recordRequestAnswer(request poison.Part) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.requests.RecordAnswer(g.now(), request) {
+		g.logger.Debug("request cleared", zap.String("fingerprint", formatParts([]poison.Part{request})))
+		g.addRequestClear(request)
+	}
+}
+
 // recordAnswer records that a request with the parts was answered on this VM.
 func (g *partGuard) recordAnswer(parts []poison.Part) {
 	if len(parts) == 0 {
@@ -100,36 +145,49 @@
 	if len(parts) == 0 {
 		return
 	}
-	if len(g.clears) == 0 {
-		time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
-	}
+	g.startFlush()
 	for _, part := range parts {
 		g.clears[part] = true
 	}
 }
 
-// flushClears tells the other VMs of the parts that none of them has reported meanwhile.
+// addRequestClear makes the other VMs learn that a request was answered. The caller holds the lock.
+func (g *partGuard) addRequestClear(request poison.Part) {
+	g.startFlush()
+	g.requestClears[request] = true
+}
+
+// startFlush makes what is then added be sent soon. The caller holds the lock.
+func (g *partGuard) startFlush() {
+	if len(g.clears) == 0 && len(g.requestClears) == 0 {
+		time.AfterFunc(minClearDelay+rand.N(clearJitter), g.flushClears)
+	}
+}
+
+// flushClears tells the other VMs of the parts and requests that none of them has reported meanwhile.
 func (g *partGuard) flushClears() {
 	g.mu.Lock()
-	var parts []poison.Part
-	for part := range g.clears {
-		parts = append(parts, part)
-	}
+	parts, requests := slices.Collect(maps.Keys(g.clears)), slices.Collect(maps.Keys(g.requestClears))
 	clear(g.clears)
+	clear(g.requestClears)
 	g.mu.Unlock()
-	if len(parts) > 0 {
-		g.sendClears(parts)
+	if len(parts)+len(requests) > 0 {
+		g.sendClears(parts, requests)
 	}
 }
 
-// recordClears records parts that another VM reports as answered.
-func (g *partGuard) recordClears(parts []poison.Part) {
+// recordClears records parts and requests that another VM reports as answered.
+func (g *partGuard) recordClears(parts, requests []poison.Part) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.RecordAnswer(g.now(), parts)
 	for _, part := range parts {
 		delete(g.clears, part)
 	}
+	for _, request := range requests {
+		g.requests.RecordClear(g.now(), request)
+		delete(g.requestClears, request)
+	}
 }
 
 // blocksForMessage returns blocks for a datagram to another VM.
@@ -139,13 +197,20 @@
 	now := g.now()
 	var out []*hoistv1.PromptBlock
 	for _, b := range g.table.Blocks(now, maxDatagramBlocks) {
-		out = append(out, &hoistv1.PromptBlock{
-			Parts: partsToProto(b.Parts), FirstCrashAgeMs: now.Sub(b.FirstCrash).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
-		})
+		out = append(out, blockToProto(now, b, partsToProto(b.Parts)))
+	}
+	for _, b := range g.requests.Blocks(now, maxDatagramBlocks) {
+		out = append(out, blockToProto(now, b, append([]uint64{messageSeparator}, partsToProto(b.Parts)...)))
 	}
 	return out
 }
 
+func blockToProto(now clock.Instant, b poison.Block, parts []uint64) *hoistv1.PromptBlock {
+	return &hoistv1.PromptBlock{
+		Parts: parts, FirstCrashAgeMs: now.Sub(b.FirstCrash).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
+	}
+}
+
 // mergeBlocks records the blocks of another VM.
 func (g *partGuard) mergeBlocks(blocks []*hoistv1.PromptBlock) {
 	if len(blocks) == 0 {
@@ -154,20 +219,31 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	for _, b := range blocks[:min(len(blocks), maxDatagramBlocks)] {
-		refuted := g.table.Merge(now, poison.Block{
+	for _, b := range blocks[:min(len(blocks), 2*maxDatagramBlocks)] {
+		block := poison.Block{
 			Parts: partsFromProto(b.GetParts()), Blocks: int(b.GetBlocks()),
 			FirstCrash: now.Add(-time.Duration(b.GetFirstCrashAgeMs()) * time.Millisecond),
 			Until:      now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
-		})
-		g.addClears(refuted)
+		}
+		if len(block.Parts) == 2 && block.Parts[0] == messageSeparator {
+			block.Parts = block.Parts[1:]
+			if g.requests.Merge(now, block) {
+				g.addRequestClear(block.Parts[0])
+			}
+			continue
+		}
+		g.addClears(g.table.Merge(now, block))
 	}
 	g.logBlocked()
 }
 
-// ClearParts records parts of prompts that another VM reports as answered.
+// ClearParts records parts of prompts and requests that another VM reports as answered.
 func (f fleetServer) ClearParts(_ context.Context, r *hoistv1.ClearPartsRequest) (*hoistv1.ClearPartsResponse, error) {
-	f.s.parts.recordClears(partsFromProto(r.GetParts()))
+	parts, requests := partsFromProto(r.GetParts()), []poison.Part(nil)
+	if i := slices.Index(parts, messageSeparator); i >= 0 {
+		parts, requests = parts[:i], parts[i+1:]
+	}
+	f.s.parts.recordClears(parts, requests)
 	return &hoistv1.ClearPartsResponse{}, nil
 }
 
--- a/internal/edge/promptparts.go
+++ b/internal/edge/promptparts.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
@@ -34,6 +35,16 @@
 	return t.s.parts.check(t.promptParts())
 }
 
+// recordCompleteAnswer records that the request was answered, so that neither it nor its parts crash
+// upstreams. An answer that ends with its connection may have been cut off by a crash.
+func (t *transaction) recordCompleteAnswer(upstreamLease *lease, exchange *outbound.Exchange) {
+	if exchange.EndsWithConnection && t.s.checkForCrash(t, upstreamLease.entry) {
+		return
+	}
+	t.s.parts.recordAnswer(t.promptParts())
+	t.s.parts.recordRequestAnswer(t.fingerprint.RequestKey())
+}
+
 // poisonPromptError returns the error of a request with parts of a prompt that crash upstreams.
 func (t *transaction) poisonPromptError(blocked []poison.Part) *errkind.Error {
 	failure := errkind.New(errkind.PoisonPrompt, "blocked parts of the prompt: "+formatParts(blocked))
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -55,7 +55,7 @@
 	t.s.durations.recordFinalCall(t.route.Name, elapsed)
 	if exchange.Status < http.StatusMultipleChoices {
 		// Upstreams send other statuses before they begin to run a request.
-		t.s.parts.recordAnswer(t.promptParts())
+		t.recordCompleteAnswer(upstreamLease, exchange)
 	}
 	expected := float64(max(t.route.Objective/expectedTimeDivisor, time.Millisecond))
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordSuccess(now, float64(elapsed)/expected) })
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -18,7 +18,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
 const (
@@ -98,18 +97,17 @@
 	poolRunnersMu sync.Mutex
 	poolRunners   map[string]*poolRunner
 
-	poisonMu sync.Mutex
-	// poison tracks the requests during which upstreams crashed.
-	poison *poison.Table
-	// parts tracks the parts of prompts that crash upstreams.
+	// parts tracks the requests, and the parts of prompts, that crash upstreams.
 	parts *partGuard
+	// crashReports holds the crashes that the other VMs have yet to be told of.
+	crashReports crashReports
 }
 
 // New returns a Server that is not running yet.
 func New(options Options) (*Server, error) {
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, now: options.Now, logger: options.Logger, failures: options.Failures,
-		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
+		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -24,7 +24,7 @@
 			if exchange.EndsWithConnection && !hasEvents {
 				return t.recordStreamError(upstreamLease, errors.New("the connection ended before the first event"))
 			}
-			return t.finishStream(exchange)
+			return t.finishStream(upstreamLease, exchange)
 		}
 		if err != nil {
 			return t.recordStreamError(upstreamLease, err)
@@ -49,11 +49,12 @@
 	}
 }
 
-func (t *transaction) finishStream(exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
+func (t *transaction) finishStream(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
 	t.setResetOnClose(false)
+	t.recordCompleteAnswer(upstreamLease, exchange)
 	return attemptDone, nil, ""
 }
 
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -29,8 +29,10 @@
 	// prefix holds the parts of the prompt by which the request is placed.
 	prefix []placement.PrefixLevel
 	// parts are the parts of the prompt that other requests may have too.
-	parts       []poison.Part
-	requestBody *body
+	parts []poison.Part
+	// partsAnswered is set once the answer shows that the parts crash no upstream.
+	partsAnswered bool
+	requestBody   *body
 	// body is the content of requestBody.
 	body []byte
 	// bodyInterrupted is set if this VM stopped reading the body. The HTTP server then cancels the
--- a/pkg/poison/incident.go
+++ b/pkg/poison/incident.go
@@ -14,10 +14,10 @@
 	prompts [][]Part
 }
 
-// add adds the prompt of a request.
-func (in *incident) add(prompt []Part) {
+// add adds the prompt of a request unless the incident has the greatest number of them.
+func (in *incident) add(prompt []Part, maxPrompts int) {
 	isKnown := slices.ContainsFunc(in.prompts, func(other []Part) bool { return slices.Equal(other, prompt) })
-	if !isKnown && len(in.prompts) < maxIncidentPrompts {
+	if !isKnown && len(in.prompts) < maxPrompts {
 		in.prompts = append(in.prompts, slices.Clone(prompt))
 	}
 }
--- a/pkg/poison/occasions.go
+++ b/pkg/poison/occasions.go
@@ -1,5 +1,7 @@
 package poison
 
+import "slices"
+
 // occasionCount counts the occasions on which a part was under suspicion.
 type occasionCount struct {
 	// first and last are the numbers of its first and last occasion.
@@ -11,19 +13,23 @@
 
 // isSuspicious reports whether the occasions suffice to block the part, of the total number of
 // occasions of all parts.
-func (c occasionCount) isSuspicious(total int, answered, isInBlock bool) bool {
+func (c occasionCount) isSuspicious(total int, limits *partLimits, answered, isInBlock bool) bool {
 	if isInBlock && c.occasions >= blockAloneAfterOccasions {
 		return true
 	}
-	if float64(c.occasions) < minOccasionShare*float64(total-c.first) {
+	if float64(c.occasions) < limits.minOccasionShare*float64(total-c.first) {
 		return false
 	}
+	sufficient := limits.neverAnswered
 	if answered {
-		return c.occasions >= blockAnsweredAfterOccasions
+		sufficient = limits.answered
 	}
-	return c.occasions >= blockAfterOccasions || c.occasions > 1 && c.crashes >= blockAfterCrashes
+	return slices.ContainsFunc(sufficient, func(e evidence) bool { return c.occasions >= e.occasions && c.crashes >= e.crashes })
 }
 
+// evidence is a number of crashes on a number of separate occasions.
+type evidence struct{ occasions, crashes int }
+
 // countOccasions counts the occasions of each part, and all occasions.
 func countOccasions(incidents []*incident) (counts map[Part]occasionCount, total int) {
 	counts = map[Part]occasionCount{}
--- a/pkg/poison/partdecision.go
+++ b/pkg/poison/partdecision.go
@@ -86,7 +86,7 @@
 	var parts []Part
 	for part, c := range counts {
 		answered := t.answered.contains(part)
-		if !c.isSuspicious(total, answered, t.isInBlock(part)) {
+		if !c.isSuspicious(total, t.limits, answered, t.isInBlock(part)) {
 			continue
 		}
 		if c.occasions > most || c.occasions == most && mostAnswered && !answered {
@@ -96,6 +96,9 @@
 			parts = append(parts, part)
 		}
 	}
+	if most < blockAnsweredAfterOccasions && len(parts) > t.limits.maxCandidates {
+		return nil
+	}
 	slices.Sort(parts)
 	return parts
 }
--- a/pkg/poison/parttable.go
+++ b/pkg/poison/parttable.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -51,10 +52,31 @@
 	// answered holds when parts were last answered.
 	answered     partMemory
 	newlyBlocked []Block
+	limits       *partLimits
+}
+
+// partLimits are the limits in which tables of parts and of whole requests differ.
+type partLimits struct {
+	// maxPrompts bounds the requests kept of one crash.
+	maxPrompts int
+	// minOccasionShare is the share of the occasions since its first one that a part must have.
+	minOccasionShare float64
+	// maxCandidates is the number of parts, equally suspicious, above which
+	// blockAnsweredAfterOccasions are needed.
+	maxCandidates int
+	// neverAnswered and answered are what suffices to block a part, by whether it was ever answered.
+	neverAnswered, answered []evidence
+}
+
+// defaultPartLimits are the limits of tables of parts.
+var defaultPartLimits = partLimits{
+	maxPrompts: maxIncidentPrompts, minOccasionShare: minOccasionShare, maxCandidates: math.MaxInt,
+	neverAnswered: []evidence{{occasions: blockAfterOccasions}, {occasions: 2, crashes: blockAfterCrashes}},
+	answered:      []evidence{{occasions: blockAnsweredAfterOccasions}},
 }
 
 // NewPartTable returns an empty table.
-func NewPartTable() *PartTable { return &PartTable{} }
+func NewPartTable() *PartTable { return &PartTable{limits: &defaultPartLimits} }
 
 // RecordCrash records that an upstream crashed before it began the answer to a request with the
 // prompt. The upstream is identified by one start of it.
@@ -64,7 +86,7 @@
 	}
 	prompt = prompt[:min(len(prompt), maxPromptParts)]
 	t.expire(now)
-	t.incident(now, upstream).add(prompt)
+	t.incident(now, upstream).add(prompt, t.limits.maxPrompts)
 	for _, b := range t.blocks {
 		if b.matches(prompt) {
 			t.blockAgain(now, b)
