Count crashes until the last event of a stream

A stream that crashes its upstream just after the first event reached an upstream with each send: recordStreamError looked for a crash only before the first event, and the first event cleared the parts of the prompt.

The check now runs whenever a stream breaks. Parts are cleared once a stream has gone on for a second after its first event, or has ended; the request itself is cleared by its end. An answer that ends with its connection clears nothing if its upstream then refuses connections.

--- a/internal/edge/partguard_test.go
+++ b/internal/edge/partguard_test.go
@@ -120,6 +120,81 @@
 	}
 }
 
+// TestPromptPartThatCrashesAfterFirstEvent guards against requests of which no two are alike, and which crash
+// upstreams by a part of their prompt just after the first event: each first event cleared the part.
+func TestPromptPartThatCrashesAfterFirstEvent(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 1, nil, guardClock.install)
+	upstreams := make([]*testUpstream, 16)
+	for i := range upstreams {
+		upstreams[i] = newTestUpstream(t, fmt.Sprint("u", i), func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Seal", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, sseEvent(1))
+			_ = http.NewResponseController(w).Flush()
+			upstreams[i].crash()
+		})
+	}
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Stream, promptRoute)},
+	}, catalogUpstreams("p", upstreams...)...)
+	for i := range 5 {
+		_, _, _ = f.send(0, fmt.Sprint("r", i), "/x/", map[string]string{"Prompt": deadlyPart + " last"}) // Its answer is broken.
+		guardClock.advance(crashSpacing)
+	}
+	guardClock.advance(time.Second)
+	if f.servers[0].parts.check(partsOf(deadlyPart)) == nil {
+		t.Error("the part is not blocked")
+	}
+}
+
+// TestStreamThatGoesOnClearsParts guards against sound parts that stay under suspicion until long streams
+// end.
+func TestStreamThatGoesOnClearsParts(t *testing.T) {
+	var guardClock partClock
+	var cleared atomic.Bool
+	f := startFleetWith(t, 1, nil, func(s *Server) {
+		guardClock.install(s)
+		s.now = s.parts.now
+		s.parts.sendClears = func([]poison.Part, []poison.Part) { cleared.Store(true) }
+	})
+	release := make(chan struct{})
+	upstream := newTestUpstream(t, "u", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, sseEvent(1))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = io.WriteString(w, sseEvent(2))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	})
+	f.publish(&catalog.Catalog{
+		Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Stream, promptRoute)},
+	}, catalogUpstreams("p", upstream)...)
+	f.servers[0].parts.recordCrash("gone", 1, partsOf("shared"))
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.servers[0].settings.Listen+"/x/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host, request.Header = "a.example", http.Header{"Request": {"r"}, "Prompt": {"shared last"}}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.ReadFull(response.Body, make([]byte, len(sseEvent(1)))); err != nil {
+		t.Fatal(err)
+	}
+	if cleared.Load() {
+		t.Error("the first event clears the part")
+	}
+	guardClock.advance(soundStreamTime)
+	release <- struct{}{}
+	await(t, "the part cleared while the stream goes on", cleared.Load)
+	release <- struct{}{}
+}
+
 // TestBlocksSpread guards against a VM that has started, or was cut off, and lets requests through that the
 // other VMs know to crash upstreams.
 func TestBlocksSpread(t *testing.T) {
--- a/internal/edge/promptparts.go
+++ b/internal/edge/promptparts.go
@@ -1,11 +1,17 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
 
+// soundStreamTime is how long a stream must go on after its first event to show that the parts of its
+// prompt crash no upstream. A request may crash its upstream just after the first event.
+const soundStreamTime = time.Second
+
 // sharedParts returns the IDs of the parts of the prompt that other requests may have too: all but
 // the last, which belongs to this request or its session.
 func (t *transaction) sharedParts() []string {
@@ -27,9 +33,9 @@
 }
 
 // blockedParts returns the parts of the prompt for which the request is refused; nil if it is not. A
-// request whose answer has begun is not refused.
+// request whose answer has shown that its parts are sound is not refused.
 func (t *transaction) blockedParts() []poison.Part {
-	if t.events > 0 {
+	if t.partsAnswered {
 		return nil
 	}
 	return t.s.parts.check(t.promptParts())
@@ -41,10 +47,17 @@
 	if exchange.EndsWithConnection && t.s.checkForCrash(t, upstreamLease.entry) {
 		return
 	}
-	t.s.parts.recordAnswer(t.promptParts())
+	t.recordPartsAnswered()
 	t.s.parts.recordRequestAnswer(t.fingerprint.RequestKey())
 }
 
+// recordPartsAnswered records that the parts of the prompt crash no upstream. They may have come under
+// suspicion again since an earlier call.
+func (t *transaction) recordPartsAnswered() {
+	t.partsAnswered = true
+	t.s.parts.recordAnswer(t.promptParts())
+}
+
 // poisonPromptError returns the error of a request with parts of a prompt that crash upstreams.
 func (t *transaction) poisonPromptError(blocked []poison.Part) *errkind.Error {
 	failure := errkind.New(errkind.PoisonPrompt, "blocked parts of the prompt: "+formatParts(blocked))
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -76,9 +76,7 @@
 		return attemptAborted, nil, err.Error()
 	}
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
-	if t.events == 0 {
-		t.s.checkForCrash(t, upstreamLease.entry)
-	}
+	t.s.checkForCrash(t, upstreamLease.entry)
 	return attemptBroken, nil, err.Error()
 }
 
@@ -100,11 +98,14 @@
 	}
 	if event.hasData && !upstreamLease.eventSent {
 		upstreamLease.eventSent = true
+		upstreamLease.firstEventAt = t.s.now()
 		t.recordFirstEvent(upstreamLease)
-		t.s.parts.recordAnswer(t.promptParts())
 		// The upstream has read the stage results before its first event.
 		t.releaseInputs()
 	}
+	if event.hasData && !t.partsAnswered && t.s.now().Sub(upstreamLease.firstEventAt) >= soundStreamTime {
+		t.recordPartsAnswered()
+	}
 	if _, err := t.w.Write(event.text); err != nil {
 		return err
 	}
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -88,8 +88,9 @@
 	// cacheSource is the address of the upstream that probably caches the prompt prefix of the
 	// request; empty if it is this one or not known.
 	cacheSource string
-	// eventSent is set once an event of the response was forwarded to the caller.
-	eventSent bool
+	// eventSent is set once an event of the response was forwarded to the caller, at firstEventAt.
+	eventSent    bool
+	firstEventAt clock.Instant
 }
 
 // acquire chooses an upstream in service for a request, and counts the request as in flight.
--- a/pkg/poison/partfleet_test.go
+++ b/pkg/poison/partfleet_test.go
@@ -41,6 +41,8 @@
 	// firstEvent is the mean time from a send to its answer, and sends the greatest number of sends.
 	firstEvent time.Duration
 	sends      int
+	// soundAfter is how long a sound stream goes on after its first event before that counts as an answer.
+	soundAfter time.Duration
 	// loss is the share of messages between VMs that are lost, and maxDelay how late they may be.
 	loss     float64
 	maxDelay time.Duration
@@ -217,7 +219,11 @@
 	if r.deadly >= 0 && f.crashes[r.deadly] >= fleetDecisiveCrash && f.now.Sub(f.decisiveAt[r.deadly]) > fleetStableWindow {
 		f.late[r.deadly]++
 	}
-	f.after(f.firstEvent/2+f.randomTime(f.firstEvent/2), func() {
+	delay := f.firstEvent/2 + f.randomTime(f.firstEvent/2)
+	if r.deadly < 0 {
+		delay += f.soundAfter
+	}
+	f.after(delay, func() {
 		switch {
 		case r.send != send || !u.running[r]:
 		case r.deadly < 0:
--- a/pkg/poison/partsituations_test.go
+++ b/pkg/poison/partsituations_test.go
@@ -20,14 +20,22 @@
 		firstEvent: 300 * time.Millisecond, sends: 2, length: 60 * time.Second,
 	}
 	for name, change := range map[string]func(*fleetOptions){
-		"one deadly part":   func(*fleetOptions) {},
-		"four deadly parts": func(o *fleetOptions) { o.deadlyParts = 4 },
-		"slow answers":      func(o *fleetOptions) { o.rate, o.deadlyRate, o.firstEvent = 5, 0.3, 3*time.Second },
-		"large fleet":       func(o *fleetOptions) { o.vms, o.upstreams, o.subjects = 80, 100, 400 },
-		"many deadly":       func(o *fleetOptions) { o.vms, o.upstreams, o.rate, o.deadlyRate = 20, 60, 40, 10 },
-		"lost messages":     func(o *fleetOptions) { o.vms, o.upstreams, o.loss = 20, 30, 0.3 },
-		"late messages":     func(o *fleetOptions) { o.maxDelay = 500 * time.Millisecond },
-		"stale starts":      func(o *fleetOptions) { o.hasStaleStarts, o.maxDelay = true, 500*time.Millisecond },
+		"one deadly part":             func(*fleetOptions) {},
+		"four deadly parts":           func(o *fleetOptions) { o.deadlyParts = 4 },
+		"crash after the first event": func(o *fleetOptions) { o.soundAfter = time.Second },
+		"crash after the first event, large fleet": func(o *fleetOptions) {
+			o.soundAfter, o.vms, o.upstreams, o.subjects = time.Second, 80, 100, 400
+		},
+		"crash after the first event, four deadly parts": func(o *fleetOptions) { o.soundAfter, o.deadlyParts = time.Second, 4 },
+		"crash after the first event, crashes all day": func(o *fleetOptions) {
+			o.soundAfter, o.crashInterval, o.subjects = time.Second, 500*time.Millisecond, 400
+		},
+		"slow answers":  func(o *fleetOptions) { o.rate, o.deadlyRate, o.firstEvent = 5, 0.3, 3*time.Second },
+		"large fleet":   func(o *fleetOptions) { o.vms, o.upstreams, o.subjects = 80, 100, 400 },
+		"many deadly":   func(o *fleetOptions) { o.vms, o.upstreams, o.rate, o.deadlyRate = 20, 60, 40, 10 },
+		"lost messages": func(o *fleetOptions) { o.vms, o.upstreams, o.loss = 20, 30, 0.3 },
+		"late messages": func(o *fleetOptions) { o.maxDelay = 500 * time.Millisecond },
+		"stale starts":  func(o *fleetOptions) { o.hasStaleStarts, o.maxDelay = true, 500*time.Millisecond },
 		"zone fails": func(o *fleetOptions) {
 			o.zoneFailsAt, o.zoneInterval, o.upstreams, o.subjects = 5*time.Second, 150*time.Millisecond, 60, 2000
 		},
