Suspect the requests of a stage call whose upstream crashes

A stage call left no evidence of a crash, so a request that crashed upstreams with its pieces was never stopped.

When a stage call breaks and its upstream refuses connections, the owner of the pool records the crash for all requests whose pieces the call ran, and reports it to the other VMs.

--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -42,6 +42,11 @@
 			zap.String("address", address), zap.Int("pieces", len(call.Pieces)), zap.String("first_request", call.Pieces[0].Request),
 			zap.String("end", callOutcomeNames[outcome]), zap.Duration("elapsed", now.Sub(started)), obs.ErrorField(err))
 	}
+	if outcome == stagepool.CallFailed {
+		// The jobs may end with the call.
+		entry, suspects := r.entryOf(call, address), r.suspectsOf(call)
+		defer r.checkCrash(entry, suspects)
+	}
 	r.update(func() { r.scheduler.FinishCall(now, call.Upstream, call.ID, outcome, results, load) })
 }
 
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -33,6 +33,9 @@
 	done chan stageResult
 	// onInputsRead is called once the upstreams have read the inputs of the job; it may be nil.
 	onInputsRead func()
+	// suspect is the request of the job, if its VM has sent it.
+	suspect    suspect
+	hasSuspect bool
 }
 
 // poolRunner runs the stages of one shard of a pool on the VM that owns the shard. It performs the
@@ -46,6 +49,8 @@
 	metrics *metrics
 	contain *containment
 	handles recentHandles
+	// checkCrash checks whether an upstream crashed during a call with pieces of the requests.
+	checkCrash func(entry *registry.Entry, suspects []suspect)
 
 	mu sync.Mutex
 	// batch and entries are the configuration that was last applied.
@@ -67,6 +72,7 @@
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
 	}
+	r.checkCrash = func(entry *registry.Entry, suspects []suspect) { s.checkStageCrash(pool, entry, suspects) }
 	r.dispatchTimer = time.AfterFunc(time.Hour, r.onDispatchTimer)
 	return r
 }
@@ -130,6 +136,7 @@
 // not nil, is called once the upstreams have read the inputs.
 func (r *poolRunner) runJob(ctx context.Context, job stagepool.Job, onInputsRead func()) stageResult {
 	waiter := &stageWaiter{done: make(chan stageResult, 1), onInputsRead: onInputsRead}
+	waiter.suspect, waiter.hasSuspect = suspectOf(ctx)
 	id := r.submit(job, waiter)
 	select {
 	case result := <-waiter.done:
--- a/internal/edge/stagerun.go
+++ b/internal/edge/stagerun.go
@@ -45,7 +45,7 @@
 // of higher levels are done: a result that waits for other results occupies memory that its pool
 // needs for batches.
 func (t *transaction) runStages() stageResult {
-	ctx, cancel := context.WithCancel(t.ctx)
+	ctx, cancel := context.WithCancel(withSuspect(t.ctx, t.suspect()))
 	defer cancel()
 	n := len(t.route.Stages)
 	run := &stageRun{
