Measure the timeout of a resumed stream from its last event

A stream that broke off later than its caller waits for an event was not resumed: responseTimeout counted from the arrival of the request, so the next attempt ended at once. It now counts from the last event that was forwarded.

TestLongStreamIsResumed fails before (unexpected EOF after the first event) and passes now.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -119,10 +119,11 @@
 }
 
 // responseTimeout returns how long an attempt may take until its first progress: the first event
-// of a stream, or the whole response of another request.
+// of a stream, or the whole response of another request. The caller of a stream waits from its last
+// event on, which another upstream may have sent.
 func (t *transaction) responseTimeout() time.Duration {
 	if t.route.Kind == catalog.Stream {
-		return t.arrived.Add(streamPatience(t.route) + patienceMargin).Sub(t.s.now())
+		return max(t.arrived, t.lastEventAt).Add(streamPatience(t.route) + patienceMargin).Sub(t.s.now())
 	}
 	timeout := time.Duration(responseTimeoutFactor*float64(t.route.Objective)) + responseTimeoutSlack
 	if t.route.Kind != catalog.Idempotent || len(t.tried)+1 >= t.route.MaxUpstreams || t.route.Objective == 0 || timeout >= t.remaining() {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -111,6 +111,7 @@
 	}
 	if event.hasData {
 		t.events++
+		t.lastEventAt = t.s.now()
 	}
 	return http.NewResponseController(t.w).Flush()
 }
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -66,6 +66,8 @@
 	// firstEvent is the time from the arrival of the request to its first event; 0 before it.
 	firstEvent  time.Duration
 	lastEventID string
+	// lastEventAt is when the last event was forwarded; 0 before the first one.
+	lastEventAt clock.Instant
 	events      int
 	upstream    string
 	// retryAfter is the delay after which a refused caller should retry; 0 means the default of
