Bound the work after a failure of many upstreams

A table of requests held up to 32,768 suspects, and rebuilt them at each crash once it was full; the test of its bounds took most of 130 s with the race detector. It now holds 128 requests for each crash and rebuilds rarely, and two decisions are at least 100 ms apart: one takes 2.9 ms with a full table.

A VM that had ignored crashes of a request that it got answered often did not take over the block of other VMs either. It now does four seconds after its last answer.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -29,7 +29,7 @@
 	// upstream ran break within some milliseconds.
 	crashReportDelay = 30 * time.Millisecond
 	// maxReportedRequests bounds the requests of one crash that are reported and accepted.
-	maxReportedRequests = 256
+	maxReportedRequests = 128
 	fingerprintBytes    = len(poison.Fingerprint{})
 )
 
--- a/pkg/poison/partdecision.go
+++ b/pkg/poison/partdecision.go
@@ -28,6 +28,9 @@
 	// confirmDelay is the age from which on a crash counts. Until then answers to other requests
 	// clear the parts that they have in common with it.
 	confirmDelay = 300 * time.Millisecond
+	// decisionGap is the least time between two decisions. One takes some milliseconds after a failure of
+	// many upstreams, of which each crash calls for another decision.
+	decisionGap = 100 * time.Millisecond
 )
 
 // decide blocks the parts that remain under suspicion for crashes of the age confirmDelay.
@@ -41,7 +44,7 @@
 	t.decideAt = 0
 	for _, in := range t.incidents {
 		if due := in.at.Add(confirmDelay); due > now {
-			t.decideAt = due
+			t.decideAt = max(due, now.Add(decisionGap))
 			break
 		}
 	}
--- a/pkg/poison/requestfleet_test.go
+++ b/pkg/poison/requestfleet_test.go
@@ -108,7 +108,6 @@
 	f.repeat(o.identicalRate, func() { f.arrive(&soundOrDeadly{key: identicalKey}) })
 	f.repeat(o.uniqueRate, func() { f.arrive(&soundOrDeadly{key: requestKey(f.requests)}) })
 	f.repeat(o.deadlyRate, func() {
-		// All answers to earlier sends have arrived when the request begins to crash upstreams.
 		if f.now < start.Add(o.deadlyFrom) && (!o.answeredBefore || f.now > start.Add(o.deadlyFrom-time.Second)) {
 			return
 		}
@@ -219,7 +218,12 @@
 	u, send := f.upstreams[upstream], r.send
 	u.running[r] = true
 	if !r.isDeadly {
-		f.after(f.duration/2+f.randomTime(f.duration/2), func() {
+		took := f.duration/2 + f.randomTime(f.duration/2)
+		if r.key == deadlyKey {
+			// No answer arrives after it has begun to crash upstreams.
+			took = min(took, time.Second)
+		}
+		f.after(took, func() {
 			if r.send == send && u.running[r] {
 				delete(u.running, r)
 				f.answer(r)
--- a/pkg/poison/requesttable.go
+++ b/pkg/poison/requesttable.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxIncidentRequests bounds the requests kept of one crash.
-	maxIncidentRequests = 256
+	maxIncidentRequests = 128
 	// minRequestOccasionShare is the share of the occasions since its first one that a request must
 	// have. It is lower than that of parts, since requests that can't be repeated are not answered
 	// after a crash, so that crashes of other causes stay unexplained.
@@ -130,6 +130,10 @@
 	if len(b.Parts) != 1 || b.Parts[0] == 0 {
 		return false
 	}
+	if answeredAt, ok := t.table.answered.lastAdded(b.Parts[0]); ok && answeredAt < b.FirstCrash && now.Sub(answeredAt) >= 2*clearPrecedence {
+		// This VM may have ignored the crashes, and the other one knows of no answer since.
+		b.FirstCrash = max(b.FirstCrash, answeredAt.Add(clearPrecedence))
+	}
 	refuted = len(t.table.Merge(now, b)) > 0
 	t.suspects[b.Parts[0]] = true
 	t.forget()
@@ -160,5 +164,6 @@
 	}
 }
 
-// maxSuspects is the greatest number of requests that incidents and blocks hold.
-const maxSuspects = maxIncidents*maxIncidentRequests + maxBlocks
+// maxSuspects is twice the greatest number of requests that incidents and blocks hold, so that suspects are
+// rebuilt rarely.
+const maxSuspects = 2 * (maxIncidents*maxIncidentRequests + maxBlocks)
