--- a/internal/edge/requestguard_test.go
+++ b/internal/edge/requestguard_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,7 +10,11 @@
 	"testing"
 	"testing/synctest"
 
+	"go.uber.org/zap"
+	"google.golang.org/grpc/metadata"
+
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
@@ -170,3 +175,24 @@
 		}
 	}
 }
+
+// FuzzCrashMessages guards against messages about crashes that end the process, or that are kept without
+// bound.
+func FuzzCrashMessages(f *testing.F) {
+	f.Add(make([]byte, 2*fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, int64(1), int64(1000))
+	f.Fuzz(func(_ *testing.T, fingerprints, parts []byte, age, left int64) {
+		guard := newPartGuard(bootclock.Now, zap.NewNop(), func([]poison.Part, []poison.Part) {})
+		server := fleetServer{s: &Server{parts: guard}}
+		var list []uint64
+		for _, part := range parts {
+			list = append(list, uint64(part))
+		}
+		_, _ = server.Strike(context.Background(), &hoistv1.StrikeRequest{Fingerprint: fingerprints, Upstream: "u", Parts: list}) // It may be rejected.
+		guard.mergeBlocks([]*hoistv1.PromptBlock{{Parts: list, FirstCrashAgeMs: age, LeftMs: left}, {Parts: []uint64{0, 1}, LeftMs: left}, nil})
+		_, _ = server.ClearParts(context.Background(), &hoistv1.ClearPartsRequest{Parts: list}) // It always succeeds.
+		guard.checkRequest(1)
+		guard.check([]poison.Part{1, 2, 3})
+		guard.blocksForMessage()
+		_, _ = suspectOf(metadata.NewIncomingContext(context.Background(), metadata.Pairs(fingerprintMetadata, string(fingerprints), partsMetadata, string(parts)))) // It may be malformed.
+	})
+}
