--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -24,7 +24,7 @@
 			if exchange.EndsWithConnection && !hasEvents {
 				return t.recordStreamError(upstreamLease, errors.New("the connection ended before the first event"))
 			}
-			return t.finishStream(exchange)
+			return t.finishStream(upstreamLease, exchange)
 		}
 		if err != nil {
 			return t.recordStreamError(upstreamLease, err)
@@ -49,11 +49,12 @@
 	}
 }
 
-func (t *transaction) finishStream(exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
+func (t *transaction) finishStream(upstreamLease *lease, exchange *outbound.Exchange) (attemptOutcome, *bufferedResponse, string) {
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
 	t.setResetOnClose(false)
+	t.recordCompleteAnswer(upstreamLease, exchange)
 	return attemptDone, nil, ""
 }
 
@@ -75,9 +76,7 @@
 		return attemptAborted, nil, err.Error()
 	}
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
-	if t.events == 0 {
-		t.s.checkForCrash(t, upstreamLease.entry)
-	}
+	t.s.checkForCrash(t, upstreamLease.entry)
 	return attemptBroken, nil, err.Error()
 }
 
@@ -98,24 +97,32 @@
 		t.writeStreamHeader(exchange)
 	}
 	if event.hasData {
-		upstreamLease.recordEvent(t.s.now())
-	}
-	if event.hasData && !upstreamLease.eventSent {
-		upstreamLease.eventSent = true
-		t.recordFirstEvent(upstreamLease)
-		t.s.parts.recordAnswer(t.promptParts())
-		// The upstream has read the stage results before its first event.
-		t.releaseInputs()
+		t.recordEvent(upstreamLease)
 	}
 	if _, err := t.w.Write(event.text); err != nil {
 		return err
 	}
 	if event.hasData {
 		t.events++
+		t.lastEventAt = t.s.now()
 	}
 	return http.NewResponseController(t.w).Flush()
 }
 
+// recordEvent records that an event is forwarded to the caller.
+func (t *transaction) recordEvent(upstreamLease *lease) {
+	now := t.s.now()
+	upstreamLease.recordEvent(now)
+	if upstreamLease.events == 1 {
+		t.recordFirstEvent(upstreamLease)
+		// The upstream has read the stage results before its first event.
+		t.releaseInputs()
+	}
+	if !t.partsAnswered && now.Sub(upstreamLease.firstEvent) >= soundStreamTime {
+		t.recordPartsAnswered()
+	}
+}
+
 // recordFirstEvent records the time to the first event.
 func (t *transaction) recordFirstEvent(upstreamLease *lease) {
 	now := t.s.now()
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -30,8 +30,10 @@
 	// prefix holds the parts of the prompt by which the request is placed.
 	prefix []placement.PrefixLevel
 	// parts are the parts of the prompt that other requests may have too.
-	parts       []poison.Part
-	requestBody *body
+	parts []poison.Part
+	// partsAnswered is set once the answer shows that the parts crash no upstream.
+	partsAnswered bool
+	requestBody   *body
 	// body is the content of requestBody.
 	body []byte
 	// bodyInterrupted is set if this VM stopped reading the body. The HTTP server then cancels the
@@ -67,6 +69,8 @@
 	// firstEvent is the time from the arrival of the request to its first event; 0 before it.
 	firstEvent  time.Duration
 	lastEventID string
+	// lastEventAt is when the last event was forwarded; 0 before the first one.
+	lastEventAt clock.Instant
 	events      int
 	upstream    string
 	// retryAfter is the delay after which a refused caller should retry; 0 means the default of
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -109,8 +109,6 @@
 	events     int
 	// cold is the remaining cold start that the upstream stated.
 	cold time.Duration
-	// eventSent is set once an event of the response was forwarded to the caller.
-	eventSent bool
 }
 
 // acquire chooses an upstream in service for a request, and counts the request as in flight.
