Add hoistctl config check

A configuration of the operators' platform could only be checked by sending it. The command lists errors, warnings and the differences from the version in force as text, JSON or YAML.

--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -69,7 +69,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Flags:                 []cli.Flag{outputFlag()},
 		Commands: []*cli.Command{
-			a.checkCommand(), a.diffCommand(), a.statusCommand(),
+			a.checkCommand(), a.diffCommand(), a.configCommand(), a.statusCommand(),
 			a.explainCommand(), a.burnCommand(), a.costCommand(), a.traceCommand(),
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
@@ -85,6 +85,9 @@
 	root.OnUsageError = onUsageError
 	for _, command := range root.Commands {
 		command.OnUsageError = onUsageError
+		for _, subcommand := range command.Commands {
+			subcommand.OnUsageError = onUsageError
+		}
 	}
 	return root
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -8,7 +8,8 @@
 // Exit codes.
 const (
 	ExitOK ExitCode = 0
-	// ExitFailure means that a file or an endpoint could not be read.
+	// ExitFailure means that a file or an endpoint could not be read. For config check it means that the
+	// configuration has errors, and an unreadable file is an ExitUsage.
 	ExitFailure ExitCode = 1
 	// ExitUsage means that the command line is invalid.
 	ExitUsage ExitCode = 2
@@ -29,7 +30,8 @@
    3  a table is invalid
    4  diff --exit-code: the tables differ in effect
    5  burn --exit-code: the most urgent verdict is ticket
-   6  burn --exit-code: the most urgent verdict is page`
+   6  burn --exit-code: the most urgent verdict is page
+config check exits with 0 without errors, 1 with errors, and 2 if the command line is wrong or a file cannot be read.`
 
 // exitError is an error with an exit code. If err is nil, no message is printed.
 type exitError struct {
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -21,6 +21,8 @@
 	formatJSON  format = "json"
 	formatYAML  format = "yaml"
 	formatHTML  format = "html"
+	// formatText is another name of formatTable.
+	formatText format = "text"
 )
 
 const flagOutput = "output"
@@ -69,6 +71,9 @@
 		formats = append(formats, formatHTML)
 	}
 	chosen := format(command.String(flagOutput))
+	if chosen == formatText {
+		chosen = formatTable
+	}
 	if !slices.Contains(formats, chosen) {
 		return "", usageError("--%s is %q; expected one of %v", flagOutput, chosen, formats)
 	}
