--- a/internal/edge/requestguard_test.go
+++ b/internal/edge/requestguard_test.go
@@ -182,7 +182,7 @@
 	f.Add(make([]byte, 2*fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, int64(1), int64(1000))
 	f.Fuzz(func(_ *testing.T, fingerprints, parts []byte, age, left int64) {
 		guard := newPartGuard(bootclock.Now, zap.NewNop(), func([]poison.Part, []poison.Part) {})
-		server := fleetServer{s: &Server{parts: guard}}
+		server := fleetServer{s: &Server{parts: guard, upstreams: newUpstreams(bootclock.Now, func(string) bool { return false })}}
 		var list []uint64
 		for _, part := range parts {
 			list = append(list, uint64(part))
