Add the account of what clients of a port hold

Nothing bounded what all clients of a port make a process hold together: connections, heads at a multiple of their bytes, and bodies. The module pkg/ingress keeps this account without a clock or sockets. It decides on each event which connections to close: the head or body with the oldest progress, then connections that never sent anything, then idle ones, and never one whose request is running. A head is charged three times its bytes and 160 bytes a line, since 7,700 lines of four bytes took 0.5 MB.

--- /dev/null
+++ b/pkg/ingress/ingress.go
@@ -0,0 +1,448 @@
+// Package ingress keeps the account of what the clients of one port hold: connections, and memory for
+// everything that a client can make a process hold before its request is admitted. On each event it
+// decides which connections must be closed to stay within the limits, and which have exceeded a time
+// limit. It does no I/O and reads no clock.
+package ingress
+
+import (
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+// Phase is the phase of a connection.
+type Phase uint8
+
+// The phases of a connection. A request is running from its admission to the end of its response.
+const (
+	// Unused is a connection that has sent nothing yet.
+	Unused Phase = iota
+	// Head is one in whose head of a request bytes have arrived.
+	Head
+	// Body is one whose head is complete and whose request is not admitted yet.
+	Body
+	// Running is one whose request is running. It is never closed for a limit.
+	Running
+	// Idle is one between two requests.
+	Idle
+	// Closed is one that was closed or that must be closed.
+	Closed
+
+	phaseCount
+)
+
+var phaseNames = [phaseCount]string{"unused", "head", "body", "running", "idle", "closed"}
+
+// String returns the name of the phase in metrics.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Reason is why a connection must be closed.
+type Reason uint8
+
+// The reasons to close a connection.
+const (
+	// ConnectionLimit: a newer connection needed its place.
+	ConnectionLimit Reason = iota
+	// MemoryLimit: the memory it held was needed.
+	MemoryLimit
+	// HeadTooLarge: its head exceeds the limit of one head.
+	HeadTooLarge
+	// HeadTimeout: its head was not complete in time.
+	HeadTimeout
+	// IdleTimeout: it was idle for too long.
+	IdleTimeout
+
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{"connection_limit", "memory_limit", "head_too_large", "head_timeout", "idle_timeout"}
+
+// String returns the name of the reason in metrics.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Memory that a client makes a process hold, in bytes. A head costs a multiple of its bytes: a line is
+// collected in a buffer that grows, and copied; and each line is an entry of a map with two strings and
+// a list. 7,700 lines of four bytes took 0.5 MB.
+const (
+	// ConnectionBytes covers the buffers, the stack and the bookkeeping of a connection.
+	ConnectionBytes = 16 << 10
+	// headFactor is the memory for one byte of a head, and lineBytes that for one line.
+	headFactor = 3
+	lineBytes  = 160
+)
+
+// progressBytes is what must arrive on a connection to count as progress. Single bytes at intervals
+// would otherwise keep a head from ever being the oldest.
+const progressBytes = 1 << 10
+
+// leavingDivisor is the fraction of the memory that closed connections may still hold while more heads
+// are read.
+const leavingDivisor = 8
+
+// Limits are the limits of a port. Zero means no limit.
+type Limits struct {
+	// Connections bounds the connections and Bytes the memory of all of them. BodyBytes bounds the
+	// part of the memory that bodies take.
+	Connections int
+	Bytes       int64
+	BodyBytes   int64
+	// HeadBytes bounds one head.
+	HeadBytes int64
+	// HeadTimeout is the time for a head from its first byte, and IdleTimeout that between two
+	// requests and before the first one.
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
+	// Multiplexed is set for a protocol whose connections carry several calls at a time. What arrives
+	// between two calls, such as pings, starts no head there.
+	Multiplexed bool
+}
+
+// Conn is the account of one connection.
+type Conn struct {
+	// Owner is what the caller of Accept passed in.
+	Owner any
+
+	phase Phase
+	// held is the memory that the connection takes, and body the part of it for a body.
+	held, body int64
+	// leaving is the memory of a closed connection that its server has not given up yet.
+	leaving int64
+	// headBytes is the length of the current head so far, and arrived what has arrived since the last
+	// progress.
+	headBytes, arrived int64
+	// since is the start of the phase and progress the time of the last progress.
+	since, progress clock.Instant
+	// previous and next link the connections of a list.
+	previous, next *Conn
+	list           *list
+}
+
+// Phase returns the phase of the connection.
+func (c *Conn) Phase() Phase { return c.phase }
+
+// list is a list of connections in the order of their progress, the oldest first.
+type list struct{ first, last *Conn }
+
+func (l *list) add(c *Conn) {
+	c.list, c.previous, c.next = l, l.last, nil
+	if l.last == nil {
+		l.first = c
+	} else {
+		l.last.next = c
+	}
+	l.last = c
+}
+
+func (c *Conn) unlink() {
+	if c.list == nil {
+		return
+	}
+	if c.previous == nil {
+		c.list.first = c.next
+	} else {
+		c.previous.next = c.next
+	}
+	if c.next == nil {
+		c.list.last = c.previous
+	} else {
+		c.next.previous = c.previous
+	}
+	c.list, c.previous, c.next = nil, nil, nil
+}
+
+// Closing is a connection that must be closed.
+type Closing struct {
+	Conn   *Conn
+	Reason Reason
+}
+
+// Account is the account of one port. It must not be used concurrently.
+type Account struct {
+	limits Limits
+	counts [phaseCount]int
+	held   int64
+	body   int64
+	// leaving is the memory of the closed connections that were not removed yet.
+	leaving int64
+	closed  [reasonCount]uint64
+	// refused is the number of connections that found all others running.
+	refused uint64
+	// waiting holds the connections in the phases Head and Body.
+	waiting, unused, idle list
+	closing               []Closing
+}
+
+// New returns an empty account.
+func New(limits Limits) *Account { return &Account{limits: limits} }
+
+// SetLimits changes the limits. What exceeds them is closed by the next events.
+func (a *Account) SetLimits(limits Limits) { a.limits = limits }
+
+// Limits returns the limits in force.
+func (a *Account) Limits() Limits { return a.limits }
+
+// Accept adds a connection. It returns nil if all others are running, so that the new one is the one
+// to close.
+//
+// The lists that Accept and the other methods return are valid until the next call.
+func (a *Account) Accept(now clock.Instant, owner any) (*Conn, []Closing) {
+	a.closing = a.closing[:0]
+	for a.limits.Connections > 0 && a.open() >= a.limits.Connections {
+		if !a.evict(nil, ConnectionLimit) {
+			a.refused++
+			return nil, a.closing
+		}
+	}
+	c := &Conn{Owner: owner, phase: Unused, since: now, progress: now}
+	a.counts[Unused]++
+	a.unused.add(c)
+	a.hold(c, ConnectionBytes)
+	a.makeRoom(c)
+	if c.phase == Closed {
+		a.Remove(c)
+		a.refused++
+		return nil, a.closing
+	}
+	return c, a.closing
+}
+
+// Received records that bytes with some line breaks have arrived on the connection.
+func (a *Account) Received(now clock.Instant, c *Conn, bytes, lines int) []Closing {
+	a.closing = a.closing[:0]
+	switch c.phase {
+	case Unused:
+		a.enter(now, c, Head)
+	case Idle:
+		if a.limits.Multiplexed {
+			a.hold(c, int64(bytes))
+			a.makeRoom(c)
+			return a.closing
+		}
+		a.enter(now, c, Head)
+	case Head:
+	case Body:
+		a.recordProgress(now, c, int64(bytes))
+		return nil
+	default:
+		// A client may send the next request while one is running; the server does not read it.
+		return nil
+	}
+	c.headBytes += int64(bytes)
+	a.recordProgress(now, c, int64(bytes))
+	if a.limits.HeadBytes > 0 && c.headBytes > a.limits.HeadBytes {
+		a.close(c, HeadTooLarge)
+		return a.closing
+	}
+	a.hold(c, headFactor*int64(bytes)+lineBytes*int64(lines))
+	a.makeRoom(c)
+	return a.closing
+}
+
+// recordProgress moves the connection behind those with older progress.
+func (a *Account) recordProgress(now clock.Instant, c *Conn, bytes int64) {
+	c.arrived += bytes
+	if c.arrived >= progressBytes {
+		c.arrived, c.progress = 0, now
+		c.unlink()
+		a.waiting.add(c)
+	}
+}
+
+// Begin records that the head of a request is complete. It returns false if the connection was closed:
+// its request must not run.
+func (a *Account) Begin(now clock.Instant, c *Conn) bool {
+	if c.phase == Closed {
+		return false
+	}
+	a.enter(now, c, Body)
+	return true
+}
+
+// Reserve takes memory for the body of a request. It reports whether there is room.
+func (a *Account) Reserve(c *Conn, bytes int64) (bool, []Closing) {
+	a.closing = a.closing[:0]
+	if c.phase == Closed {
+		return false, nil
+	}
+	for a.limits.BodyBytes > 0 && a.body+bytes > a.limits.BodyBytes {
+		if !a.evictBody(c) {
+			return false, a.closing
+		}
+	}
+	for a.limits.Bytes > 0 && a.held+bytes > a.limits.Bytes {
+		if !a.evict(c, MemoryLimit) {
+			return false, a.closing
+		}
+	}
+	c.body += bytes
+	a.body += bytes
+	a.hold(c, bytes)
+	return true, a.closing
+}
+
+// Admit records that the request is running. It returns false if the connection was closed: its
+// request must not run.
+func (a *Account) Admit(now clock.Instant, c *Conn) bool {
+	if c.phase == Closed {
+		return false
+	}
+	a.enter(now, c, Running)
+	return true
+}
+
+// End records that the response is complete. The connection holds no more than its buffers.
+func (a *Account) End(now clock.Instant, c *Conn) {
+	if c.phase == Closed {
+		return
+	}
+	a.releaseRequest(c)
+	a.enter(now, c, Idle)
+}
+
+// Remove removes a connection whose server has ended it.
+func (a *Account) Remove(c *Conn) {
+	if c.phase != Closed {
+		a.remove(c)
+	}
+	a.leaving -= c.leaving
+	c.leaving = 0
+}
+
+// Crowded reports whether the closed connections that were not removed yet still hold so much memory
+// that no more heads should be read: their servers have yet to run in order to give it up.
+func (a *Account) Crowded() bool {
+	return a.limits.Bytes > 0 && a.leaving > a.limits.Bytes/leavingDivisor
+}
+
+// IsReading reports whether a read from the connection is one of a head.
+func (c *Conn) IsReading() bool { return c.phase == Unused || c.phase == Head || c.phase == Idle }
+
+// Tick returns the connections that have exceeded a time limit.
+func (a *Account) Tick(now clock.Instant) []Closing {
+	a.closing = a.closing[:0]
+	if timeout := a.limits.HeadTimeout; timeout > 0 {
+		for c := a.waiting.first; c != nil; {
+			next := c.next
+			if c.phase == Head && now.Sub(c.since) > timeout {
+				a.close(c, HeadTimeout)
+			}
+			c = next
+		}
+	}
+	if timeout := a.limits.IdleTimeout; timeout > 0 {
+		for _, l := range [...]*list{&a.unused, &a.idle} {
+			for l.first != nil && now.Sub(l.first.since) > timeout {
+				a.close(l.first, IdleTimeout)
+			}
+		}
+	}
+	return a.closing
+}
+
+// open returns the number of open connections.
+func (a *Account) open() int {
+	return a.counts[Unused] + a.counts[Head] + a.counts[Body] + a.counts[Running] + a.counts[Idle]
+}
+
+func (a *Account) hold(c *Conn, bytes int64) {
+	c.held += bytes
+	a.held += bytes
+}
+
+// releaseRequest releases what the request of the connection held.
+func (a *Account) releaseRequest(c *Conn) {
+	a.held -= c.held - ConnectionBytes
+	a.body -= c.body
+	c.held, c.body, c.headBytes, c.arrived = ConnectionBytes, 0, 0, 0
+}
+
+// enter moves a connection to another phase.
+func (a *Account) enter(now clock.Instant, c *Conn, phase Phase) {
+	a.counts[c.phase]--
+	a.counts[phase]++
+	c.phase, c.since, c.progress, c.arrived = phase, now, now, 0
+	c.unlink()
+	switch phase {
+	case Head, Body:
+		a.waiting.add(c)
+	case Idle:
+		a.idle.add(c)
+	}
+}
+
+// makeRoom closes connections until the memory is within its limit. The connection c, whose event it
+// is, comes last.
+func (a *Account) makeRoom(c *Conn) {
+	for a.limits.Bytes > 0 && a.held > a.limits.Bytes {
+		if a.evict(c, MemoryLimit) {
+			continue
+		}
+		if c.phase != Closed {
+			a.close(c, MemoryLimit)
+		}
+		return
+	}
+}
+
+// evict closes the least valuable connection other than c: first the head or body with the oldest
+// progress, then the oldest connection that never sent anything, then the one that has been idle for
+// the longest time. It returns false if there is none.
+func (a *Account) evict(c *Conn, reason Reason) bool {
+	for _, l := range [...]*list{&a.waiting, &a.unused, &a.idle} {
+		victim := l.first
+		if victim == c && victim != nil {
+			victim = victim.next
+		}
+		if victim != nil {
+			a.close(victim, reason)
+			return true
+		}
+	}
+	return false
+}
+
+// evictBody closes the connection other than c with the oldest progress that holds memory for a body.
+func (a *Account) evictBody(c *Conn) bool {
+	for victim := a.waiting.first; victim != nil; victim = victim.next {
+		if victim != c && victim.body > 0 {
+			a.close(victim, MemoryLimit)
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Account) close(c *Conn, reason Reason) {
+	a.closed[reason]++
+	c.leaving = c.held
+	a.leaving += c.leaving
+	a.remove(c)
+	a.closing = append(a.closing, Closing{Conn: c, Reason: reason})
+}
+
+func (a *Account) remove(c *Conn) {
+	a.counts[c.phase]--
+	c.unlink()
+	a.held -= c.held
+	a.body -= c.body
+	c.phase, c.held, c.body = Closed, 0, 0
+}
+
+// Stats are figures for metrics.
+type Stats struct {
+	// Connections is the number of open connections by phase.
+	Connections [Closed]int
+	// HeldBytes is the memory that clients hold, and BodyBytes the part of it for bodies.
+	HeldBytes, BodyBytes int64
+	// Closed counts the connections closed, by reason, and Refused those that found all others running.
+	Closed  [reasonCount]uint64
+	Refused uint64
+	Limits  Limits
+}
+
+// Stats returns figures for metrics.
+func (a *Account) Stats() Stats {
+	stats := Stats{HeldBytes: a.held, BodyBytes: a.body, Closed: a.closed, Refused: a.refused, Limits: a.limits}
+	copy(stats.Connections[:], a.counts[:Closed])
+	return stats
+}
