Bound what callers, probes, scrapers and peers make a VM hold

450 connections with heads without end drove a VM with 48 MB to 218 MB, and 450 with long HTTP/2 header blocks to 991 MB; connections that sent nothing took all descriptors, so that callers waited 15 s and peers over 30 s. Callers get half of the descriptors beyond the reserved 200 and a quarter of the memory, bodies included; heads and timeouts follow the configuration in force. The ports for readiness, metrics and peers have small bounds, and a peer that has made a call is closed after those that have made none. Memory for a long body is taken only after 64 KB of it have arrived. GOMEMLIMIT leaves room for the program itself on small VMs.

Reads of heads now wait, at most 500 ms, while the servers of closed connections have yet to end. The descriptors in the tests are sampled once more after the last request, which is stricter.

--- a/cmd/hoist-edge/main.go
+++ b/cmd/hoist-edge/main.go
@@ -19,10 +19,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/platform"
 )
 
-// memoryLimitFraction is the fraction of the memory in the settings at which the garbage
-// collector runs more often. The rest is for stacks, kernel buffers and the program itself.
-const memoryLimitFraction = 0.7
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -46,8 +42,8 @@
 	if err != nil || command.Bool("check") {
 		return err
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	registry := obs.NewRegistry()
 	dropped := obs.NewDropCounter(registry)
--- a/internal/edge/abort.go
+++ b/internal/edge/abort.go
@@ -1,18 +1,10 @@
 package edge
 
 import (
-	"context"
-	"net"
 	"net/http"
-)
-
-// connKey is the context key of the caller's connection.
-type connKey struct{}
 
-// withConn adds the connection to the context of its requests.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
+	"github.com/hornbeamhoist/hornbeamhoist/internal/ingress"
+)
 
 // abort ends the response so that the caller sees that it is not complete. In HTTP/1.1 the last
 // chunk or part of the stated length is missing.
@@ -25,8 +17,8 @@
 // such a caller ends with its connection, so each end but that of a complete stream must be a reset,
 // also if the handler panics or the process is killed.
 func (t *transaction) setResetOnClose(reset bool) {
-	conn, ok := t.r.Context().Value(connKey{}).(*net.TCPConn)
-	if !ok || t.r.ProtoAtLeast(1, 1) {
+	conn := ingress.FromContext(t.r.Context())
+	if conn == nil || t.r.ProtoAtLeast(1, 1) {
 		return
 	}
 	linger := -1 // The default: data that was not sent yet is sent after the close.
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hornbeamhoist/hornbeamhoist/internal/ingress"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
@@ -39,6 +40,10 @@
 
 // ServeHTTP serves the requests of callers.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !ingress.FromContext(r.Context()).Begin() {
+		// The connection was closed for a limit.
+		panic(http.ErrAbortHandler)
+	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
@@ -150,8 +155,11 @@
 	}
 	t.limitBodyReads(time.Now().Add(t.remaining()))
 	stopInterrupt := context.AfterFunc(t.s.stop.cut, func() { t.limitBodyReads(time.Now()) })
-	requestBody, err := t.s.requestMemory.read(t.r.Body, t.r.ContentLength, limit, t.s.requestMemory.tryMemory)
+	requestBody, err := t.s.requestMemory.readRequest(t.r.Body, t.r.ContentLength, limit, t.acquireBodyMemory)
 	t.requestBody = requestBody
+	if err == nil {
+		err = requestBody.join(t.acquireBodyMemory)
+	}
 	switch {
 	case !stopInterrupt():
 		t.bodyInterrupted, t.retryAfter = true, minRetryAfter
@@ -166,6 +174,9 @@
 	case err != nil:
 		return errkind.New(errkind.BadRequest, "the body did not arrive: "+err.Error())
 	}
+	if !ingress.FromContext(t.r.Context()).Admit() {
+		return errkind.New(errkind.BadRequest, "the connection was closed for a limit")
+	}
 	// A limit that passes later would count as the caller's disconnect.
 	t.limitBodyReads(time.Time{})
 	t.body = requestBody.bytes()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -23,10 +23,10 @@
 
 const (
 	// headerTimeout bounds reading the header of a request, and idleTimeout an idle connection of
-	// a caller. Both exceed what the configuration allows callers.
+	// a caller, while no configuration sets these limits.
 	headerTimeout = 15 * time.Second
 	idleTimeout   = 120 * time.Second
-	// maxHeaderBytes bounds the header of a request.
+	// maxHeaderBytes bounds the header of a request while no configuration does.
 	maxHeaderBytes = 64 << 10
 	// sweepInterval is the time between two checks for connections to upstreams that were idle
 	// for too long.
@@ -66,10 +66,12 @@
 	// requestMemory and responseMemory bound the memory for bodies.
 	requestMemory  *bodyMemory
 	responseMemory *bodyMemory
-	startedAt      clock.Instant
-	startup        *startup
-	packedTables   packedTables
-	startupWait    time.Duration
+	// guards bound what clients of the ports of this VM hold.
+	guards       *guards
+	startedAt    clock.Instant
+	startup      *startup
+	packedTables packedTables
+	startupWait  time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
 	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
@@ -116,7 +118,8 @@
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
-	s.requestMemory, s.responseMemory = newBodyMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
+	s.requestMemory, s.responseMemory = newRequestMemory(options.Settings.MemoryBytes), newBodyMemory(options.Settings.MemoryBytes)
+	s.guards = newGuards(s)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
 	var err error
@@ -231,7 +234,7 @@
 }
 
 func (s *Server) serveMetrics() {
-	listener, err := net.Listen("tcp4", joinHostPort(s.settings.IP, s.settings.MetricsPort))
+	listener, err := listenGuarded(joinHostPort(s.settings.IP, s.settings.MetricsPort), s.guards.metrics)
 	if err != nil {
 		// Callers can be served without metrics.
 		s.logger.Error("failed to listen for metrics", obs.ErrorField(err))
@@ -239,7 +242,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", obs.MetricsHandler(s.registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := newAuxiliaryServer(mux)
 	go s.runServer("metrics", func() error { return server.Serve(listener) })
 }
 
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/ingress"
 )
 
 // peerFlushTime is how long the last responses to other VMs may take. Long polls of other VMs may last
@@ -31,19 +32,23 @@
 	if err != nil {
 		return nil, err
 	}
-	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(s.contain.interceptCall))...)
+	peerListener = s.guards.peers.Listener(peerListener)
+	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(ingress.InterceptCall, s.contain.interceptCall),
+		grpc.ConnectionTimeout(peerHandshakeTimeout), grpc.MaxHeaderListSize(maxPeerHeaderBytes), grpc.MaxConcurrentStreams(maxPeerCalls))...)
 	hoistv1.RegisterFleetServer(peerServer, fleetServer{s: s})
+	s.guards.run(ctx)
 	go s.runServer("peers", func() error { return peerServer.Serve(peerListener) })
 	out := &servers{
 		callers: &http.Server{
-			Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: withConn, ErrorLog: zap.NewStdLog(s.logger),
+			// The guard applies the limits of the configuration in force to heads and idle connections.
+			Handler: s, MaxHeaderBytes: 2 * maxConfiguredHeadBytes, ConnState: ingress.ConnState,
+			BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: ingress.WithConn, ErrorLog: zap.NewStdLog(s.logger),
 		},
-		readiness: &http.Server{Handler: http.HandlerFunc(s.serveReady), ReadHeaderTimeout: headerTimeout},
+		readiness: newAuxiliaryServer(http.HandlerFunc(s.serveReady)),
 		peers:     peerServer,
 	}
-	if out.callerListener, err = s.serveHTTP("callers", s.settings.Listen, out.callers); err == nil {
-		_, err = s.serveHTTP("readiness", s.settings.ReadyListen, out.readiness)
+	if out.callerListener, err = s.serveHTTP("callers", s.settings.Listen, out.callers, s.guards.callers); err == nil {
+		_, err = s.serveHTTP("readiness", s.settings.ReadyListen, out.readiness, s.guards.readiness)
 	}
 	if err != nil {
 		peerServer.Stop()
@@ -56,8 +61,8 @@
 }
 
 // serveHTTP opens a listener and starts to serve it.
-func (s *Server) serveHTTP(name, address string, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
+func (s *Server) serveHTTP(name, address string, server *http.Server, guard *ingress.Guard) (net.Listener, error) {
+	listener, err := listenGuarded(address, guard)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -30,8 +30,11 @@
 	// Seeds are the PeerListen addresses of some VMs. They may be out of date.
 	Seeds []string
 	// Store is the IP:port of the store of published items.
-	Store       string
-	MemoryBytes int64
+	Store string
+	// MemoryBytes is the memory of the VM, and MaxDescriptors the number of files and connections that
+	// the process may have open; 0 if unknown.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// Capacity is the CPU capacity of the VM in thousandths of a core; 0 if unknown.
 	Capacity uint32
 	// GracePeriod is the time between the stop signal and the kill signal.
@@ -50,6 +53,23 @@
 	ColdRateBurst  float64
 }
 
+// Parts of the memory of a VM: the garbage collector keeps the process below the fraction of it, which
+// leaves the rest for stacks and kernel buffers, and leaves room for the program itself, which it does
+// not count.
+const (
+	memoryLimitFraction = 0.7
+	programBytes        = 24 << 20
+)
+
+// MemoryLimit returns the memory at which the garbage collector runs more often, as GOMEMLIMIT does, or
+// 0 if the memory of the VM is not known.
+func (s *Settings) MemoryLimit() int64 {
+	if s.MemoryBytes <= 0 {
+		return 0
+	}
+	return min(int64(memoryLimitFraction*float64(s.MemoryBytes)), max(s.MemoryBytes-programBytes, s.MemoryBytes/2))
+}
+
 // Validate checks the settings that a Server requires.
 func (s *Settings) Validate() error {
 	for name, address := range map[string]string{
