Bound the bodies of hoist-gateway and the datagrams of peers

The HTTP server of hoist-gateway took memory for all of an announced body before any of it had arrived: 450 connections with bodies without end drove a process with GOMEMLIMIT for 64 MB to 126.6 MB. The handler now reads the body as far as the guard of the listener has memory for it, a quarter of GOMEMLIMIT; the limit on connections closes the least valuable one in place of refusing new ones. Empty lines before a request were bounded already by the buffer of the head (33.2 MB at most).

Datagrams of one address are handled up to 500 a second, the directory of VMs has at most 1,024 entries, and ignored datagrams are counted. The crowds of datagrams stayed within the bound before, too (25.8 MB).

--- a/cmd/hoist-gateway/main.go
+++ b/cmd/hoist-gateway/main.go
@@ -86,6 +86,13 @@
 		MaxBodyBytes: config.MaxBodyBytes, MaxConnections: config.MaxConnections,
 		ReadTimeout: config.ReadTimeout, WriteTimeout: config.WriteTimeout,
 	})
+	callerListener, err := net.Listen("tcp4", config.Listen)
+	if err != nil {
+		return err
+	}
+	callers := gateway.NewGuard(bootclock.Now, config.MaxConnections)
+	registry.MustRegister(callers)
+	go callers.Run(loopCtx)
 	adminListener, err := net.Listen("tcp", config.AdminListen)
 	if err != nil {
 		return err
@@ -93,7 +100,7 @@
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- peerServer.Serve(peerListener) }()
 	go func() { serveErrors <- g.ServeAdmin(loopCtx, adminListener) }()
-	go func() { serveErrors <- server.ListenAndServe(config.Listen) }()
+	go func() { serveErrors <- server.Serve(callers.Listener(callerListener)) }()
 	select {
 	case err := <-serveErrors:
 		return err
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/ingress"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/membership"
 )
 
@@ -35,6 +36,9 @@
 	// maxDatagramEntries bounds the directory entries of a datagram, which must fit into one
 	// packet.
 	maxDatagramEntries = 8
+	// maxSourceDatagrams bounds the datagrams of one address that are handled in a second. A VM that
+	// sends its whole directory sends up to maxSyncDatagrams.
+	maxSourceDatagrams = 500
 	// maxDatagramBytes is the size of the receive buffer, which cuts longer datagrams.
 	maxDatagramBytes = 8 << 10
 )
@@ -103,6 +107,7 @@
 
 func (g *gossip) receive() {
 	buffer := make([]byte, maxDatagramBytes)
+	sources := ingress.NewSources(maxSourceDatagrams)
 	for {
 		n, from, err := g.conn.ReadFromUDP(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -113,8 +118,13 @@
 			sleep(context.Background(), gossipInterval)
 			continue
 		}
+		if !sources.Allow(g.now(), from.AddrPort().Addr().Unmap()) {
+			g.contain.metrics.ignoredDatagrams.WithLabelValues("rate").Inc()
+			continue
+		}
 		var datagram hoistv1.Datagram
 		if err := proto.Unmarshal(buffer[:n], &datagram); err != nil {
+			g.contain.metrics.ignoredDatagrams.WithLabelValues("malformed").Inc()
 			g.logger.Warn("malformed membership datagram ignored", zap.Stringer("from", from), obs.ErrorField(err))
 			continue
 		}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,8 @@
 	stagePieces  *prometheus.HistogramVec
 	stageRefused *prometheus.CounterVec
 	panics       *prometheus.CounterVec
+	// ignoredDatagrams counts membership datagrams that were not handled.
+	ignoredDatagrams *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -46,8 +48,11 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_panics_total", Help: "Panics that ended the handling of one request, message or published item.",
 		}, []string{"scope"}),
+		ignoredDatagrams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_datagrams_ignored_total", Help: "Membership datagrams that were malformed or exceeded the rate of one address.",
+		}, []string{"reason"}),
 	}
-	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics)
+	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics, m.ignoredDatagrams)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -41,10 +41,15 @@
 func (g *Gateway) NewServer(limits Limits) *fasthttp.Server {
 	g.registerGauges()
 	return &fasthttp.Server{
-		Handler:               g.Handle,
-		ErrorHandler:          g.handleReadError,
-		MaxRequestBodySize:    limits.MaxBodyBytes,
-		Concurrency:           limits.MaxConnections,
+		Handler:      g.guarded(g.Handle, limits.MaxBodyBytes),
+		ErrorHandler: g.handleReadError,
+		// The handler reads bodies, as much as the guard has memory for.
+		StreamRequestBody:  true,
+		MaxRequestBodySize: limits.MaxBodyBytes,
+		// The guard of the listener closes a connection for each one beyond the limit, and its worker
+		// ends a little later.
+		Concurrency:           2 * limits.MaxConnections,
+		ConnState:             guardState,
 		ReadTimeout:           limits.ReadTimeout,
 		WriteTimeout:          limits.WriteTimeout,
 		IdleTimeout:           idleTimeout,
@@ -64,6 +69,8 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		refusal = errkind.New(errkind.BodyTooLarge, "")
+	case errors.Is(err, errNoBodyMemory):
+		refusal = errkind.New(errkind.Overloaded, err.Error())
 	case errors.As(err, &smallBuffer):
 		refusal = errkind.New(errkind.BadRequest, "the headers exceed the limit")
 	case errors.As(err, &netError) && netError.Timeout():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -145,7 +145,7 @@
 // Read reads from the connection and records what has arrived.
 func (c *Conn) Read(p []byte) (int, error) {
 	g := c.guard
-	g.awaitRoom(c)
+	g.awaitRoom(c.entry.IsReading)
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -191,14 +191,14 @@
 	return c.Conn.Close()
 }
 
-// awaitRoom delays the read of a head while the servers of closed connections have yet to give up their
+// awaitRoom delays the read of a head, or more memory for a body, while the servers of closed connections have yet to give up their
 // memory. On a busy VM the heads of many connections would otherwise be in memory at a time, although
 // most of the connections are closed.
-func (g *Guard) awaitRoom(c *Conn) {
+func (g *Guard) awaitRoom(applies func() bool) {
 	var timeout <-chan time.Time
 	for {
 		g.mu.Lock()
-		if !c.entry.IsReading() || !g.account.Crowded() {
+		if !applies() || !g.account.Crowded() {
 			g.mu.Unlock()
 			return
 		}
@@ -275,6 +275,9 @@
 	closing := owners(decided)
 	c.guard.mu.Unlock()
 	closeAll(closing)
+	if ok {
+		c.guard.awaitRoom(func() bool { return c.entry.Phase() != ingress.Closed })
+	}
 	return ok
 }
 
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -62,6 +62,10 @@
 	e.ownershipFromCalls[key] = owns
 }
 
+// maxEntries bounds the directory. It is about three times the design size of a fleet, so that messages
+// with names that do not exist cannot take the memory of a VM.
+const maxEntries = 1024
+
 // Directory holds the entries of all known VMs.
 type Directory struct {
 	self    Entry
@@ -106,6 +110,9 @@
 		}
 		old := d.entries[entry.Name]
 		if old == nil {
+			if len(d.entries) >= maxEntries {
+				continue
+			}
 			d.entries[entry.Name] = &trackedEntry{Entry: entry, startSeenAt: now, changedAt: now, lastReachableAt: now}
 			d.rebuildNames()
 			d.version++
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -69,6 +69,8 @@
 	// headFactor is the memory for one byte of a head, and lineBytes that for one line.
 	headFactor = 3
 	lineBytes  = 160
+	// wholeFactor is the memory for one byte with Limits.WholeRequests.
+	wholeFactor = 2
 )
 
 // progressBytes is what must arrive on a connection to count as progress. Single bytes at intervals
@@ -95,6 +97,9 @@
 	// Multiplexed is set for a protocol whose connections carry several calls at a time. What arrives
 	// between two calls, such as pings, starts no head there.
 	Multiplexed bool
+	// WholeRequests is set for a server that reads heads and bodies alike before it calls a handler. It
+	// keeps them as they are, in buffers that double in size.
+	WholeRequests bool
 }
 
 // Conn is the account of one connection.
@@ -233,7 +238,11 @@
 		a.close(c, HeadTooLarge)
 		return a.closing
 	}
-	a.hold(c, headFactor*int64(bytes)+lineBytes*int64(lines))
+	if a.limits.WholeRequests {
+		a.hold(c, wholeFactor*int64(bytes))
+	} else {
+		a.hold(c, headFactor*int64(bytes)+lineBytes*int64(lines))
+	}
 	a.makeRoom(c)
 	return a.closing
 }
