--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// TestClosedConnectionsHoldMemory guards against heads that are read while those of closed connections
+// are still in memory.
+func TestClosedConnectionsHoldMemory(t *testing.T) {
+	a := New(Limits{Bytes: 8 * ConnectionBytes})
+	old, next := accept(t, a, 1, "old"), accept(t, a, 1, "next")
+	a.Received(2, old, 2*ConnectionBytes, 0)
+	if a.Crowded() {
+		t.Error("crowded without closed connections")
+	}
+	expectClosed(t, a.Received(3, next, 100, 100), "old memory_limit")
+	if !a.Crowded() || !next.IsReading() || old.IsReading() {
+		t.Error("not crowded although a closed connection holds memory")
+	}
+	a.Remove(old)
+	a.Remove(old)
+	if a.Crowded() {
+		t.Error("crowded after the connection was removed")
+	}
+}
+
 // TestAccountHolds checks with random events that the limits hold after each, that no running
 // connection is closed and that the sums are those of the connections.
 func TestAccountHolds(t *testing.T) {
