--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,14 +42,15 @@
 
 	mu      sync.Mutex
 	account *ingress.Account
-	// removed is closed and replaced when a connection is removed while others wait for it.
-	removed chan struct{}
-	waiting int
+	// uncrowded is closed and replaced when reads that wait for memory may go on, and waiting is their
+	// number.
+	uncrowded chan struct{}
+	waiting   int
 }
 
 // New returns a guard. The port names it in metrics. The limits are read at intervals.
 func New(port string, now func() clock.Instant, limits func() ingress.Limits) *Guard {
-	return &Guard{port: port, now: now, limits: limits, account: ingress.New(limits()), removed: make(chan struct{})}
+	return &Guard{port: port, now: now, limits: limits, account: ingress.New(limits()), uncrowded: make(chan struct{})}
 }
 
 // Run checks the time limits and takes over changed limits until the context ends.
@@ -113,14 +114,20 @@
 	return c
 }
 
-// owners returns the connections that must be closed.
+// owners returns the connections that must be closed, and ends their waits for memory. The guard's mutex
+// must be held.
 func owners(closing []ingress.Closing) []*Conn {
 	if len(closing) == 0 {
 		return nil
 	}
 	out := make([]*Conn, 0, len(closing))
 	for _, c := range closing {
-		out = append(out, c.Conn.Owner.(*Conn))
+		conn := c.Conn.Owner.(*Conn)
+		if conn.wake != nil {
+			close(conn.wake)
+			conn.wake = nil
+		}
+		out = append(out, conn)
 	}
 	return out
 }
@@ -140,12 +147,15 @@
 	entry *ingress.Conn
 	// calls is the number of calls on a multiplexed connection. The guard's mutex protects it.
 	calls int
+	// wake ends a wait for memory when the connection is closed for a limit. It is nil if there is no
+	// wait. The guard's mutex protects it.
+	wake chan struct{}
 }
 
 // Read reads from the connection and records what has arrived.
 func (c *Conn) Read(p []byte) (int, error) {
 	g := c.guard
-	g.awaitRoom(c.entry.IsReading)
+	c.awaitRoom(c.entry.IsReading)
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -153,21 +163,15 @@
 	lines := bytes.Count(p[:n], []byte{'\n'})
 	g.mu.Lock()
 	decided := g.account.Received(g.now(), c.entry, n, lines)
-	var closing []*Conn
-	tooLarge := false
-	for _, closed := range decided {
-		if closed.Conn == c.entry && closed.Reason == ingress.HeadTooLarge {
-			tooLarge = true
-			continue
-		}
-		closing = append(closing, closed.Conn.Owner.(*Conn))
-	}
+	// A head that is too large closes no other connection.
+	tooLarge := len(decided) > 0 && decided[0].Reason == ingress.HeadTooLarge
+	closing := owners(decided)
 	g.mu.Unlock()
-	closeAll(closing)
 	if tooLarge {
 		c.refuse()
 		return 0, io.EOF
 	}
+	closeAll(closing)
 	return n, err
 }
 
@@ -183,9 +187,9 @@
 	g := c.guard
 	g.mu.Lock()
 	g.account.Remove(c.entry)
-	if g.waiting > 0 {
-		close(g.removed)
-		g.removed, g.waiting = make(chan struct{}), 0
+	if g.waiting > 0 && !g.account.Crowded() {
+		close(g.uncrowded)
+		g.uncrowded, g.waiting = make(chan struct{}), 0
 	}
 	g.mu.Unlock()
 	return c.Conn.Close()
@@ -194,26 +198,27 @@
 // awaitRoom delays the read of a head, or more memory for a body, while the servers of closed connections have yet to give up their
 // memory. On a busy VM the heads of many connections would otherwise be in memory at a time, although
 // most of the connections are closed.
-func (g *Guard) awaitRoom(applies func() bool) {
-	var timeout <-chan time.Time
-	for {
-		g.mu.Lock()
-		if !applies() || !g.account.Crowded() {
-			g.mu.Unlock()
-			return
-		}
-		g.waiting++
-		removed := g.removed
+func (c *Conn) awaitRoom(applies func() bool) {
+	g := c.guard
+	g.mu.Lock()
+	if !applies() || !g.account.Crowded() {
 		g.mu.Unlock()
-		if timeout == nil {
-			timeout = time.After(maxReadDelay)
-		}
-		select {
-		case <-removed:
-		case <-timeout:
-			return
-		}
+		return
+	}
+	g.waiting++
+	uncrowded, wake := g.uncrowded, make(chan struct{})
+	c.wake = wake
+	g.mu.Unlock()
+	timeout := time.NewTimer(maxReadDelay)
+	defer timeout.Stop()
+	select {
+	case <-uncrowded:
+	case <-wake:
+	case <-timeout.C:
 	}
+	g.mu.Lock()
+	c.wake = nil
+	g.mu.Unlock()
 }
 
 // CloseWrite ends the direction to the client, so that it can read the response before the connection
@@ -276,7 +281,7 @@
 	c.guard.mu.Unlock()
 	closeAll(closing)
 	if ok {
-		c.guard.awaitRoom(func() bool { return c.entry.Phase() != ingress.Closed })
+		c.awaitRoom(func() bool { return c.entry.Phase() != ingress.Closed })
 	}
 	return ok
 }
--- a/pkg/fleet/directory_test.go
+++ b/pkg/fleet/directory_test.go
@@ -163,3 +163,18 @@
 		t.Errorf("the messages covered %d of 20 VMs", len(seen))
 	}
 }
+
+// TestDirectoryIsBounded guards against messages with VMs that do not exist and take the memory of this
+// one, and against a full directory that ignores changes of the VMs in it.
+func TestDirectoryIsBounded(t *testing.T) {
+	d := New(0, Entry{Name: "self", Address: "10.0.0.1:1"})
+	for i := range 2 * maxEntries {
+		d.Merge(1, []Entry{{Name: fmt.Sprint("forged-", i), Address: "10.0.0.2:1", Started: 1}})
+	}
+	if n := len(d.Members()); n != maxEntries {
+		t.Errorf("%d VMs are known, expected %d", n, maxEntries)
+	}
+	if !d.Merge(2, []Entry{{Name: "forged-0", Address: "10.0.0.3:1", Started: 2}}) {
+		t.Error("a new start of a known VM is ignored")
+	}
+}
