Close the heaviest head or body first when none has stalled

On a busy machine a small head that is complete waited for its handler while the heads of the crowd went on to arrive, so that its progress was the oldest: 8 of 18 ordinary requests beside crowds with short lines or bodies without end were reset, and answered when they were sent again. If memory is needed and no head or body has stalled for a second, the one that holds the most is closed now; otherwise the order is as before.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -276,7 +276,7 @@
 		return true
 	}
 	c.guard.mu.Lock()
-	ok, decided := c.guard.account.Reserve(c.entry, n)
+	ok, decided := c.guard.account.Reserve(c.guard.now(), c.entry, n)
 	closing := owners(decided)
 	c.guard.mu.Unlock()
 	closeAll(closing)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -77,6 +77,14 @@
 // would otherwise keep a head from ever being the oldest.
 const progressBytes = 1 << 10
 
+const (
+	// stallTime is how long a head or body makes no progress before it counts as stalled. It is longer
+	// than a handler waits for its turn on a busy VM.
+	stallTime = time.Second
+	// usualBytes is what a connection with a usual head holds at most.
+	usualBytes = 2 * ConnectionBytes
+)
+
 // leavingDivisor is the fraction of the memory that closed connections may still hold while more heads
 // are read.
 const leavingDivisor = 8
@@ -138,6 +146,14 @@
 	l.last = c
 }
 
+// firstExcept returns the first connection that is not c, or nil.
+func (l *list) firstExcept(c *Conn) *Conn {
+	if l.first != nil && l.first == c {
+		return c.next
+	}
+	return l.first
+}
+
 func (c *Conn) unlink() {
 	if c.list == nil {
 		return
@@ -193,7 +209,7 @@
 func (a *Account) Accept(now clock.Instant, owner any) (*Conn, []Closing) {
 	a.closing = a.closing[:0]
 	for a.limits.Connections > 0 && a.open() >= a.limits.Connections {
-		if !a.evict(nil, ConnectionLimit) {
+		if !a.evict(now, nil, ConnectionLimit) {
 			a.refused++
 			return nil, a.closing
 		}
@@ -202,7 +218,7 @@
 	a.counts[Unused]++
 	a.unused.add(c)
 	a.hold(c, ConnectionBytes)
-	a.makeRoom(c)
+	a.makeRoom(now, c)
 	if c.phase == Closed {
 		a.Remove(c)
 		a.refused++
@@ -220,7 +236,7 @@
 	case Idle:
 		if a.limits.Multiplexed {
 			a.hold(c, int64(bytes))
-			a.makeRoom(c)
+			a.makeRoom(now, c)
 			return a.closing
 		}
 		a.enter(now, c, Head)
@@ -243,7 +259,7 @@
 	} else {
 		a.hold(c, headFactor*int64(bytes)+lineBytes*int64(lines))
 	}
-	a.makeRoom(c)
+	a.makeRoom(now, c)
 	return a.closing
 }
 
@@ -268,18 +284,18 @@
 }
 
 // Reserve takes memory for the body of a request. It reports whether there is room.
-func (a *Account) Reserve(c *Conn, bytes int64) (bool, []Closing) {
+func (a *Account) Reserve(now clock.Instant, c *Conn, bytes int64) (bool, []Closing) {
 	a.closing = a.closing[:0]
 	if c.phase == Closed {
 		return false, nil
 	}
 	for a.limits.BodyBytes > 0 && a.body+bytes > a.limits.BodyBytes {
-		if !a.evictBody(c) {
+		if !a.evictBody(now, c) {
 			return false, a.closing
 		}
 	}
 	for a.limits.Bytes > 0 && a.held+bytes > a.limits.Bytes {
-		if !a.evict(c, MemoryLimit) {
+		if !a.evict(now, c, MemoryLimit) {
 			return false, a.closing
 		}
 	}
@@ -381,9 +397,9 @@
 
 // makeRoom closes connections until the memory is within its limit. The connection c, whose event it
 // is, comes last.
-func (a *Account) makeRoom(c *Conn) {
+func (a *Account) makeRoom(now clock.Instant, c *Conn) {
 	for a.limits.Bytes > 0 && a.held > a.limits.Bytes {
-		if a.evict(c, MemoryLimit) {
+		if a.evict(now, c, MemoryLimit) {
 			continue
 		}
 		if c.phase != Closed {
@@ -396,13 +412,19 @@
 // evict closes the least valuable connection other than c: first the head or body with the oldest
 // progress, then the oldest connection that never sent anything, then the one that has been idle for
 // the longest time. It returns false if there is none.
-func (a *Account) evict(c *Conn, reason Reason) bool {
-	for _, l := range [...]*list{&a.waiting, &a.unused, &a.idle} {
-		victim := l.first
-		if victim == c && victim != nil {
-			victim = victim.next
+//
+// If memory is needed and all heads and bodies have made progress a moment ago, the one that holds the
+// most goes first. The order of their progress says little then: on a busy VM, a small head that is
+// complete waits for its handler while large ones go on to arrive.
+func (a *Account) evict(now clock.Instant, c *Conn, reason Reason) bool {
+	if reason == MemoryLimit && !a.isStalled(now, a.waiting.firstExcept(c)) {
+		if victim := a.heaviest(c); victim != nil {
+			a.close(victim, reason)
+			return true
 		}
-		if victim != nil {
+	}
+	for _, l := range [...]*list{&a.waiting, &a.unused, &a.idle} {
+		if victim := l.firstExcept(c); victim != nil {
 			a.close(victim, reason)
 			return true
 		}
@@ -410,15 +432,52 @@
 	return false
 }
 
-// evictBody closes the connection other than c with the oldest progress that holds memory for a body.
-func (a *Account) evictBody(c *Conn) bool {
-	for victim := a.waiting.first; victim != nil; victim = victim.next {
-		if victim != c && victim.body > 0 {
-			a.close(victim, MemoryLimit)
-			return true
+// isStalled reports whether the head or body has made no progress for a while.
+func (a *Account) isStalled(now clock.Instant, c *Conn) bool {
+	return c != nil && now.Sub(c.progress) >= stallTime
+}
+
+// heaviest returns the head other than c that holds the most memory, or the body that does if no head
+// holds more than usual. It returns nil if no body does either.
+func (a *Account) heaviest(c *Conn) *Conn {
+	var head, body *Conn
+	headHeld, bodyHeld := int64(usualBytes), int64(usualBytes)
+	for other := a.waiting.first; other != nil; other = other.next {
+		switch {
+		case other == c:
+		case other.phase == Head && other.held > headHeld:
+			head, headHeld = other, other.held
+		case other.phase == Body && other.held > bodyHeld:
+			body, bodyHeld = other, other.held
 		}
 	}
-	return false
+	if head != nil {
+		return head
+	}
+	return body
+}
+
+// evictBody closes the connection other than c that holds memory for a body and has made no progress for
+// the longest time or, if all have made progress a moment ago, the one that holds the most.
+func (a *Account) evictBody(now clock.Instant, c *Conn) bool {
+	var victim *Conn
+	for other := a.waiting.first; other != nil; other = other.next {
+		if other == c || other.body == 0 {
+			continue
+		}
+		if a.isStalled(now, other) {
+			victim = other
+			break
+		}
+		if victim == nil || other.body > victim.body {
+			victim = other
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	a.close(victim, MemoryLimit)
+	return true
 }
 
 func (a *Account) close(c *Conn, reason Reason) {
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// TestLargeHeadsGiveWay guards against a small head that is closed because it waits for its handler while
+// large heads make progress.
+func TestLargeHeadsGiveWay(t *testing.T) {
+	a := New(Limits{Bytes: 8 * ConnectionBytes})
+	small, large, next := accept(t, a, 1, "small"), accept(t, a, 1, "large"), accept(t, a, 1, "next")
+	a.Received(2, small, 1000, 10)
+	a.Received(3, large, ConnectionBytes, 0)
+	expectClosed(t, a.Received(4, next, ConnectionBytes, 0), "large memory_limit")
+	// A head that has made no progress for a while goes before a larger one.
+	large = accept(t, a, 5, "large")
+	now := clock.Instant(stallTime) + 5
+	expectClosed(t, a.Received(now, large, ConnectionBytes, 0), "small memory_limit")
+}
+
 // TestBodiesGiveWay guards against bodies that never arrive and keep the memory for bodies.
 func TestBodiesGiveWay(t *testing.T) {
 	a := New(Limits{Bytes: 1 << 20, BodyBytes: 1000})
@@ -117,17 +131,17 @@
 		a.Begin(2, c)
 	}
 	for _, c := range []*Conn{running, stuck} {
-		if ok, _ := a.Reserve(c, 400); !ok {
+		if ok, _ := a.Reserve(2, c, 400); !ok {
 			t.Fatal("no room")
 		}
 	}
 	a.Admit(3, running)
-	ok, closing := a.Reserve(next, 600)
+	ok, closing := a.Reserve(3, next, 600)
 	expectClosed(t, closing, "stuck memory_limit")
 	if !ok {
 		t.Error("no room although a body gave way")
 	}
-	if ok, closing := a.Reserve(next, 600); ok || len(closing) > 0 {
+	if ok, closing := a.Reserve(3, next, 600); ok || len(closing) > 0 {
 		t.Errorf("room taken from a running request, closed %v", names(closing))
 	}
 	a.End(4, running)
@@ -230,7 +244,7 @@
 					}
 				case 4:
 					if c.phase == Body {
-						_, closing = a.Reserve(c, int64(rapid.IntRange(1, 2*ConnectionBytes).Draw(t, "body")))
+						_, closing = a.Reserve(now, c, int64(rapid.IntRange(1, 2*ConnectionBytes).Draw(t, "body")))
 					}
 				case 5:
 					if c.phase == Body {
