--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -303,6 +303,9 @@
 		{"body", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000), time.Minute, errkind.BodyTooLarge},
 		{"headers", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", time.Minute, errkind.BadRequest},
 		{"slow sender", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nx", 50 * time.Millisecond, errkind.BadRequest},
+		// The handler reads these bodies.
+		{"chunked body", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5dc\r\n" + strings.Repeat("x", 1500) + "\r\n0\r\n\r\n", time.Minute, errkind.BodyTooLarge},
+		{"slow chunk", "POST /v1/routes/fan HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx", 50 * time.Millisecond, errkind.BadRequest},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			limits := defaultLimits()
