--- a/cmd/hoist-edge/main.go
+++ b/cmd/hoist-edge/main.go
@@ -20,10 +20,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/platform"
 )
 
-// memoryLimitFraction is the fraction of the memory in the settings at which the garbage
-// collector runs more often. The rest is for stacks, kernel buffers and the program itself.
-const memoryLimitFraction = 0.7
-
 // settingsCheckInterval is the time between two checks of the settings file, which the platform may
 // change without a signal.
 const settingsCheckInterval = time.Second
@@ -54,7 +50,7 @@
 	if err != nil || command.Bool("check") {
 		return err
 	}
-	setMemoryLimit(settings.MemoryBytes)
+	setMemoryLimit(&settings)
 	registry := obs.NewRegistry()
 	dropped := obs.NewDropCounter(registry)
 	out := obs.NewAsyncWriter(os.Stdout, dropped)
@@ -122,13 +118,13 @@
 		r.logger.Error("settings file ignored", obs.ErrorField(err))
 		return true
 	}
-	setMemoryLimit(settings.MemoryBytes)
+	setMemoryLimit(&settings)
 	return true
 }
 
 // setMemoryLimit derives the limit of the Go runtime from the memory of the VM, if that is known.
-func setMemoryLimit(vmBytes int64) {
-	if vmBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(vmBytes)))
+func setMemoryLimit(settings *edge.Settings) {
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -36,6 +36,8 @@
 	promptTokens  *prometheus.CounterVec
 	placementWait *prometheus.HistogramVec
 	engineReports *prometheus.CounterVec
+	// ignoredDatagrams counts membership datagrams that were not handled.
+	ignoredDatagrams *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -88,10 +90,13 @@
 		engineReports: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_engine_reports_total", Help: "Queries for the load of engines: used or ignored.",
 		}, []string{"result"}),
+		ignoredDatagrams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_datagrams_ignored_total", Help: "Membership datagrams that were malformed or exceeded the rate of one address.",
+		}, []string{"reason"}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams)
 	return m
 }
 
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -27,6 +27,7 @@
 	{"gossip port", func(s *Settings) any { return s.GossipPort }, nil},
 	{"metrics port", func(s *Settings) any { return s.MetricsPort }, nil},
 	{"store address", func(s *Settings) any { return s.Store }, nil},
+	{"descriptors", func(s *Settings) any { return s.MaxDescriptors }, nil},
 	{"CPU capacity", func(s *Settings) any { return s.Capacity }, nil},
 	{"seeds", func(s *Settings) any { return s.Seeds }, func(to, from *Settings) { to.Seeds = from.Seeds }},
 	{"seed lag", func(s *Settings) any { return s.SeedLag }, func(to, from *Settings) { to.SeedLag = from.SeedLag }},
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -32,6 +32,9 @@
 	// readerAgeStep is the additional age of the tables at which each further VM in the ranking
 	// starts to read the store, so that after an outage they do not all start at once.
 	readerAgeStep = 40 * time.Millisecond
+	// maxReaderAge bounds that additional age. Otherwise the last ones of a large fleet, or all real VMs
+	// if the directory is full of entries that are none, would wait longer than keys stay valid.
+	maxReaderAge = 2 * time.Second
 	// overdueRetryPerVM is the time between two reads of the store by a VM that is no reader but has old
 	// tables, for each VM of the fleet: together they make no more than a few calls, each of which is
 	// charged, while the store is down. One of them finds out at once that it is back for some VMs.
@@ -113,7 +116,8 @@
 	if !complete {
 		age = uptime
 	}
-	overdue := age > staleTablesAge+time.Duration(max(rank, 0))*readerAgeStep
+	step := min(readerAgeStep, maxReaderAge/time.Duration(len(ranking)))
+	overdue := age > staleTablesAge+time.Duration(max(rank, 0))*step
 	switch {
 	case rank >= 0 && rank < storeReaderCount:
 		return nil, storeReader
