--- a/internal/edge/requestguard_test.go
+++ b/internal/edge/requestguard_test.go
@@ -24,7 +24,8 @@
 func requestKeyOf(id string) poison.Part {
 	r := httptest.NewRequest(http.MethodPost, "/x/", nil)
 	r.Host = "a.example"
-	return requestFingerprint(&transaction{r: r, body: []byte("body of " + id)}).RequestKey()
+	target, _ := catalog.ParseTarget("/x/") // It is a path.
+	return requestFingerprint(&transaction{r: r, target: target, body: []byte("body of " + id)}).RequestKey()
 }
 
 // crash ends an upstream as a crash does while it runs a request.
