Report leaving upstreams and pauses of pools in messages of their own

Reports of leaving upstreams travelled as binary metadata of Ping, and the pause of a stage pool as a trailer of Reserve, since protoc was not at hand when they were added. Neither had a schema, and RunStage carried the pause in retry_after_ms.

ReportLeaving takes the ID and start of up to 256 upstreams, and ReserveResponse and RunStageResponse have paused_ms. The metadata and trailer code is gone. A report with more than 256 upstreams is now counted and ignored as a whole, where the first 256 were read before; the sender never makes one. retry_after_ms is still sent with a pause for VMs that do not know of pauses.

The tests of the transport name the messages now.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -119,6 +119,12 @@
 				return err
 			})
 		},
+		"peer: oversized report of leaving upstreams": func() error {
+			return call(func(client hoistv1.FleetClient) error {
+				_, err := client.ReportLeaving(ctx, leavingUpstreams(100_000))
+				return err
+			})
+		},
 		"datagram: odd blocks":  func() error { return datagram(oddBlocks) },
 		"datagram: noise":       func() error { return datagram([]byte(strings.Repeat("\xff", 2000))) },
 		"datagram: empty":       func() error { return datagram(nil) },
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -64,7 +64,7 @@
 	result := runner.runJob(ctx, job, f.s.inputReleaser(job.Inputs, r.GetReleaseInputs() || len(r.GetInputPools()) > 0))
 	response := &hoistv1.RunStageResponse{
 		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(), Owner: result.owner.Name,
-		MemoryShort: result.memoryShort,
+		MemoryShort: result.memoryShort, PausedMs: pauseToProto(f.s.now(), result.pausedUntil),
 	}
 	if result.owner.Address != "" {
 		response.OwnerEntry = entryToProto(result.owner)
@@ -81,10 +81,8 @@
 	return &hoistv1.ReleaseResponse{}, nil
 }
 
-// Ping returns at once, which shows that this VM is responsive. It may carry a report of leaving
-// upstreams.
-func (f fleetServer) Ping(ctx context.Context, _ *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
-	f.s.recordLeavingReport(ctx)
+// Ping returns at once, which shows that this VM is responsive.
+func (f fleetServer) Ping(context.Context, *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
 	return &hoistv1.PingResponse{}, nil
 }
 
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -21,6 +21,9 @@
 	refusal stagepool.Refusal
 	// retryAfter is the time by which the expected end of a refused job exceeds its deadline.
 	retryAfter time.Duration
+	// pausedUntil is when an upstream accepts traffic again, if the job is refused as Paused; 0 if
+	// unknown.
+	pausedUntil clock.Instant
 	// owner is the VM that owns the pool now if the owner has changed; its name is empty if it is
 	// not known.
 	owner fleet.Entry
@@ -28,6 +31,14 @@
 	memoryShort bool
 }
 
+// setPause sets the end of the pause because of which the job is refused; 0 if it has ended. VMs of
+// versions that do not know of pauses read the time to retry.
+func (r *stageResult) setPause(now, until clock.Instant) {
+	if until != 0 {
+		r.pausedUntil, r.retryAfter = until, pauseLeft(now, until)
+	}
+}
+
 // stageWaiter is notified when a job ends.
 type stageWaiter struct {
 	done chan stageResult
@@ -176,7 +187,7 @@
 			zap.Duration("limit", job.Deadline.Sub(now)))
 		result := stageResult{refusal: refusal, retryAfter: expectedEnd.Sub(job.Deadline)}
 		if refusal == stagepool.Paused {
-			result.retryAfter = pauseLeft(expectedEnd, now)
+			result.setPause(now, expectedEnd)
 		}
 		waiter.done <- result
 	})
@@ -198,12 +209,6 @@
 	})
 }
 
-// pauseLeft returns the time until the end of a pause, rounded up to the milliseconds of messages
-// between VMs: rounded down, callers would return too early.
-func pauseLeft(until, now clock.Instant) time.Duration {
-	return max(until.Sub(now), 0).Truncate(time.Millisecond) + time.Millisecond
-}
-
 func (r *poolRunner) onDispatchTimer() { r.update(func() {}) }
 
 // applyDecisions performs what the scheduler decided. The caller holds the lock.
@@ -229,7 +234,7 @@
 			}
 			if outcome.Refusal == stagepool.Paused {
 				until, _ := r.signals.poolBlock(now, r.entries)
-				result.retryAfter = pauseLeft(until, now)
+				result.setPause(now, until)
 			}
 			waiter.done <- result
 		}
--- a/internal/edge/reserveclient.go
+++ b/internal/edge/reserveclient.go
@@ -2,30 +2,22 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/metadata"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 // reserveTimeout bounds one reservation call. Without a response the request continues: the
 // pool decides again when the stage is submitted.
 const reserveTimeout = 100 * time.Millisecond
 
-// pausedMetadataKey is the key of the trailer of Reserve which states for how many milliseconds all
-// upstreams of the shard ask for no traffic.
-const pausedMetadataKey = "hoist-paused-ms"
-
 // reserveAt reserves capacity for a stage at the owner of a shard, and returns when the stage is
 // expected to be done. It returns false if the owner did not respond or has changed.
 func (s *Server) reserveAt(ctx context.Context, shard *poolShard, r stagepool.Reservation) (shardOffer, bool) {
@@ -47,9 +39,8 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var response *hoistv1.ReserveResponse
-	var trailer metadata.MD
 	err := s.peers.call(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Reserve(ctx, request, grpc.Trailer(&trailer))
+		response, err = client.Reserve(ctx, request)
 		return err
 	})
 	if err == nil || requestCtx.Err() == nil {
@@ -66,24 +57,10 @@
 	}
 	now = s.now()
 	return shardOffer{
-		shard: shard, end: now.Add(time.Duration(response.GetEndMs()) * time.Millisecond), pausedUntil: parsePausedTrailer(now, trailer),
+		shard: shard, end: now.Add(time.Duration(response.GetEndMs()) * time.Millisecond), pausedUntil: pauseFromProto(now, response.GetPausedMs()),
 	}, true
 }
 
-// parsePausedTrailer returns the end of the pause that the trailer of Reserve states, or 0 if it
-// states none that is acceptable.
-func parsePausedTrailer(now clock.Instant, trailer metadata.MD) clock.Instant {
-	values := trailer.Get(pausedMetadataKey)
-	if len(values) == 0 {
-		return 0
-	}
-	ms, err := strconv.ParseInt(values[0], 10, 64)
-	if err != nil || ms <= 0 || ms > upstreamsignal.MaxPause.Milliseconds()+1 {
-		return 0
-	}
-	return now.Add(time.Duration(ms) * time.Millisecond)
-}
-
 // cancelReservations cancels reservations without waiting for the responses.
 func (s *Server) cancelReservations(reservations []reservation) {
 	for _, r := range reservations {
@@ -112,7 +89,7 @@
 
 // Reserve reserves capacity for a stage of a shard that this VM owns, or cancels the reservation.
 // If another VM owns the shard, it returns that VM.
-func (f fleetServer) Reserve(ctx context.Context, r *hoistv1.ReserveRequest) (*hoistv1.ReserveResponse, error) {
+func (f fleetServer) Reserve(_ context.Context, r *hoistv1.ReserveRequest) (*hoistv1.ReserveResponse, error) {
 	if owner := f.s.gossip.owner(f.s.resourceOf(r.GetPool())); owner.Name != f.s.settings.VM {
 		return &hoistv1.ReserveResponse{Owner: owner.Name, OwnerEntry: entryToProto(owner)}, nil
 	}
@@ -132,11 +109,7 @@
 		StageID: id, Pieces: int(r.GetPieces()), ResultBytes: int64(r.GetResultBytes()), Priority: int(r.GetPriority()),
 		Arrives: now.Add(time.Duration(r.GetArrivesMs()) * time.Millisecond), Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond),
 	})
-	if pausedUntil != 0 {
-		// Without the trailer the caller is refused all the same, with an earlier time to retry.
-		_ = grpc.SetTrailer(ctx, metadata.Pairs(pausedMetadataKey, strconv.FormatInt(pauseLeft(pausedUntil, now).Milliseconds(), 10)))
-	}
-	return &hoistv1.ReserveResponse{EndMs: end.Sub(now).Milliseconds()}, nil
+	return &hoistv1.ReserveResponse{EndMs: end.Sub(now).Milliseconds(), PausedMs: pauseToProto(now, pausedUntil)}, nil
 }
 
 // reserve reserves capacity for a stage, and returns when it is expected to be done. If all upstreams
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -191,8 +191,8 @@
 		}
 		result = stageResult{
 			handles: response.GetHandles(), refusal: parseRefusal(response.GetRefusal()),
-			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond,
-			owner:      redirectFromProto(response.GetOwner(), response.GetOwnerEntry()), memoryShort: response.GetMemoryShort(),
+			retryAfter: time.Duration(response.GetRetryAfterMs()) * time.Millisecond, pausedUntil: pauseFromProto(s.now(), response.GetPausedMs()),
+			owner: redirectFromProto(response.GetOwner(), response.GetOwnerEntry()), memoryShort: response.GetMemoryShort(),
 		}
 		return nil
 	})
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -6,7 +6,6 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 const (
@@ -67,8 +66,8 @@
 			return t.timeoutError()
 		}
 		t.retryAfter = result.retryAfter
-		if result.refusal == stagepool.Paused {
-			t.refuseUntil(t.s.now().Add(min(result.retryAfter, upstreamsignal.MaxPause)))
+		if result.pausedUntil != 0 {
+			t.refuseUntil(result.pausedUntil)
 		}
 		return t.newError(errkind.Overloaded, "stages: "+refusalNames[result.refusal])
 	}
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -1,18 +1,13 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc/metadata"
-	"google.golang.org/protobuf/proto"
 
-	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
-	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
@@ -25,11 +20,6 @@
 	// random time of up to leavingReportJitter is added. In a rollout many leave at a time.
 	leavingReportDelay  = 20 * time.Millisecond
 	leavingReportJitter = 30 * time.Millisecond
-	// leavingMetadataKey is the metadata key of Ping under which a VM reports leaving upstreams.
-	leavingMetadataKey = "hoist-leaving-bin"
-	// maxReportedUpstreams bounds the upstreams in one report, and maxUpstreamIDBytes their IDs.
-	maxReportedUpstreams = 256
-	maxUpstreamIDBytes   = 256
 	// maxReportedInstances is the size of the table up to which reports are recorded, so that signals
 	// which this VM receives itself always have room.
 	maxReportedInstances = 4096
@@ -253,35 +243,3 @@
 	s.metrics.callsWithheld.WithLabelValues(call).Inc()
 	return false
 }
-
-// reportLeaving tells the other VMs of upstreams that leave. The report travels as metadata of Ping,
-// which older versions ignore.
-func (s *Server) reportLeaving(leaving []upstreamsignal.Instance) {
-	var pairs []string
-	for _, i := range leaving {
-		value, err := proto.Marshal(&hoistv1.StrikeRequest{Upstream: i.ID, UpstreamStart: uint64(i.Start)})
-		if err != nil {
-			s.logger.Error("failed to encode a leaving upstream", zap.String("upstream", i.ID), obs.ErrorField(err))
-			continue
-		}
-		pairs = append(pairs, leavingMetadataKey, string(value))
-	}
-	s.callPeers("failed to report leaving upstreams", func(ctx context.Context, client hoistv1.FleetClient) error {
-		_, err := client.Ping(metadata.AppendToOutgoingContext(ctx, pairs...), &hoistv1.PingRequest{})
-		return err
-	})
-}
-
-// recordLeavingReport records the leaving upstreams that come with a call of another VM.
-func (s *Server) recordLeavingReport(ctx context.Context) {
-	md, _ := metadata.FromIncomingContext(ctx)
-	values := md.Get(leavingMetadataKey)
-	for _, value := range values[:min(len(values), maxReportedUpstreams)] {
-		var report hoistv1.StrikeRequest
-		if err := proto.Unmarshal([]byte(value), &report); err != nil || report.GetUpstream() == "" || len(report.GetUpstream()) > maxUpstreamIDBytes {
-			s.metrics.upstreamSignals.WithLabelValues(signalReportInvalid).Inc()
-			continue
-		}
-		s.signals.recordReport(upstreamsignal.Instance{ID: report.GetUpstream(), Start: int64(report.GetUpstreamStart())})
-	}
-}
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,13 +11,11 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
-	"google.golang.org/grpc/metadata"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 // testDrainTime is long, so that it does not pass while a test runs on a slow machine.
@@ -254,24 +251,6 @@
 	}
 }
 
-// TestMalformedLeavingReport guards against a panic or unbounded memory from a report.
-func TestMalformedLeavingReport(t *testing.T) {
-	f, _ := startSignalFleet(t, 1)
-	s := f.servers[0]
-	values := []string{"\xff\xff", "", "\x12\x80\x04" + strings.Repeat("x", 512)}
-	for range maxReportedUpstreams {
-		values = append(values, "\x12\x01a")
-	}
-	s.recordLeavingReport(metadata.NewIncomingContext(context.Background(), metadata.MD{leavingMetadataKey: values}))
-	s.recordLeavingReport(context.Background())
-	if got := testutil.ToFloat64(s.metrics.upstreamSignals.WithLabelValues(signalReportInvalid)); got != 3 {
-		t.Errorf("%v invalid reports", got)
-	}
-	if !s.signals.table.IsLeaving(upstreamsignal.Instance{ID: "a"}) || s.signals.table.Len() != 1 {
-		t.Errorf("%d instances", s.signals.table.Len())
-	}
-}
-
 // TestSignalsOfStageUpstreams guards against stage calls, memory queries and releases for upstreams
 // that asked for no traffic or have left.
 func TestSignalsOfStageUpstreams(t *testing.T) {
@@ -378,15 +357,3 @@
 		t.Errorf("status %d, Retry-After %v, body %s", response.StatusCode, after, body)
 	}
 }
-
-// TestPausedTrailer guards against a panic or an absurd Retry-After from the trailer of a peer.
-func TestPausedTrailer(t *testing.T) {
-	for text, want := range map[string]clock.Instant{"1500": clock.Instant(1500 * time.Millisecond), "0": 0, "-1": 0, "x": 0, "999999999999": 0, "": 0} {
-		if got := parsePausedTrailer(0, metadata.Pairs(pausedMetadataKey, text)); got != want {
-			t.Errorf("%q: %d", text, got)
-		}
-	}
-	if got := parsePausedTrailer(0, nil); got != 0 {
-		t.Errorf("no trailer: %d", got)
-	}
-}
