Check pauses and the last work again just before sending

A request or stage call was checked against the signals of its upstream when the upstream was chosen. If the process then stood still, or the connection took long to open, it was sent after the time of the last work for a leaving upstream, or during a pause.

outbound.Request.BeforeSend is called once there is a connection, before the first byte is written. Requests and stage calls that are withheld there use another upstream; this is neither a failure of the upstream nor an attempt of the piece. hoist_edge_calls_withheld_total counts them as request_send and stage_call. A standstill within the write itself remains possible.

TestStandstillBeforeSend and TestStageCallSignals fail without the checks. With them the tests of signals pass 5 of 5 times with -race, and pkg/stagepool passes. TestNothingIsSentAfterContextEnds of internal/outbound failed once (2 connections, expected 1); it then passed 200 times alone and 40 times with its package, with and without this change.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -35,6 +35,9 @@
 	attemptDone attemptOutcome = iota
 	// attemptNotSent means that the request did not reach the chosen upstream.
 	attemptNotSent
+	// attemptWithheld means that the request was not sent because of a signal of the upstream, which
+	// took effect after the upstream was chosen.
+	attemptWithheld
 	// attemptRejected means that the upstream states that it did not run the request.
 	attemptRejected
 	// attemptInputsMissing means that the request was not run because a stage result no longer
@@ -50,13 +53,14 @@
 
 // attemptOutcomeNames are the names of outcomes in logs.
 var attemptOutcomeNames = [...]string{
-	attemptDone: "done", attemptNotSent: "not_sent", attemptRejected: "rejected", attemptInputsMissing: "inputs_gone",
+	attemptDone: "done", attemptNotSent: "not_sent", attemptWithheld: "withheld", attemptRejected: "rejected", attemptInputsMissing: "inputs_gone",
 	attemptBroken: "broken", attemptFailed: "failed", attemptAborted: "over",
 }
 
 // placementResults are what the owner of an engine learns of the outcomes.
 var placementResults = [...]enginepool.Result{
-	attemptDone: enginepool.Completed, attemptNotSent: enginepool.Unreachable, attemptRejected: enginepool.Rejected, attemptInputsMissing: enginepool.Aborted,
+	attemptDone: enginepool.Completed, attemptNotSent: enginepool.Unreachable, attemptWithheld: enginepool.Aborted,
+	attemptRejected: enginepool.Rejected, attemptInputsMissing: enginepool.Aborted,
 	attemptBroken: enginepool.Unreachable, attemptFailed: enginepool.Failed, attemptAborted: enginepool.Aborted,
 }
 
@@ -166,6 +170,9 @@
 		}
 		return attemptAborted, nil, err.Error()
 	}
+	if errors.Is(err, errWithheld) {
+		return attemptWithheld, nil, err.Error()
+	}
 	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
 	if errors.Is(err, outbound.ErrNotSent) {
 		if outbound.IsRefused(err) {
@@ -197,6 +204,7 @@
 	}
 	request := &outbound.Request{
 		Method: t.r.Method, Target: t.target.String(), Host: t.r.Host, Header: t.s.dialect.UpstreamHeader(t.r.Header, upstreamRequest), Body: t.body,
+		BeforeSend: t.s.signals.beforeSend(upstreamLease.entry, "request_send"),
 	}
 	if !t.isRepeatable() {
 		request.MaxConnIdle = nonRepeatableMaxIdle
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxMisdirectedSends bounds the sends that reached another upstream or none; they do not
-	// count as sends to an upstream.
-	maxMisdirectedSends = 4
+	// maxUnsentAttempts bounds the attempts that reached another upstream or none; they do not count
+	// as sends to an upstream.
+	maxUnsentAttempts = 4
 	// busyRetryInterval is the pause between attempts to find an upstream while all are at a
 	// limit.
 	busyRetryInterval = 20 * time.Millisecond
@@ -27,7 +27,7 @@
 // forward sends the request to one upstream after another until one has responded.
 func (t *transaction) forward() *errkind.Error {
 	t.s.upstreams.addRetryTokens(t.pool)
-	misdirected, reruns := 0, 0
+	notSent, reruns := 0, 0
 	for {
 		if blocked := t.blockedParts(); blocked != nil {
 			return t.poisonPromptError(blocked)
@@ -47,9 +47,9 @@
 			return nil
 		case attemptAborted:
 			return t.timeoutError()
-		case attemptNotSent:
-			misdirected++
-			if misdirected > maxMisdirectedSends {
+		case attemptNotSent, attemptWithheld:
+			notSent++
+			if notSent > maxUnsentAttempts {
 				return t.newError(errkind.NoUpstream, detail)
 			}
 			continue
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -74,7 +74,7 @@
 // callOutcomeNames are the names of call outcomes in logs and metrics.
 var callOutcomeNames = [...]string{
 	stagepool.CallAnswered: "answered", stagepool.CallRejected: "rejected",
-	stagepool.CallPaused:      "paused",
+	stagepool.CallPaused: "paused", stagepool.CallWithheld: "withheld",
 	stagepool.CallMisdirected: "misdirected", stagepool.CallFailed: "broken", stagepool.CallNotSent: "unsent",
 }
 
@@ -88,6 +88,9 @@
 	var results []stagepool.PieceResult
 	var info ResponseInfo
 	recordSignals := r.signalRecorder(address)
+	if entry := r.entryAt(address); entry != nil {
+		request.BeforeSend = r.signals.beforeSend(entry, "stage_call")
+	}
 	request.MaxConnIdle = stageConnMaxIdle
 	request.Verify = func(response *outbound.Response) (err error) {
 		info = recordSignals(response)
@@ -101,6 +104,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
 	defer cancel()
 	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
+	if errors.Is(err, errWithheld) {
+		return stagepool.CallWithheld, nil, nil, err
+	}
 	if errors.Is(err, outbound.ErrNotSent) {
 		return stagepool.CallNotSent, nil, nil, err
 	}
@@ -148,11 +154,7 @@
 // must be called before the request is sent, since the signals belong to the upstream that has the
 // address at that time.
 func (r *poolRunner) signalRecorder(address string) func(*outbound.Response) ResponseInfo {
-	view := r.view()
-	var entry *registry.Entry
-	if view != nil {
-		entry = view.ByAddress[address]
-	}
+	view, entry := r.view(), r.entryAt(address)
 	return func(response *outbound.Response) ResponseInfo {
 		info := r.dialect.DecodeResponse(response.Status, response.Header)
 		if entry != nil {
@@ -220,11 +222,16 @@
 
 // mayCall reports whether a call that is not work may be sent to the upstream at an address.
 func (r *poolRunner) mayCall(address, call string) bool {
-	view := r.view()
-	if view == nil || view.ByAddress[address] == nil {
-		return true
+	entry := r.entryAt(address)
+	return entry == nil || r.signals.mayCall(instanceOf(entry), call)
+}
+
+// entryAt returns the upstream that is registered at an address, or nil.
+func (r *poolRunner) entryAt(address string) *registry.Entry {
+	if view := r.view(); view != nil {
+		return view.ByAddress[address]
 	}
-	return r.signals.mayCall(instanceOf(view.ByAddress[address]), call)
+	return nil
 }
 
 // flushReleases sends the pending releases of an upstream.
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -228,8 +229,23 @@
 	return until, blocked
 }
 
-// mayCall reports whether a call that is not work may be sent to an upstream. A call that may not is
-// counted under its name.
+// errWithheld reports that nothing was sent to an upstream because of its signals.
+var errWithheld = errors.New("the upstream asks for no traffic or has left")
+
+// beforeSend returns a check for work that is about to be sent to an upstream. It returns errWithheld
+// if a pause began or the time of the last work passed since the upstream was chosen, such as while
+// a connection was opened or the process stood still.
+func (s *upstreamSignals) beforeSend(entry *registry.Entry, call string) func() error {
+	return func() error {
+		if !s.mayCall(instanceOf(entry), call) {
+			return errWithheld
+		}
+		return nil
+	}
+}
+
+// mayCall reports whether anything may be sent to an upstream now. A call that may not is counted
+// under its name.
 func (s *upstreamSignals) mayCall(i upstreamsignal.Instance, call string) bool {
 	if s.count.Load() == 0 {
 		return true
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -22,7 +22,11 @@
 const testDrainTime = time.Hour
 
 // signalClock is the clock of the signals of a fleet, which the test advances.
-type signalClock struct{ ahead atomic.Int64 }
+type signalClock struct {
+	ahead atomic.Int64
+	// beforeRead, if set, is called before each reading.
+	beforeRead atomic.Pointer[func()]
+}
 
 func (c *signalClock) advance(d time.Duration) { c.ahead.Add(int64(d)) }
 
@@ -30,7 +34,12 @@
 func startSignalFleet(t *testing.T, n int) (*testFleet, *signalClock) {
 	c := &signalClock{}
 	f := startFleetWith(t, n, func(s *Settings) { s.DrainTime, s.MemoryBytes = testDrainTime, 184<<20 }, func(s *Server) {
-		s.signals.now = func() clock.Instant { return bootclock.Now().Add(time.Duration(c.ahead.Load())) }
+		s.signals.now = func() clock.Instant {
+			if f := c.beforeRead.Load(); f != nil {
+				(*f)()
+			}
+			return bootclock.Now().Add(time.Duration(c.ahead.Load()))
+		}
 	})
 	return f, c
 }
@@ -156,6 +165,34 @@
 	}
 }
 
+// TestStandstillBeforeSend guards against a request that is sent after the time of the last work for a
+// leaving upstream, since the process stood still after it had chosen the upstream.
+func TestStandstillBeforeSend(t *testing.T) {
+	f, c := startSignalFleet(t, 1)
+	upstreams, signals := signallingUpstreams(t, 1, true)
+	publishRoute(f, catalog.NonIdempotent, upstreams)
+	signals[0].Store(&[2]string{"Leaving", "1"})
+	sendMany(t, f, 0, 1, "first-")
+	s := f.servers[0]
+	standStill := func() {
+		s.upstreams.mu.Lock()
+		defer s.upstreams.mu.Unlock()
+		if s.upstreams.states["u0"].InFlight > 0 {
+			c.ahead.Store(int64(testDrainTime))
+		}
+	}
+	c.beforeRead.Store(&standStill)
+	if statuses := sendMany(t, f, 0, 1, "late-"); statuses[http.StatusServiceUnavailable] != 1 {
+		t.Errorf("statuses %v", statuses)
+	}
+	if got := upstreams[0].totalRuns(); got != 1 {
+		t.Errorf("%d requests reached the upstream, expected 1", got)
+	}
+	if got := testutil.ToFloat64(s.metrics.callsWithheld.WithLabelValues("request_send")); got != 1 {
+		t.Errorf("%v requests withheld just before they were sent", got)
+	}
+}
+
 // TestPausedUpstream guards against requests for an upstream that asked for no traffic, against the
 // pause counting as a failure, and against a pause that does not end or that other VMs apply.
 func TestPausedUpstream(t *testing.T) {
@@ -303,7 +340,8 @@
 }
 
 // TestStageCallSignals guards against signals in the responses to stage calls that are not decoded,
-// also if the rest of the response is unusable.
+// also if the rest of the response is unusable, and against a call that is sent although a pause began
+// after its dispatch.
 func TestStageCallSignals(t *testing.T) {
 	f, _ := startSignalFleet(t, 1)
 	raw := newRawUpstream(t, func(u *rawUpstream, conn net.Conn, _ *http.Request) bool {
@@ -323,6 +361,9 @@
 	if outcome, _, _, _ := runner.sendCall(call, pausing.entry("u1").Address); outcome != stagepool.CallPaused {
 		t.Errorf("outcome %d of a refusal with a pause", outcome)
 	}
+	if outcome, _, _, _ := runner.sendCall(call, pausing.entry("u1").Address); outcome != stagepool.CallWithheld || pausing.requests.Load() != 1 {
+		t.Errorf("outcome %d of a call in the pause, %d calls sent", outcome, pausing.requests.Load())
+	}
 	view := s.view.Load()
 	if _, paused := s.signals.table.PausedUntil(s.signals.now(), instanceOf(view.ByID["u1"])); !paused || !s.signals.table.IsLeaving(instanceOf(view.ByID["u0"])) {
 		t.Error("a signal was lost")
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -101,6 +101,9 @@
 	// SingleUse sends the request on a new connection that is closed afterwards. It is for
 	// responses that do not say which request they belong to.
 	SingleUse bool
+	// BeforeSend, if not nil, is called once there is a connection, just before the request is
+	// written. If it returns an error, nothing is written, and the error is marked with ErrNotSent.
+	BeforeSend func() error
 	// Verify, if not nil, checks in Do that a complete response belongs to the request. If it
 	// returns an error, the connection is closed, since it may hold further foreign responses.
 	Verify func(*Response) error
--- a/internal/outbound/client_test.go
+++ b/internal/outbound/client_test.go
@@ -71,6 +71,34 @@
 	return c.Do(ctx, s.address, newGetRequest(), 1<<10)
 }
 
+// TestBeforeSend guards against a request that is written although its last check fails, or whose
+// check comes before the connection is opened.
+func TestBeforeSend(t *testing.T) {
+	var received atomic.Int64
+	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) {
+		received.Add(1)
+		writeString(t, conn, okResponse)
+	})
+	c := NewClient("")
+	errCheck := errors.New("not any more")
+	for range 2 { // On a new connection, and on an idle one.
+		request := newGetRequest()
+		request.BeforeSend = func() error {
+			if c.Stats.Dials.Load()+c.Stats.Reuses.Load() == 0 {
+				t.Error("the check came before the connection")
+			}
+			return errCheck
+		}
+		before := received.Load()
+		if _, err := c.Do(context.Background(), s.address, request, 1<<10); !errors.Is(err, errCheck) || !errors.Is(err, ErrNotSent) {
+			t.Errorf("error %v", err)
+		}
+		if _, err := s.call(c); err != nil || received.Load() != before+1 {
+			t.Errorf("%d requests received, expected %d; error %v", received.Load(), before+1, err)
+		}
+	}
+}
+
 // TestConnectionIsReused guards against opening a new connection for each request.
 func TestConnectionIsReused(t *testing.T) {
 	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) { writeString(t, conn, okResponse) })
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -39,6 +39,11 @@
 // send writes the request. A large body is written concurrently with reading the response,
 // since a server may respond before it has read the body.
 func (x *Exchange) send(request *Request) error {
+	if request.BeforeSend != nil {
+		if err := request.BeforeSend(); err != nil {
+			return err
+		}
+	}
 	w := bufio.NewWriterSize(x.conn, writeBufferBytes)
 	writeHead(w, request)
 	if len(request.Body) <= maxInlineBodyBytes {
--- a/pkg/stagepool/blocks_test.go
+++ b/pkg/stagepool/blocks_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+// TestWithheldCallIsNoAttempt guards against a job that fails, or an upstream that counts as failing,
+// after calls which were never sent.
+func TestWithheldCallIsNoAttempt(t *testing.T) {
+	p, now := newBlockedPool()
+	p.SetBlocks(map[string]clock.Instant{"b": NoEnd})
+	p.Submit(now, blockedJob("1", now.Add(time.Second), now.Add(time.Second)))
+	for range 2 * maxAttempts {
+		calls := p.Dispatch(now)
+		if len(calls) != 1 || calls[0].Upstream != "a" {
+			t.Fatalf("calls %+v after withheld ones, outcomes %+v", calls, p.Outcomes())
+		}
+		p.FinishCall(now, "a", calls[0].ID, CallWithheld, nil, nil)
+	}
+	if p.upstreams["a"].failures != 0 {
+		t.Errorf("%d failures of the upstream", p.upstreams["a"].failures)
+	}
+}
+
 // TestPausedPool guards against jobs that wait for a pool which cannot run them in time, and against
 // the loss of earlier stages' work if it still can.
 func TestPausedPool(t *testing.T) {
--- a/pkg/stagepool/call.go
+++ b/pkg/stagepool/call.go
@@ -36,6 +36,9 @@
 	CallRejected
 	// CallPaused means that the upstream asked for no traffic. That is no failure of the upstream.
 	CallPaused
+	// CallWithheld means that the call was not sent, since the upstream was found to be blocked after
+	// the call was dispatched. That is no failure of the upstream.
+	CallWithheld
 	// CallMisdirected means that the call reached another upstream, which did not run it.
 	CallMisdirected
 	// CallFailed means that the call may have run but its results are lost.
--- a/pkg/stagepool/finish.go
+++ b/pkg/stagepool/finish.go
@@ -95,7 +95,7 @@
 	}
 	jobPiece.state = pieceWaiting
 	switch {
-	case outcome == CallNotSent:
+	case outcome == CallNotSent || outcome == CallWithheld:
 		jobPiece.attempts--
 	case result.Outcome == PieceInputMissing:
 		p.finishJob(j, InputsMissing, true)
