Apply reports of leaving upstreams from their registration on

A report may come before the registration of its upstream. A pool of stages took over a new upstream with the blocks of the former ones, and sent it one batch at once. The owner of engines was asked with the restrictions of the upstreams that were in service when the request arrived, so that it could choose a leaving one that registered later.

The blocks are computed with each configuration of the pool, and the restrictions from the upstreams in service when one is chosen. The verdicts on the upstreams of a pool are a slice now in place of a callback with three arguments.

TestReportBeforeRegistration fails without either change and passes with both.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -124,13 +124,14 @@
 // acquireUpstream chooses an upstream. If all are at a limit, it waits for a short part of the
 // objective, since requests at the upstreams end all the time.
 func (t *transaction) acquireUpstream() (*lease, *errkind.Error) {
-	placementRequest := t.placementRequest()
+	view := t.s.view.Load()
+	placementRequest := t.placementRequest(view)
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
-	if placed := t.acquirePlaced(t.s.view.Load(), placementRequest); placed != nil {
+	if placed := t.acquirePlaced(view, placementRequest); placed != nil {
 		return placed, nil
 	}
 	for {
-		view := t.s.view.Load()
+		view = t.s.view.Load()
 		placementRequest.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
 		upstreamLease, status := t.s.upstreams.acquire(view, t.pool, placementRequest)
 		if upstreamLease != nil {
@@ -167,12 +168,12 @@
 	return t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" asks for no traffic or is leaving")
 }
 
-// placementRequest describes the request for the placement on an upstream.
-func (t *transaction) placementRequest() *placement.Request {
+// placementRequest describes the request for the placement on an upstream of the view.
+func (t *transaction) placementRequest(view *View) *placement.Request {
 	return &placement.Request{
 		Prefix: t.sharedPrefix(), InputZone: t.inputZone(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
 		FleetWeight:  float64(t.s.fleetSize.Load()) / smallFleetSize,
-		Restrictions: t.s.signals.restrictions(t.arrived, t.view.InService[t.pool]),
+		Restrictions: t.s.signals.restrictions(t.arrived, view.InService[t.pool]),
 	}
 }
 
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -141,6 +141,8 @@
 		r.addresses[entry.ID] = entry.Address
 	}
 	r.scheduler.Configure(r.now(), r.batch, upstreams)
+	// An upstream may be known to leave before it is registered.
+	r.scheduler.SetBlocks(r.signals.blocks(r.entries))
 	r.scheduler.SetSuspectZones(r.suspectZones)
 }
 
--- a/internal/edge/stagezone.go
+++ b/internal/edge/stagezone.go
@@ -20,7 +20,7 @@
 	if t.s.placesByOwner(t.view, t.pool) {
 		return t.engineZone()
 	}
-	return t.s.upstreams.pickZone(t.view, t.pool, t.placementRequest())
+	return t.s.upstreams.pickZone(t.view, t.pool, t.placementRequest(t.view))
 }
 
 // inputBytes returns how much data the pieces of a stage read: each piece reads all inputs.
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,21 +160,28 @@
 	s.count.Store(int64(s.table.Len()))
 }
 
-// verdicts calls f with the verdict on each upstream of a pool for work that was taken from its
-// client at taken.
-func (s *upstreamSignals) verdicts(taken clock.Instant, entries []*registry.Entry, f func(entry *registry.Entry, verdict upstreamsignal.Verdict, pausedUntil clock.Instant)) {
+// upstreamVerdict says whether work may be sent to an upstream.
+type upstreamVerdict struct {
+	upstreamsignal.Verdict
+	id string
+	// pausedUntil is the end of the pause of the upstream; 0 if it is not paused.
+	pausedUntil clock.Instant
+}
+
+// verdicts returns the verdicts on the upstreams of a pool for work that was taken from its client at
+// taken.
+func (s *upstreamSignals) verdicts(taken clock.Instant, entries []*registry.Entry) []upstreamVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, staying := s.now(), 0
-	for _, entry := range entries {
-		if !s.table.IsLeaving(instanceOf(entry)) {
-			staying++
-		}
-	}
+	now := s.now()
+	hasStaying := slices.ContainsFunc(entries, func(entry *registry.Entry) bool { return !s.table.IsLeaving(instanceOf(entry)) })
+	out := make([]upstreamVerdict, 0, len(entries))
 	for _, entry := range entries {
-		until, _ := s.table.PausedUntil(now, instanceOf(entry))
-		f(entry, s.table.WorkVerdict(now, taken, instanceOf(entry), staying > 0), until)
+		i := instanceOf(entry)
+		until, _ := s.table.PausedUntil(now, i)
+		out = append(out, upstreamVerdict{Verdict: s.table.WorkVerdict(now, taken, i, hasStaying), id: entry.ID, pausedUntil: until})
 	}
+	return out
 }
 
 // restrictions returns the upstreams of a pool that may not be used freely for a request that
@@ -183,14 +191,14 @@
 		return nil
 	}
 	out := map[string]placement.Restriction{}
-	s.verdicts(taken, entries, func(entry *registry.Entry, verdict upstreamsignal.Verdict, _ clock.Instant) {
-		switch verdict {
+	for _, v := range s.verdicts(taken, entries) {
+		switch v.Verdict {
 		case upstreamsignal.LastResort:
-			out[entry.ID] = placement.LastResort
+			out[v.id] = placement.LastResort
 		case upstreamsignal.Leaving, upstreamsignal.Paused:
-			out[entry.ID] = placement.Excluded
+			out[v.id] = placement.Excluded
 		}
-	})
+	}
 	return out
 }
 
@@ -200,14 +208,14 @@
 		return nil
 	}
 	out := map[string]clock.Instant{}
-	s.verdicts(s.now(), entries, func(entry *registry.Entry, verdict upstreamsignal.Verdict, until clock.Instant) {
-		switch verdict {
+	for _, v := range s.verdicts(s.now(), entries) {
+		switch v.Verdict {
 		case upstreamsignal.Leaving:
-			out[entry.ID] = stagepool.NoEnd
+			out[v.id] = stagepool.NoEnd
 		case upstreamsignal.Paused:
-			out[entry.ID] = until
+			out[v.id] = v.pausedUntil
 		}
-	})
+	}
 	return out
 }
 
@@ -218,14 +226,14 @@
 		return 0, false
 	}
 	blocked = true
-	s.verdicts(taken, entries, func(_ *registry.Entry, verdict upstreamsignal.Verdict, pausedUntil clock.Instant) {
+	for _, v := range s.verdicts(taken, entries) {
 		switch {
-		case verdict == upstreamsignal.Open || verdict == upstreamsignal.LastResort:
+		case v.Verdict == upstreamsignal.Open || v.Verdict == upstreamsignal.LastResort:
 			blocked = false
-		case verdict == upstreamsignal.Paused && (until == 0 || pausedUntil < until):
-			until = pausedUntil
+		case v.Verdict == upstreamsignal.Paused && (until == 0 || v.pausedUntil < until):
+			until = v.pausedUntil
 		}
-	})
+	}
 	return until, blocked
 }
 
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -15,7 +15,10 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 // testDrainTime is long, so that it does not pass while a test runs on a slow machine.
@@ -339,6 +342,40 @@
 	}
 }
 
+// TestReportBeforeRegistration guards against work for an upstream that another VM reported as leaving
+// before this VM knew the upstream: a stage call at its registration, or a request that arrived
+// before it.
+func TestReportBeforeRegistration(t *testing.T) {
+	f, _ := startSignalFleet(t, 1)
+	s := f.servers[0]
+	upstreams, _ := signallingUpstreams(t, 2, true)
+	publishRoute(f, catalog.NonIdempotent, upstreams[:1])
+	old := s.view.Load()
+	registered := catalogUpstreams("p", upstreams[1])[0]
+	s.signals.recordReport(upstreamsignal.Instance{ID: registered.ID, Start: registered.StartID})
+	f.store.put("u/"+registered.ID, &registered)
+	await(t, "the registration", func() bool { return s.view.Load().ByID["u1"] != nil })
+	view := s.view.Load()
+
+	request := &transaction{s: s, view: old, pool: "p", route: &catalog.Route{}, arrived: s.signals.now()}
+	if got := request.placementRequest(view).Restrictions["u1"]; got != placement.Excluded {
+		t.Errorf("restriction %d of a leaving upstream that is newer than the request", got)
+	}
+
+	s.signals.record(view, view.ByID["u0"], ResponseInfo{Pause: time.Minute})
+	runner, now := newPoolRunner("p", s), s.now()
+	batch := catalog.Batch{Concurrency: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, ResultTTL: time.Minute}
+	runner.configure(batch, []*registry.Entry{view.ByID["u0"]})
+	runner.reserve(stagepool.Reservation{StageID: stagepool.StageID{Request: "r"}, Pieces: 1, Arrives: now, Due: now.Add(time.Hour)})
+	runner.submit(stagepool.Job{Request: "r", Pieces: 1, Due: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, &stageWaiter{done: make(chan stageResult, 1)})
+	runner.configure(batch, []*registry.Entry{view.ByID["u0"], view.ByID["u1"]})
+	runner.locked(func() {
+		if got := runner.scheduler.WaitingPieces(); got != 1 {
+			t.Errorf("%d pieces wait for the end of the pause, expected 1", got)
+		}
+	})
+}
+
 // TestStageCallSignals guards against signals in the responses to stage calls that are not decoded,
 // also if the rest of the response is unusable, and against a call that is sent although a pause began
 // after its dispatch.
