Split long functions of the signals of upstreams

PoolPausedUntil was used by its test only: the edge process decides with poolBlock, which also knows upstreams that leave. TestPoolBlock takes the place of TestPoolPaused with the same cases, and one after the first end of a pause.

The health query is apart from the record of its result, and the log of an attempt from the loop over the attempts.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -37,11 +37,7 @@
 			return failure
 		}
 		outcome, response, detail := t.attempt(upstreamLease)
-		if outcome != attemptDone {
-			t.s.logger.Info("attempt ended", zap.String("request", t.requestInfo.ID), zap.String("upstream", upstreamLease.entry.ID),
-				zap.String("pool", t.pool), zap.String("end", attemptOutcomeNames[outcome]), zap.Int("send", len(t.tried)), zap.String("detail", detail),
-				zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
-		}
+		t.logAttempt(upstreamLease, outcome, detail)
 		switch outcome {
 		case attemptDone:
 			return nil
@@ -64,7 +60,7 @@
 			}
 			continue
 		}
-		if canRetry := t.canRetry(outcome); !canRetry {
+		if !t.canRetry(outcome) {
 			return t.giveUp(outcome, response, detail)
 		}
 		response.release()
@@ -76,6 +72,16 @@
 	}
 }
 
+// logAttempt logs an attempt that did not forward a complete response.
+func (t *transaction) logAttempt(upstreamLease *lease, outcome attemptOutcome, detail string) {
+	if outcome == attemptDone {
+		return
+	}
+	t.s.logger.Info("attempt ended", zap.String("request", t.requestInfo.ID), zap.String("upstream", upstreamLease.entry.ID),
+		zap.String("pool", t.pool), zap.String("end", attemptOutcomeNames[outcome]), zap.Int("send", len(t.tried)), zap.String("detail", detail),
+		zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
+}
+
 // rerunStages releases the inputs of the request and runs its stages again.
 func (t *transaction) rerunStages() *errkind.Error {
 	t.releaseInputs()
--- a/internal/edge/healthquery.go
+++ b/internal/edge/healthquery.go
@@ -77,32 +77,36 @@
 		s.upstreams.recordHealth(q, 0, false)
 		return
 	}
+	info, end, err := s.fetchHealth(q)
+	cold := s.upstreams.recordHealth(q, info.ColdRemaining, end == "refused")
+	s.metrics.healthChecks.WithLabelValues(end).Inc()
+	s.logger.Info("health query ended", zap.String("upstream", q.entry.ID), zap.String("pool", q.entry.Pool), zap.String("end", end),
+		zap.Duration("cold", cold), zap.Duration("took", s.now().Sub(q.asked)), obs.ErrorField(err))
+}
+
+// fetchHealth sends a health query. It returns what the upstream says of itself and how the query
+// ended, for logs and metrics; the error is that of a query without a response.
+func (s *Server) fetchHealth(q healthQuestion) (info ResponseInfo, end string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), placement.HealthTimeout)
 	defer cancel()
 	view := s.view.Load()
 	request := s.dialect.EncodeHealthQuery(q.entry.Address, q.entry.ID, q.path)
 	request.SingleUse = true
 	exchange, err := s.client.Start(ctx, q.entry.Address, request)
-	var info ResponseInfo
-	end := "answered"
 	switch {
-	case err == nil:
-		info = s.dialect.DecodeResponse(exchange.Status, exchange.Header)
-		s.signals.record(view, q.entry, info)
-		exchange.Close()
 	case outbound.IsRefused(err):
-		end = "refused"
-	default:
-		end = "failed"
+		return info, "refused", err
+	case err != nil:
+		return info, "failed", err
 	}
+	defer exchange.Close()
+	info = s.dialect.DecodeResponse(exchange.Status, exchange.Header)
+	s.signals.record(view, q.entry, info)
 	if info.Misdirected {
 		// What another instance says of itself is not true of this one.
-		info, end = ResponseInfo{}, "misdirected"
+		return ResponseInfo{}, "misdirected", nil
 	}
-	cold := s.upstreams.recordHealth(q, info.ColdRemaining, end == "refused")
-	s.metrics.healthChecks.WithLabelValues(end).Inc()
-	s.logger.Info("health query ended", zap.String("upstream", q.entry.ID), zap.String("pool", q.entry.Pool), zap.String("end", end),
-		zap.Duration("cold", cold), zap.Duration("took", s.now().Sub(q.asked)), obs.ErrorField(err))
+	return info, "answered", nil
 }
 
 // recordHealth records the end of a health query, and returns the remaining cold start.
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
@@ -248,6 +250,31 @@
 	}
 }
 
+// TestPoolBlock guards against a refusal while an upstream of the pool may be used, and against a
+// Retry-After later than the first end of a pause.
+func TestPoolBlock(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	s := newUpstreamSignals(func() clock.Instant { return now }, zap.NewNop(), newMetrics(prometheus.NewRegistry()), time.Second, func([]upstreamsignal.Instance) {})
+	first, second := &registry.Entry{}, &registry.Entry{}
+	first.ID, second.ID = "u-1", "u-2"
+	pool := []*registry.Entry{first, second}
+	s.recordPause(first, 5*time.Second)
+	if _, blocked := s.poolBlock(now, pool); blocked {
+		t.Error("a pool with a usable upstream is blocked")
+	}
+	if _, blocked := s.poolBlock(now, nil); blocked {
+		t.Error("an empty pool is blocked")
+	}
+	s.recordPause(second, 2*time.Second)
+	if until, blocked := s.poolBlock(now, pool); !blocked || until != now.Add(2*time.Second) {
+		t.Errorf("blocked %t until %d", blocked, until)
+	}
+	s.now = func() clock.Instant { return now.Add(2 * time.Second) }
+	if _, blocked := s.poolBlock(now, pool); blocked {
+		t.Error("the pool is blocked after the first end of a pause")
+	}
+}
+
 // TestPauseAfterRun guards against the statement that a request has not run, and against a second
 // run, if the upstream that asks for no traffic does not say so.
 func TestPauseAfterRun(t *testing.T) {
--- a/pkg/upstreamsignal/table.go
+++ b/pkg/upstreamsignal/table.go
@@ -159,21 +159,6 @@
 // lastWork is the time after its first signal at which a leaving upstream gets its last work.
 func (t *Table) lastWork() time.Duration { return t.drain - min(t.drain/marginDivisor, maxMargin) }
 
-// PoolPausedUntil returns the earliest end of a pause if all of the instances are paused.
-func (t *Table) PoolPausedUntil(now clock.Instant, instances []Instance) (clock.Instant, bool) {
-	var earliest clock.Instant
-	for n, i := range instances {
-		until, paused := t.PausedUntil(now, i)
-		if !paused {
-			return 0, false
-		}
-		if n == 0 || until < earliest {
-			earliest = until
-		}
-	}
-	return earliest, len(instances) > 0
-}
-
 // Retain drops the signals that cannot matter any more. isRegistered reports whether an instance is
 // registered.
 func (t *Table) Retain(now clock.Instant, isRegistered func(Instance) bool) {
@@ -181,7 +166,8 @@
 		if isRegistered(i) {
 			s.lastSeen = now
 		}
-		if now.Sub(s.lastSeen) >= retention && s.pausedUntil <= now || !s.leaving && s.pausedUntil <= now {
+		isStale := now.Sub(s.lastSeen) >= retention
+		if s.pausedUntil <= now && (isStale || !s.leaving) {
 			delete(t.states, i)
 		}
 	}
--- a/pkg/upstreamsignal/table_test.go
+++ b/pkg/upstreamsignal/table_test.go
@@ -94,24 +94,6 @@
 	}
 }
 
-// TestPoolPaused guards against a refusal while an upstream of the pool may be used, and against a
-// Retry-After later than the first end.
-func TestPoolPaused(t *testing.T) {
-	table := New(drain)
-	second := Instance{ID: "u-2"}
-	table.RecordPause(at(0), first, 5*time.Second)
-	if _, paused := table.PoolPausedUntil(at(1), []Instance{first, second}); paused {
-		t.Error("a pool with a usable upstream counts as paused")
-	}
-	if _, paused := table.PoolPausedUntil(at(1), nil); paused {
-		t.Error("an empty pool counts as paused")
-	}
-	table.RecordPause(at(0), second, 2*time.Second)
-	if until, paused := table.PoolPausedUntil(at(1), []Instance{first, second}); !paused || until != at(2*time.Second) {
-		t.Errorf("paused %t until %d", paused, until)
-	}
-}
-
 // TestRetain guards against memory for upstreams that are gone, and against a signal that is lost
 // while its upstream is registered or may be.
 func TestRetain(t *testing.T) {
