Look up the sender of a signal among the current upstreams

A response of another upstream than the one addressed counts for the upstream that it names. That one was looked up among the upstreams known when the request arrived or was sent, so that the signal of one that registered in the meantime was lost. The current ones are used now, for requests, stage calls and health queries. The upstream addressed remains the one chosen.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -91,7 +91,7 @@
 		// A late copy of an earlier response must not begin another pause.
 		info.Pause, info.PauseInvalid = 0, false
 	}
-	t.s.signals.record(t.view, upstreamLease.entry, info)
+	t.s.signals.record(t.s.view.Load(), upstreamLease.entry, info)
 	if info.RequestID == "" {
 		// A late second copy of this response could not be told from the response to the next
 		// request on the connection.
--- a/internal/edge/healthquery.go
+++ b/internal/edge/healthquery.go
@@ -89,7 +89,6 @@
 func (s *Server) fetchHealth(q healthQuestion) (info ResponseInfo, end string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), placement.HealthTimeout)
 	defer cancel()
-	view := s.view.Load()
 	request := s.dialect.EncodeHealthQuery(q.entry.Address, q.entry.ID, q.path)
 	request.SingleUse = true
 	exchange, err := s.client.Start(ctx, q.entry.Address, request)
@@ -101,7 +100,7 @@
 	}
 	defer exchange.Close()
 	info = s.dialect.DecodeResponse(exchange.Status, exchange.Header)
-	s.signals.record(view, q.entry, info)
+	s.signals.record(s.view.Load(), q.entry, info)
 	if info.Misdirected {
 		// What another instance says of itself is not true of this one.
 		return ResponseInfo{}, "misdirected", nil
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -154,11 +154,11 @@
 // must be called before the request is sent, since the signals belong to the upstream that has the
 // address at that time.
 func (r *poolRunner) signalRecorder(address string) func(*outbound.Response) ResponseInfo {
-	view, entry := r.view(), r.entryAt(address)
+	entry := r.entryAt(address)
 	return func(response *outbound.Response) ResponseInfo {
 		info := r.dialect.DecodeResponse(response.Status, response.Header)
 		if entry != nil {
-			r.signals.record(view, entry, info)
+			r.signals.record(r.view(), entry, info)
 		}
 		return info
 	}
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -69,7 +69,8 @@
 }
 
 // record records the signals of a response to a request that was sent to an upstream. A response of
-// another upstream at its address says nothing about it, but may say something about the other one.
+// another upstream at its address says nothing about it, but may say something about the other one,
+// if that is in the view.
 func (s *upstreamSignals) record(view *View, entry *registry.Entry, info ResponseInfo) {
 	if info.PauseInvalid {
 		s.metrics.upstreamSignals.WithLabelValues(signalInvalid).Inc()
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -369,6 +369,28 @@
 	}
 }
 
+// TestSignalOfUpstreamRegisteredMeanwhile guards against the loss of a signal of an upstream that
+// registered after the request had arrived and responds at the address of another one.
+func TestSignalOfUpstreamRegisteredMeanwhile(t *testing.T) {
+	f, _ := startSignalFleet(t, 1)
+	s := f.servers[0]
+	newer := catalog.Upstream{ID: "newer", Pool: "other", Address: "127.0.0.1:1", Zone: "zone-a", StartID: 1}
+	addressed := newTestUpstream(t, "u0", func(w http.ResponseWriter, _ *http.Request) {
+		f.store.put("u/"+newer.ID, &newer)
+		await(t, "the registration", func() bool { return s.view.Load().ByID[newer.ID] != nil })
+		w.Header().Set("Upstream-Id", newer.ID)
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	publishRoute(f, catalog.NonIdempotent, []*testUpstream{addressed})
+	sendMany(t, f, 0, 1, "r")
+	s.signals.mu.Lock()
+	defer s.signals.mu.Unlock()
+	if i := (upstreamsignal.Instance{ID: newer.ID, Start: newer.StartID}); !s.signals.table.IsLeaving(i) || s.signals.table.Len() != 1 {
+		t.Errorf("leaving %t, %d instances", s.signals.table.IsLeaving(i), s.signals.table.Len())
+	}
+}
+
 // TestReportBeforeRegistration guards against work for an upstream that another VM reported as leaving
 // before this VM knew the upstream: a stage call at its registration, or a request that arrived
 // before it.
