--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxMisdirectedSends bounds the sends that reached another upstream or none; they do not
-	// count as sends to an upstream.
-	maxMisdirectedSends = 4
+	// maxUnsentAttempts bounds the attempts that reached another upstream or none; they do not count
+	// as sends to an upstream.
+	maxUnsentAttempts = 4
 	// busyRetryInterval is the pause between attempts to find an upstream while all are at a
 	// limit.
 	busyRetryInterval = 20 * time.Millisecond
@@ -27,7 +27,7 @@
 // forward sends the request to one upstream after another until one has responded.
 func (t *transaction) forward() *errkind.Error {
 	t.s.upstreams.addRetryTokens(t.pool)
-	misdirected, reruns := 0, 0
+	notSent, reruns := 0, 0
 	for {
 		if t.s.isPoisonRequest(t) {
 			return t.poisonError()
@@ -40,19 +40,15 @@
 			return failure
 		}
 		outcome, response, detail := t.attempt(upstreamLease)
-		if outcome != attemptDone {
-			t.s.logger.Info("attempt ended", zap.String("request", t.requestInfo.ID), zap.String("upstream", upstreamLease.entry.ID),
-				zap.String("pool", t.pool), zap.String("end", attemptOutcomeNames[outcome]), zap.Int("send", len(t.tried)), zap.String("detail", detail),
-				zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
-		}
+		t.logAttempt(upstreamLease, outcome, detail)
 		switch outcome {
 		case attemptDone:
 			return nil
 		case attemptAborted:
 			return t.timeoutError()
-		case attemptNotSent:
-			misdirected++
-			if misdirected > maxMisdirectedSends {
+		case attemptNotSent, attemptWithheld:
+			notSent++
+			if notSent > maxUnsentAttempts {
 				return t.newError(errkind.NoUpstream, detail)
 			}
 			continue
@@ -67,7 +63,7 @@
 			}
 			continue
 		}
-		if canRetry := t.canRetry(outcome); !canRetry {
+		if !t.canRetry(outcome) {
 			return t.giveUp(outcome, response, detail)
 		}
 		response.release()
@@ -79,6 +75,16 @@
 	}
 }
 
+// logAttempt logs an attempt that did not forward a complete response.
+func (t *transaction) logAttempt(upstreamLease *lease, outcome attemptOutcome, detail string) {
+	if outcome == attemptDone {
+		return
+	}
+	t.s.logger.Info("attempt ended", zap.String("request", t.requestInfo.ID), zap.String("upstream", upstreamLease.entry.ID),
+		zap.String("pool", t.pool), zap.String("end", attemptOutcomeNames[outcome]), zap.Int("send", len(t.tried)), zap.String("detail", detail),
+		zap.Duration("elapsed", t.s.now().Sub(t.arrived)))
+}
+
 // rerunStages releases the inputs of the request and runs its stages again.
 func (t *transaction) rerunStages() *errkind.Error {
 	t.releaseInputs()
@@ -127,13 +133,14 @@
 // acquireUpstream chooses an upstream. If all are at a limit, it waits for a short part of the
 // objective, since requests at the upstreams end all the time.
 func (t *transaction) acquireUpstream() (*lease, *errkind.Error) {
-	placementRequest := t.placementRequest()
+	view := t.s.view.Load()
+	placementRequest := t.placementRequest(view)
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
-	if placed := t.acquirePlaced(t.s.view.Load(), placementRequest); placed != nil {
+	if placed := t.acquirePlaced(view, placementRequest); placed != nil {
 		return placed, nil
 	}
 	for {
-		view := t.s.view.Load()
+		view = t.s.view.Load()
 		placementRequest.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
 		upstreamLease, status := t.s.upstreams.acquire(view, t.pool, placementRequest)
 		if upstreamLease != nil {
@@ -170,12 +177,12 @@
 	return t.newError(errkind.Overloaded, "each upstream of pool "+t.pool+" asks for no traffic or is leaving")
 }
 
-// placementRequest describes the request for the placement on an upstream.
-func (t *transaction) placementRequest() *placement.Request {
+// placementRequest describes the request for the placement on an upstream of the view.
+func (t *transaction) placementRequest(view *View) *placement.Request {
 	return &placement.Request{
 		Prefix: t.sharedPrefix(), InputZone: t.inputZone(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
 		FleetWeight:  float64(t.s.fleetSize.Load()) / smallFleetSize,
-		Restrictions: t.s.signals.restrictions(t.arrived, t.view.InService[t.pool]),
+		Restrictions: t.s.signals.restrictions(t.arrived, view.InService[t.pool]),
 	}
 }
 
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -1,18 +1,15 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/metadata"
-	"google.golang.org/protobuf/proto"
 
-	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
-	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
@@ -25,11 +22,6 @@
 	// random time of up to leavingReportJitter is added. In a rollout many leave at a time.
 	leavingReportDelay  = 20 * time.Millisecond
 	leavingReportJitter = 30 * time.Millisecond
-	// leavingMetadataKey is the metadata key of Ping under which a VM reports leaving upstreams.
-	leavingMetadataKey = "hoist-leaving-bin"
-	// maxReportedUpstreams bounds the upstreams in one report, and maxUpstreamIDBytes their IDs.
-	maxReportedUpstreams = 256
-	maxUpstreamIDBytes   = 256
 	// maxReportedInstances is the size of the table up to which reports are recorded, so that signals
 	// which this VM receives itself always have room.
 	maxReportedInstances = 4096
@@ -77,7 +69,8 @@
 }
 
 // record records the signals of a response to a request that was sent to an upstream. A response of
-// another upstream at its address says nothing about it, but may say something about the other one.
+// another upstream at its address says nothing about it, but may say something about the other one,
+// if that is in the view.
 func (s *upstreamSignals) record(view *View, entry *registry.Entry, info ResponseInfo) {
 	if info.PauseInvalid {
 		s.metrics.upstreamSignals.WithLabelValues(signalInvalid).Inc()
@@ -168,21 +161,28 @@
 	s.count.Store(int64(s.table.Len()))
 }
 
-// verdicts calls f with the verdict on each upstream of a pool for work that was taken from its
-// client at taken.
-func (s *upstreamSignals) verdicts(taken clock.Instant, entries []*registry.Entry, f func(entry *registry.Entry, verdict upstreamsignal.Verdict, pausedUntil clock.Instant)) {
+// upstreamVerdict says whether work may be sent to an upstream.
+type upstreamVerdict struct {
+	upstreamsignal.Verdict
+	id string
+	// pausedUntil is the end of the pause of the upstream; 0 if it is not paused.
+	pausedUntil clock.Instant
+}
+
+// verdicts returns the verdicts on the upstreams of a pool for work that was taken from its client at
+// taken.
+func (s *upstreamSignals) verdicts(taken clock.Instant, entries []*registry.Entry) []upstreamVerdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, staying := s.now(), 0
+	now := s.now()
+	hasStaying := slices.ContainsFunc(entries, func(entry *registry.Entry) bool { return !s.table.IsLeaving(instanceOf(entry)) })
+	out := make([]upstreamVerdict, 0, len(entries))
 	for _, entry := range entries {
-		if !s.table.IsLeaving(instanceOf(entry)) {
-			staying++
-		}
-	}
-	for _, entry := range entries {
-		until, _ := s.table.PausedUntil(now, instanceOf(entry))
-		f(entry, s.table.WorkVerdict(now, taken, instanceOf(entry), staying > 0), until)
+		i := instanceOf(entry)
+		until, _ := s.table.PausedUntil(now, i)
+		out = append(out, upstreamVerdict{Verdict: s.table.WorkVerdict(now, taken, i, hasStaying), id: entry.ID, pausedUntil: until})
 	}
+	return out
 }
 
 // restrictions returns the upstreams of a pool that may not be used freely for a request that
@@ -192,14 +192,14 @@
 		return nil
 	}
 	out := map[string]placement.Restriction{}
-	s.verdicts(taken, entries, func(entry *registry.Entry, verdict upstreamsignal.Verdict, _ clock.Instant) {
-		switch verdict {
+	for _, v := range s.verdicts(taken, entries) {
+		switch v.Verdict {
 		case upstreamsignal.LastResort:
-			out[entry.ID] = placement.LastResort
+			out[v.id] = placement.LastResort
 		case upstreamsignal.Leaving, upstreamsignal.Paused:
-			out[entry.ID] = placement.Excluded
+			out[v.id] = placement.Excluded
 		}
-	})
+	}
 	return out
 }
 
@@ -209,14 +209,14 @@
 		return nil
 	}
 	out := map[string]clock.Instant{}
-	s.verdicts(s.now(), entries, func(entry *registry.Entry, verdict upstreamsignal.Verdict, until clock.Instant) {
-		switch verdict {
+	for _, v := range s.verdicts(s.now(), entries) {
+		switch v.Verdict {
 		case upstreamsignal.Leaving:
-			out[entry.ID] = stagepool.NoEnd
+			out[v.id] = stagepool.NoEnd
 		case upstreamsignal.Paused:
-			out[entry.ID] = until
+			out[v.id] = v.pausedUntil
 		}
-	})
+	}
 	return out
 }
 
@@ -227,19 +227,34 @@
 		return 0, false
 	}
 	blocked = true
-	s.verdicts(taken, entries, func(_ *registry.Entry, verdict upstreamsignal.Verdict, pausedUntil clock.Instant) {
+	for _, v := range s.verdicts(taken, entries) {
 		switch {
-		case verdict == upstreamsignal.Open || verdict == upstreamsignal.LastResort:
+		case v.Verdict == upstreamsignal.Open || v.Verdict == upstreamsignal.LastResort:
 			blocked = false
-		case verdict == upstreamsignal.Paused && (until == 0 || pausedUntil < until):
-			until = pausedUntil
+		case v.Verdict == upstreamsignal.Paused && (until == 0 || v.pausedUntil < until):
+			until = v.pausedUntil
 		}
-	})
+	}
 	return until, blocked
 }
 
-// mayCall reports whether a call that is not work may be sent to an upstream. A call that may not is
-// counted under its name.
+// errWithheld reports that nothing was sent to an upstream because of its signals.
+var errWithheld = errors.New("the upstream asks for no traffic or has left")
+
+// beforeSend returns a check for work that is about to be sent to an upstream. It returns errWithheld
+// if a pause began or the time of the last work passed since the upstream was chosen, such as while
+// a connection was opened or the process stood still.
+func (s *upstreamSignals) beforeSend(entry *registry.Entry, call string) func() error {
+	return func() error {
+		if !s.mayCall(instanceOf(entry), call) {
+			return errWithheld
+		}
+		return nil
+	}
+}
+
+// mayCall reports whether anything may be sent to an upstream now. A call that may not is counted
+// under its name.
 func (s *upstreamSignals) mayCall(i upstreamsignal.Instance, call string) bool {
 	if s.count.Load() == 0 {
 		return true
@@ -253,35 +268,3 @@
 	s.metrics.callsWithheld.WithLabelValues(call).Inc()
 	return false
 }
-
-// reportLeaving tells the other VMs of upstreams that leave. The report travels as metadata of Ping,
-// which older versions ignore.
-func (s *Server) reportLeaving(leaving []upstreamsignal.Instance) {
-	var pairs []string
-	for _, i := range leaving {
-		value, err := proto.Marshal(&hoistv1.StrikeRequest{Upstream: i.ID, UpstreamStart: uint64(i.Start)})
-		if err != nil {
-			s.logger.Error("failed to encode a leaving upstream", zap.String("upstream", i.ID), obs.ErrorField(err))
-			continue
-		}
-		pairs = append(pairs, leavingMetadataKey, string(value))
-	}
-	s.callPeers("failed to report leaving upstreams", func(ctx context.Context, client hoistv1.FleetClient) error {
-		_, err := client.Ping(metadata.AppendToOutgoingContext(ctx, pairs...), &hoistv1.PingRequest{})
-		return err
-	})
-}
-
-// recordLeavingReport records the leaving upstreams that come with a call of another VM.
-func (s *Server) recordLeavingReport(ctx context.Context) {
-	md, _ := metadata.FromIncomingContext(ctx)
-	values := md.Get(leavingMetadataKey)
-	for _, value := range values[:min(len(values), maxReportedUpstreams)] {
-		var report hoistv1.StrikeRequest
-		if err := proto.Unmarshal([]byte(value), &report); err != nil || report.GetUpstream() == "" || len(report.GetUpstream()) > maxUpstreamIDBytes {
-			s.metrics.upstreamSignals.WithLabelValues(signalReportInvalid).Inc()
-			continue
-		}
-		s.signals.recordReport(upstreamsignal.Instance{ID: report.GetUpstream(), Start: int64(report.GetUpstreamStart())})
-	}
-}
--- a/internal/edge/upstreamsignals_test.go
+++ b/internal/edge/upstreamsignals_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,12 +10,15 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
-	"google.golang.org/grpc/metadata"
+	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
@@ -25,7 +27,11 @@
 const testDrainTime = time.Hour
 
 // signalClock is the clock of the signals of a fleet, which the test advances.
-type signalClock struct{ ahead atomic.Int64 }
+type signalClock struct {
+	ahead atomic.Int64
+	// beforeRead, if set, is called before each reading.
+	beforeRead atomic.Pointer[func()]
+}
 
 func (c *signalClock) advance(d time.Duration) { c.ahead.Add(int64(d)) }
 
@@ -33,7 +39,12 @@
 func startSignalFleet(t *testing.T, n int) (*testFleet, *signalClock) {
 	c := &signalClock{}
 	f := startFleetWith(t, n, func(s *Settings) { s.DrainTime, s.MemoryBytes = testDrainTime, 184<<20 }, func(s *Server) {
-		s.signals.now = func() clock.Instant { return bootclock.Now().Add(time.Duration(c.ahead.Load())) }
+		s.signals.now = func() clock.Instant {
+			if f := c.beforeRead.Load(); f != nil {
+				(*f)()
+			}
+			return bootclock.Now().Add(time.Duration(c.ahead.Load()))
+		}
 	})
 	return f, c
 }
@@ -159,6 +170,34 @@
 	}
 }
 
+// TestStandstillBeforeSend guards against a request that is sent after the time of the last work for a
+// leaving upstream, since the process stood still after it had chosen the upstream.
+func TestStandstillBeforeSend(t *testing.T) {
+	f, c := startSignalFleet(t, 1)
+	upstreams, signals := signallingUpstreams(t, 1, true)
+	publishRoute(f, catalog.NonIdempotent, upstreams)
+	signals[0].Store(&[2]string{"Leaving", "1"})
+	sendMany(t, f, 0, 1, "first-")
+	s := f.servers[0]
+	standStill := func() {
+		s.upstreams.mu.Lock()
+		defer s.upstreams.mu.Unlock()
+		if s.upstreams.states["u0"].InFlight > 0 {
+			c.ahead.Store(int64(testDrainTime))
+		}
+	}
+	c.beforeRead.Store(&standStill)
+	if statuses := sendMany(t, f, 0, 1, "late-"); statuses[http.StatusServiceUnavailable] != 1 {
+		t.Errorf("statuses %v", statuses)
+	}
+	if got := upstreams[0].totalRuns(); got != 1 {
+		t.Errorf("%d requests reached the upstream, expected 1", got)
+	}
+	if got := testutil.ToFloat64(s.metrics.callsWithheld.WithLabelValues("request_send")); got != 1 {
+		t.Errorf("%v requests withheld just before they were sent", got)
+	}
+}
+
 // TestPausedUpstream guards against requests for an upstream that asked for no traffic, against the
 // pause counting as a failure, and against a pause that does not end or that other VMs apply.
 func TestPausedUpstream(t *testing.T) {
@@ -211,6 +250,31 @@
 	}
 }
 
+// TestPoolBlock guards against a refusal while an upstream of the pool may be used, and against a
+// Retry-After later than the first end of a pause.
+func TestPoolBlock(t *testing.T) {
+	const now = clock.Instant(time.Hour)
+	s := newUpstreamSignals(func() clock.Instant { return now }, zap.NewNop(), newMetrics(prometheus.NewRegistry()), time.Second, func([]upstreamsignal.Instance) {})
+	first, second := &registry.Entry{}, &registry.Entry{}
+	first.ID, second.ID = "u-1", "u-2"
+	pool := []*registry.Entry{first, second}
+	s.recordPause(first, 5*time.Second)
+	if _, blocked := s.poolBlock(now, pool); blocked {
+		t.Error("a pool with a usable upstream is blocked")
+	}
+	if _, blocked := s.poolBlock(now, nil); blocked {
+		t.Error("an empty pool is blocked")
+	}
+	s.recordPause(second, 2*time.Second)
+	if until, blocked := s.poolBlock(now, pool); !blocked || until != now.Add(2*time.Second) {
+		t.Errorf("blocked %t until %d", blocked, until)
+	}
+	s.now = func() clock.Instant { return now.Add(2 * time.Second) }
+	if _, blocked := s.poolBlock(now, pool); blocked {
+		t.Error("the pool is blocked after the first end of a pause")
+	}
+}
+
 // TestPauseAfterRun guards against the statement that a request has not run, and against a second
 // run, if the upstream that asks for no traffic does not say so.
 func TestPauseAfterRun(t *testing.T) {
@@ -254,24 +318,6 @@
 	}
 }
 
-// TestMalformedLeavingReport guards against a panic or unbounded memory from a report.
-func TestMalformedLeavingReport(t *testing.T) {
-	f, _ := startSignalFleet(t, 1)
-	s := f.servers[0]
-	values := []string{"\xff\xff", "", "\x12\x80\x04" + strings.Repeat("x", 512)}
-	for range maxReportedUpstreams {
-		values = append(values, "\x12\x01a")
-	}
-	s.recordLeavingReport(metadata.NewIncomingContext(context.Background(), metadata.MD{leavingMetadataKey: values}))
-	s.recordLeavingReport(context.Background())
-	if got := testutil.ToFloat64(s.metrics.upstreamSignals.WithLabelValues(signalReportInvalid)); got != 3 {
-		t.Errorf("%v invalid reports", got)
-	}
-	if !s.signals.table.IsLeaving(upstreamsignal.Instance{ID: "a"}) || s.signals.table.Len() != 1 {
-		t.Errorf("%d instances", s.signals.table.Len())
-	}
-}
-
 // TestSignalsOfStageUpstreams guards against stage calls, memory queries and releases for upstreams
 // that asked for no traffic or have left.
 func TestSignalsOfStageUpstreams(t *testing.T) {
@@ -323,8 +369,65 @@
 	}
 }
 
+// TestSignalOfUpstreamRegisteredMeanwhile guards against the loss of a signal of an upstream that
+// registered after the request had arrived and responds at the address of another one.
+func TestSignalOfUpstreamRegisteredMeanwhile(t *testing.T) {
+	f, _ := startSignalFleet(t, 1)
+	s := f.servers[0]
+	newer := catalog.Upstream{ID: "newer", Pool: "other", Address: "127.0.0.1:1", Zone: "zone-a", StartID: 1}
+	addressed := newTestUpstream(t, "u0", func(w http.ResponseWriter, _ *http.Request) {
+		f.store.put("u/"+newer.ID, &newer)
+		await(t, "the registration", func() bool { return s.view.Load().ByID[newer.ID] != nil })
+		w.Header().Set("Upstream-Id", newer.ID)
+		w.Header().Set("Leaving", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	publishRoute(f, catalog.NonIdempotent, []*testUpstream{addressed})
+	sendMany(t, f, 0, 1, "r")
+	s.signals.mu.Lock()
+	defer s.signals.mu.Unlock()
+	if i := (upstreamsignal.Instance{ID: newer.ID, Start: newer.StartID}); !s.signals.table.IsLeaving(i) || s.signals.table.Len() != 1 {
+		t.Errorf("leaving %t, %d instances", s.signals.table.IsLeaving(i), s.signals.table.Len())
+	}
+}
+
+// TestReportBeforeRegistration guards against work for an upstream that another VM reported as leaving
+// before this VM knew the upstream: a stage call at its registration, or a request that arrived
+// before it.
+func TestReportBeforeRegistration(t *testing.T) {
+	f, _ := startSignalFleet(t, 1)
+	s := f.servers[0]
+	upstreams, _ := signallingUpstreams(t, 2, true)
+	publishRoute(f, catalog.NonIdempotent, upstreams[:1])
+	old := s.view.Load()
+	registered := catalogUpstreams("p", upstreams[1])[0]
+	s.signals.recordReport(upstreamsignal.Instance{ID: registered.ID, Start: registered.StartID})
+	f.store.put("u/"+registered.ID, &registered)
+	await(t, "the registration", func() bool { return s.view.Load().ByID["u1"] != nil })
+	view := s.view.Load()
+
+	request := &transaction{s: s, view: old, pool: "p", route: &catalog.Route{}, arrived: s.signals.now()}
+	if got := request.placementRequest(view).Restrictions["u1"]; got != placement.Excluded {
+		t.Errorf("restriction %d of a leaving upstream that is newer than the request", got)
+	}
+
+	s.signals.record(view, view.ByID["u0"], ResponseInfo{Pause: time.Minute})
+	runner, now := newPoolRunner("p", s), s.now()
+	batch := catalog.Batch{Concurrency: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, ResultTTL: time.Minute}
+	runner.configure(batch, []*registry.Entry{view.ByID["u0"]})
+	runner.reserve(stagepool.Reservation{StageID: stagepool.StageID{Request: "r"}, Pieces: 1, Arrives: now, Due: now.Add(time.Hour)})
+	runner.submit(stagepool.Job{Request: "r", Pieces: 1, Due: now.Add(time.Hour), Deadline: now.Add(time.Hour)}, &stageWaiter{done: make(chan stageResult, 1)})
+	runner.configure(batch, []*registry.Entry{view.ByID["u0"], view.ByID["u1"]})
+	runner.locked(func() {
+		if got := runner.scheduler.WaitingPieces(); got != 1 {
+			t.Errorf("%d pieces wait for the end of the pause, expected 1", got)
+		}
+	})
+}
+
 // TestStageCallSignals guards against signals in the responses to stage calls that are not decoded,
-// also if the rest of the response is unusable.
+// also if the rest of the response is unusable, and against a call that is sent although a pause began
+// after its dispatch.
 func TestStageCallSignals(t *testing.T) {
 	f, _ := startSignalFleet(t, 1)
 	raw := newRawUpstream(t, func(u *rawUpstream, conn net.Conn, _ *http.Request) bool {
@@ -344,6 +447,9 @@
 	if outcome, _, _, _ := runner.sendCall(call, pausing.entry("u1").Address); outcome != stagepool.CallPaused {
 		t.Errorf("outcome %d of a refusal with a pause", outcome)
 	}
+	if outcome, _, _, _ := runner.sendCall(call, pausing.entry("u1").Address); outcome != stagepool.CallWithheld || pausing.requests.Load() != 1 {
+		t.Errorf("outcome %d of a call in the pause, %d calls sent", outcome, pausing.requests.Load())
+	}
 	view := s.view.Load()
 	if _, paused := s.signals.table.PausedUntil(s.signals.now(), instanceOf(view.ByID["u1"])); !paused || !s.signals.table.IsLeaving(instanceOf(view.ByID["u0"])) {
 		t.Error("a signal was lost")
@@ -378,15 +484,3 @@
 		t.Errorf("status %d, Retry-After %v, body %s", response.StatusCode, after, body)
 	}
 }
-
-// TestPausedTrailer guards against a panic or an absurd Retry-After from the trailer of a peer.
-func TestPausedTrailer(t *testing.T) {
-	for text, want := range map[string]clock.Instant{"1500": clock.Instant(1500 * time.Millisecond), "0": 0, "-1": 0, "x": 0, "999999999999": 0, "": 0} {
-		if got := parsePausedTrailer(0, metadata.Pairs(pausedMetadataKey, text)); got != want {
-			t.Errorf("%q: %d", text, got)
-		}
-	}
-	if got := parsePausedTrailer(0, nil); got != 0 {
-		t.Errorf("no trailer: %d", got)
-	}
-}
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -101,6 +101,9 @@
 	// SingleUse sends the request on a new connection that is closed afterwards. It is for
 	// responses that do not say which request they belong to.
 	SingleUse bool
+	// BeforeSend, if not nil, is called once there is a connection, just before the request is
+	// written. If it returns an error, nothing is written, and the error is marked with ErrNotSent.
+	BeforeSend func() error
 	// Verify, if not nil, checks in Do that a complete response belongs to the request. If it
 	// returns an error, the connection is closed, since it may hold further foreign responses.
 	Verify func(*Response) error
@@ -293,6 +296,10 @@
 	err := cn.rawConn.Control(func(fd uintptr) {
 		pollFDs := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 		ready, err := unix.Poll(pollFDs, 0)
+		for errors.Is(err, unix.EINTR) {
+			// A signal for preemption, as the Go runtime sends them, says nothing about the connection.
+			ready, err = unix.Poll(pollFDs, 0)
+		}
 		usable = err == nil && ready == 0
 	})
 	return err == nil && usable
