Give the evidence of crashes fields of its own in the messages

The messages used existing fields with separators: several fingerprints one after the other, prompts and requests after a 0, and gRPC metadata on RunStage.

Change: StrikeRequest.requests holds the broken requests with a fingerprint and parts each, ClearPartsRequest.requests and PromptBlock.request hold keys of requests, and RunStageRequest has the fingerprint and the parts of the prompt. The separators and the metadata are gone. The limits are those of before: 128 requests, and 1024 parts, and 32 parts for a stage call; separators no longer count as parts.

A report of the last release, with one fingerprint and its parts in the old fields, counts as a report of one request. The old fields are not set for VMs of that release, since two crashes would make them refuse a popular request for ten minutes; they record a crash of the fingerprint of zeros, which no request has. They still understand the blocks and clears of parts, and ignore a block without parts.

Tests: TestSuspectOfStageCall, TestCrashesAreReportedTogether, TestMalformedStrikeIsRejected, TestMalformedMessages and FuzzCrashMessages name the encoding and are adapted: cases of metadata and of lengths that are no multiple of 16 become cases of fingerprints of wrong lengths, and two fingerprints in metadata, which the field cannot hold, become one of 32 bytes. The old field with 32 bytes is rejected now. TestPartsOfReportAreBounded and TestCrashMessagesOfReleasedVersion are new.

--- a/internal/edge/contain_test.go
+++ b/internal/edge/contain_test.go
@@ -52,7 +52,12 @@
 		t.Fatal(err)
 	}
 	oddBlocks, err := proto.Marshal(&hoistv1.Datagram{Blocks: []*hoistv1.PromptBlock{
-		nil, {}, {Parts: []uint64{1}, FirstCrashAgeMs: -1 << 62, LeftMs: 1 << 62, Blocks: 1<<32 - 1}, {Parts: make([]uint64, 500), LeftMs: 1000},
+		nil,
+		{},
+		{Parts: []uint64{1}, FirstCrashAgeMs: -1 << 62, LeftMs: 1 << 62, Blocks: 1<<32 - 1},
+		{Parts: make([]uint64, 500), LeftMs: 1000},
+		{Request: 1, FirstCrashAgeMs: -1 << 62, LeftMs: 1 << 62, Blocks: 1<<32 - 1},
+		{Request: 2, Parts: make([]uint64, 100), LeftMs: 1000},
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -109,13 +114,19 @@
 		},
 		"peer: crash report with many parts": func() error {
 			return call(func(client hoistv1.FleetClient) error {
-				_, err := client.Strike(ctx, &hoistv1.StrikeRequest{Upstream: "u", Parts: make([]uint64, 400_000)})
+				_, err := client.Strike(ctx, &hoistv1.StrikeRequest{Upstream: "u", Requests: []*hoistv1.BrokenRequest{{Fingerprint: make([]byte, fingerprintBytes), Parts: make([]uint64, 400_000)}}})
+				return err
+			})
+		},
+		"peer: crash report of an older version with many parts": func() error {
+			return call(func(client hoistv1.FleetClient) error {
+				_, err := client.Strike(ctx, &hoistv1.StrikeRequest{Upstream: "u", Fingerprint: make([]byte, fingerprintBytes), Parts: make([]uint64, 400_000)})
 				return err
 			})
 		},
 		"peer: many cleared parts": func() error {
 			return call(func(client hoistv1.FleetClient) error {
-				_, err := client.ClearParts(ctx, &hoistv1.ClearPartsRequest{Parts: make([]uint64, 400_000)})
+				_, err := client.ClearParts(ctx, &hoistv1.ClearPartsRequest{Parts: make([]uint64, 200_000), Requests: make([]uint64, 200_000)})
 				return err
 			})
 		},
--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -125,22 +124,21 @@
 		time.AfterFunc(crashReportDelay, func() { send(c.take()) })
 	}
 	report := c.reportOf(entry)
-	for known := range slices.Chunk(report.GetFingerprint(), fingerprintBytes) {
-		if bytes.Equal(known, broken.fingerprint[:]) {
-			return
-		}
-	}
-	if len(report.GetFingerprint()) >= maxReportedRequests*fingerprintBytes {
+	if len(report.GetRequests()) >= maxReportedRequests {
 		return
 	}
-	report.Fingerprint = append(report.Fingerprint, broken.fingerprint[:]...)
-	if len(broken.parts) == 0 || len(report.GetParts())+len(broken.parts) >= maxReportedParts {
-		return
+	parts := 0
+	for _, known := range report.GetRequests() {
+		if bytes.Equal(known.GetFingerprint(), broken.fingerprint[:]) {
+			return
+		}
+		parts += len(known.GetParts())
 	}
-	if len(report.GetParts()) > 0 {
-		report.Parts = append(report.Parts, messageSeparator)
+	request := &hoistv1.BrokenRequest{Fingerprint: broken.fingerprint[:]}
+	if parts+len(broken.parts) <= maxReportedParts {
+		request.Parts = partsToProto(broken.parts)
 	}
-	report.Parts = append(report.Parts, partsToProto(broken.parts)...)
+	report.Requests = append(report.Requests, request)
 }
 
 // reportOf returns the report of the crash of one start of an upstream. The caller holds the lock.
@@ -178,10 +176,7 @@
 
 // sendClears tells the other VMs of parts of prompts and of requests that were answered.
 func (s *Server) sendClears(parts, requests []poison.Part) {
-	request := &hoistv1.ClearPartsRequest{Parts: partsToProto(parts)}
-	if len(requests) > 0 {
-		request.Parts = append(append(request.Parts, messageSeparator), partsToProto(requests)...)
-	}
+	request := &hoistv1.ClearPartsRequest{Parts: partsToProto(parts), Requests: partsToProto(requests)}
 	s.callPeers("failed to report answered parts of prompts", func(ctx context.Context, client hoistv1.FleetClient) error {
 		_, err := client.ClearParts(ctx, request)
 		return err
@@ -202,32 +197,39 @@
 	}
 }
 
-// errFingerprints reports a crash with a list of fingerprints that has no valid length.
-var errFingerprints = status.Errorf(codes.InvalidArgument, "the fingerprints are not at most %d of %d bytes", maxReportedRequests, fingerprintBytes)
+// errBrokenRequests reports a crash with too many requests, or with an invalid fingerprint.
+var errBrokenRequests = status.Errorf(codes.InvalidArgument, "the report does not have at most %d requests with fingerprints of %d bytes", maxReportedRequests, fingerprintBytes)
 
 // Strike records the crash of an upstream that another VM reported.
 func (f fleetServer) Strike(_ context.Context, r *hoistv1.StrikeRequest) (*hoistv1.StrikeResponse, error) {
 	f.s.upstreams.recordLost(r.GetUpstream(), int64(r.GetUpstreamStart()))
-	n := len(r.GetFingerprint())
-	if n%fingerprintBytes != 0 || n > maxReportedRequests*fingerprintBytes {
-		return nil, errFingerprints
-	}
-	var requests []poison.Part
-	for fingerprint := range slices.Chunk(r.GetFingerprint(), fingerprintBytes) {
-		requests = append(requests, poison.Fingerprint(fingerprint).RequestKey())
+	requests, prompts, err := brokenRequests(r)
+	if err != nil {
+		return nil, err
 	}
-	f.s.parts.recordCrashes(r.GetUpstream(), int64(r.GetUpstreamStart()), requests, splitPrompts(partsFromProto(r.GetParts())))
+	f.s.parts.recordCrashes(r.GetUpstream(), int64(r.GetUpstreamStart()), requests, prompts)
 	return &hoistv1.StrikeResponse{}, nil
 }
 
-// splitPrompts returns the prompts of a list in which they are separated.
-func splitPrompts(parts []poison.Part) [][]poison.Part {
-	var prompts [][]poison.Part
-	for {
-		i := slices.Index(parts, messageSeparator)
-		if i < 0 {
-			return append(prompts, parts)
+// brokenRequests returns the keys of the requests of a report, and the parts of their prompts.
+func brokenRequests(r *hoistv1.StrikeRequest) (requests []poison.Part, prompts [][]poison.Part, err error) {
+	broken := r.GetRequests()
+	if len(broken) == 0 && len(r.GetFingerprint()) > 0 {
+		// The sender is of an older version.
+		broken = []*hoistv1.BrokenRequest{{Fingerprint: r.GetFingerprint(), Parts: r.GetParts()}}
+	}
+	if len(broken) > maxReportedRequests {
+		return nil, nil, errBrokenRequests
+	}
+	left := maxReportedParts
+	for _, request := range broken {
+		if len(request.GetFingerprint()) != fingerprintBytes {
+			return nil, nil, errBrokenRequests
 		}
-		prompts, parts = append(prompts, parts[:i]), parts[i+1:]
+		requests = append(requests, poison.Fingerprint(request.GetFingerprint()).RequestKey())
+		parts := partsFromProto(request.GetParts(), left)
+		prompts = append(prompts, parts)
+		left -= len(parts)
 	}
+	return requests, prompts, nil
 }
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -61,7 +61,7 @@
 		ResultBytes: int64(r.GetResultBytes()), Zone: r.GetZone(), Priority: int(r.GetPriority()),
 		Due: now.Add(time.Duration(r.GetDueMs()) * time.Millisecond), Deadline: now.Add(time.Duration(r.GetLimitMs()) * time.Millisecond),
 	}
-	result := runner.runJob(ctx, job, f.s.inputReleaser(job.Inputs, r.GetReleaseInputs() || len(r.GetInputPools()) > 0))
+	result := runner.runJob(withSuspectOf(ctx, r), job, f.s.inputReleaser(job.Inputs, r.GetReleaseInputs() || len(r.GetInputPools()) > 0))
 	response := &hoistv1.RunStageResponse{
 		Handles: result.handles, Refusal: refusalNames[result.refusal], RetryAfterMs: result.retryAfter.Milliseconds(), Owner: result.owner.Name,
 		MemoryShort: result.memoryShort, PausedMs: pauseToProto(f.s.now(), result.pausedUntil),
--- a/internal/edge/partguard.go
+++ b/internal/edge/partguard.go
@@ -25,9 +25,8 @@
 	// maxDatagramBlocks bounds the blocks of parts and those of requests in a datagram, which must fit
 	// into one packet.
 	maxDatagramBlocks = 4
-	// messageSeparator separates prompts, and parts from requests, in lists of parts in messages.
-	messageSeparator = 0
-	// maxReportedParts bounds the parts of prompts that are accepted from one message.
+	// maxReportedParts bounds the parts of prompts, with the cleared requests, that are accepted from one
+	// message.
 	maxReportedParts = 1024
 )
 
@@ -197,17 +196,22 @@
 	now := g.now()
 	var out []*hoistv1.PromptBlock
 	for _, b := range g.table.Blocks(now, maxDatagramBlocks) {
-		out = append(out, blockToProto(now, b, partsToProto(b.Parts)))
+		block := blockToProto(now, b)
+		block.Parts = partsToProto(b.Parts)
+		out = append(out, block)
 	}
 	for _, b := range g.requests.Blocks(now, maxDatagramBlocks) {
-		out = append(out, blockToProto(now, b, append([]uint64{messageSeparator}, partsToProto(b.Parts)...)))
+		block := blockToProto(now, b)
+		block.Request = uint64(b.Parts[0])
+		out = append(out, block)
 	}
 	return out
 }
 
-func blockToProto(now clock.Instant, b poison.Block, parts []uint64) *hoistv1.PromptBlock {
+// blockToProto translates all of a block but what it refuses.
+func blockToProto(now clock.Instant, b poison.Block) *hoistv1.PromptBlock {
 	return &hoistv1.PromptBlock{
-		Parts: parts, FirstCrashAgeMs: now.Sub(b.FirstCrash).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
+		FirstCrashAgeMs: now.Sub(b.FirstCrash).Milliseconds(), LeftMs: b.Until.Sub(now).Milliseconds(), Blocks: uint32(b.Blocks),
 	}
 }
 
@@ -221,14 +225,14 @@
 	now := g.now()
 	for _, b := range blocks[:min(len(blocks), 2*maxDatagramBlocks)] {
 		block := poison.Block{
-			Parts: partsFromProto(b.GetParts()), Blocks: int(b.GetBlocks()),
+			Parts: partsFromProto(b.GetParts(), maxReportedParts), Blocks: int(b.GetBlocks()),
 			FirstCrash: now.Add(-time.Duration(b.GetFirstCrashAgeMs()) * time.Millisecond),
 			Until:      now.Add(time.Duration(b.GetLeftMs()) * time.Millisecond),
 		}
-		if len(block.Parts) == 2 && block.Parts[0] == messageSeparator {
-			block.Parts = block.Parts[1:]
+		if request := poison.Part(b.GetRequest()); request != 0 {
+			block.Parts = []poison.Part{request}
 			if g.requests.Merge(now, block) {
-				g.addRequestClear(block.Parts[0])
+				g.addRequestClear(request)
 			}
 			continue
 		}
@@ -239,15 +243,13 @@
 
 // ClearParts records parts of prompts and requests that another VM reports as answered.
 func (f fleetServer) ClearParts(_ context.Context, r *hoistv1.ClearPartsRequest) (*hoistv1.ClearPartsResponse, error) {
-	parts, requests := partsFromProto(r.GetParts()), []poison.Part(nil)
-	if i := slices.Index(parts, messageSeparator); i >= 0 {
-		parts, requests = parts[:i], parts[i+1:]
-	}
-	f.s.parts.recordClears(parts, requests)
+	parts := partsFromProto(r.GetParts(), maxReportedParts)
+	f.s.parts.recordClears(parts, partsFromProto(r.GetRequests(), maxReportedParts-len(parts)))
 	return &hoistv1.ClearPartsResponse{}, nil
 }
 
-// partsToProto and partsFromProto translate parts of prompts between the types of Go and of messages.
+// partsToProto and partsFromProto translate parts of prompts and keys of requests between the types of Go
+// and of messages. partsFromProto returns the first limit of them.
 func partsToProto(parts []poison.Part) []uint64 {
 	out := make([]uint64, 0, len(parts))
 	for _, part := range parts {
@@ -256,8 +258,8 @@
 	return out
 }
 
-func partsFromProto(parts []uint64) []poison.Part {
-	parts = parts[:min(len(parts), maxReportedParts)]
+func partsFromProto(parts []uint64, limit int) []poison.Part {
+	parts = parts[:min(len(parts), limit)]
 	out := make([]poison.Part, 0, len(parts))
 	for _, part := range parts {
 		out = append(out, poison.Part(part))
--- a/internal/edge/requestguard_test.go
+++ b/internal/edge/requestguard_test.go
@@ -6,12 +6,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc/metadata"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
@@ -152,12 +153,15 @@
 			t.Fatalf("%d reports, expected one for each start", len(together))
 		}
 		for _, report := range together {
-			if n := len(report.GetFingerprint()); n != maxReportedRequests*fingerprintBytes || len(report.GetParts()) > maxReportedParts {
-				t.Errorf("%d bytes of fingerprints and %d parts", n, len(report.GetParts()))
+			requests, prompts, err := brokenRequests(report)
+			if err != nil || len(requests) != maxReportedRequests || len(prompts) != maxReportedRequests {
+				t.Fatalf("%d requests, %d prompts, error %v", len(requests), len(prompts), err)
 			}
-			prompts := splitPrompts(partsFromProto(report.GetParts()))
-			if len(prompts) != maxReportedRequests || len(prompts[1]) != 2 || prompts[1][1] != poison.PartOf("1") {
-				t.Errorf("%d prompts, the second is %v", len(prompts), prompts[1])
+			if requests[1] != (poison.Fingerprint{1}).RequestKey() || !slices.Equal(prompts[1], partsOf("shared", "1")) {
+				t.Errorf("the second request is %x with the parts %v", requests[1], prompts[1])
+			}
+			if len(report.GetFingerprint())+len(report.GetParts()) > 0 {
+				t.Error("the fields of older versions are set")
 			}
 		}
 		synctest.Wait()
@@ -167,12 +171,89 @@
 	})
 }
 
+// TestPartsOfReportAreBounded guards against a report with more parts than its receivers accept, whose
+// last requests they would read without their parts.
+func TestPartsOfReportAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reports crashReports
+		sent := make(chan []*hoistv1.StrikeRequest, 1)
+		entry := &registry.Entry{Upstream: catalog.Upstream{ID: "u"}}
+		for i := range 3 {
+			reports.add(entry, suspect{fingerprint: poison.Fingerprint{byte(i)}, parts: make([]poison.Part, maxReportedParts/2)}, func(r []*hoistv1.StrikeRequest) { sent <- r })
+		}
+		reports.add(entry, suspect{fingerprint: poison.Fingerprint{3}}, nil)
+		report := (<-sent)[0]
+		for i, expected := range []int{maxReportedParts / 2, maxReportedParts / 2, 0, 0} {
+			if n := len(report.GetRequests()[i].GetParts()); n != expected {
+				t.Errorf("request %d: %d parts, expected %d", i, n, expected)
+			}
+		}
+	})
+	_, prompts, err := brokenRequests(&hoistv1.StrikeRequest{Requests: []*hoistv1.BrokenRequest{
+		{Fingerprint: make([]byte, fingerprintBytes), Parts: make([]uint64, maxReportedParts-1)},
+		{Fingerprint: make([]byte, fingerprintBytes), Parts: make([]uint64, maxReportedParts)},
+	}})
+	if err != nil || len(prompts) != 2 || len(prompts[0]) != maxReportedParts-1 || len(prompts[1]) != 1 {
+		t.Errorf("%d prompts, error %v", len(prompts), err)
+	}
+}
+
+// TestCrashMessagesOfReleasedVersion guards against crashes that VMs of the released version report, and
+// that are not counted, and against clears and blocks of theirs that are not understood. They know no
+// requests as a whole, but send one fingerprint with its parts.
+func TestCrashMessagesOfReleasedVersion(t *testing.T) {
+	var guardClock partClock
+	f := startFleetWith(t, 1, nil, guardClock.install)
+	s := f.servers[0]
+	fingerprint := poison.Fingerprint{1, 2, 3}
+	for i := range 3 {
+		report := &hoistv1.StrikeRequest{Fingerprint: fingerprint[:], Upstream: fmt.Sprint("u", i), Parts: partsToProto(partsOf("deadly")), UpstreamStart: 1}
+		if _, err := (fleetServer{s: s}).Strike(t.Context(), report); err != nil {
+			t.Fatal(err)
+		}
+		guardClock.advance(crashSpacing)
+	}
+	guardClock.advance(time.Second)
+	if !s.parts.checkRequest(fingerprint.RequestKey()) {
+		t.Error("the request is not blocked")
+	}
+	if s.parts.check(partsOf("deadly")) == nil {
+		t.Error("the part is not blocked")
+	}
+	// The released version takes a block of a request for one without parts, which it ignores.
+	for _, block := range s.parts.blocksForMessage() {
+		if (block.GetRequest() == 0) != (len(block.GetParts()) > 0) {
+			t.Errorf("the block %v is not one of either parts or a request", block)
+		}
+	}
+	guardClock.advance(time.Second)
+	if _, err := (fleetServer{s: s}).ClearParts(t.Context(), &hoistv1.ClearPartsRequest{Parts: partsToProto(partsOf("deadly"))}); err != nil {
+		t.Fatal(err)
+	}
+	if s.parts.check(partsOf("deadly")) != nil {
+		t.Error("the part is blocked after it was answered")
+	}
+	if !s.parts.checkRequest(fingerprint.RequestKey()) {
+		t.Error("the answer to the part cleared the request")
+	}
+}
+
 // TestMalformedStrikeIsRejected guards against a message that makes a VM blame requests at random.
 func TestMalformedStrikeIsRejected(t *testing.T) {
 	f := startFleet(t, 1, nil)
-	for _, n := range []int{1, fingerprintBytes + 1, (maxReportedRequests + 1) * fingerprintBytes} {
-		if _, err := (fleetServer{s: f.servers[0]}).Strike(t.Context(), &hoistv1.StrikeRequest{Fingerprint: make([]byte, n)}); err == nil {
-			t.Errorf("a report with %d bytes of fingerprints is accepted", n)
+	valid := &hoistv1.BrokenRequest{Fingerprint: make([]byte, fingerprintBytes)}
+	reports := map[string]*hoistv1.StrikeRequest{
+		"too many requests": {Requests: slices.Repeat([]*hoistv1.BrokenRequest{valid}, maxReportedRequests+1)},
+		"no fingerprint":    {Requests: []*hoistv1.BrokenRequest{valid, {}}},
+		"missing request":   {Requests: []*hoistv1.BrokenRequest{valid, nil}},
+	}
+	for _, n := range []int{1, fingerprintBytes + 1, 2 * fingerprintBytes, (maxReportedRequests + 1) * fingerprintBytes} {
+		reports[fmt.Sprint("fingerprint of ", n, " bytes")] = &hoistv1.StrikeRequest{Requests: []*hoistv1.BrokenRequest{valid, {Fingerprint: make([]byte, n)}}}
+		reports[fmt.Sprint("fingerprint of ", n, " bytes, older version")] = &hoistv1.StrikeRequest{Fingerprint: make([]byte, n)}
+	}
+	for name, report := range reports {
+		if _, err := (fleetServer{s: f.servers[0]}).Strike(t.Context(), report); err == nil {
+			t.Errorf("%s: accepted", name)
 		}
 	}
 }
@@ -180,20 +261,28 @@
 // FuzzCrashMessages guards against messages about crashes that end the process, or that are kept without
 // bound.
 func FuzzCrashMessages(f *testing.F) {
-	f.Add(make([]byte, 2*fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, int64(1), int64(1000))
-	f.Fuzz(func(_ *testing.T, fingerprints, parts []byte, age, left int64) {
+	f.Add(make([]byte, 2*fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, uint64(1), int64(1), int64(1000))
+	f.Add(make([]byte, fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, uint64(0), int64(1), int64(1000))
+	f.Fuzz(func(_ *testing.T, fingerprints, parts []byte, request uint64, age, left int64) {
 		guard := newPartGuard(bootclock.Now, zap.NewNop(), func([]poison.Part, []poison.Part) {})
 		server := fleetServer{s: &Server{parts: guard, upstreams: newUpstreams(bootclock.Now, func(string) bool { return false })}}
 		var list []uint64
 		for _, part := range parts {
 			list = append(list, uint64(part))
 		}
+		var broken []*hoistv1.BrokenRequest
+		for fingerprint := range slices.Chunk(fingerprints, fingerprintBytes) {
+			broken = append(broken, &hoistv1.BrokenRequest{Fingerprint: fingerprint, Parts: list})
+		}
 		_, _ = server.Strike(context.Background(), &hoistv1.StrikeRequest{Fingerprint: fingerprints, Upstream: "u", Parts: list}) // It may be rejected.
-		guard.mergeBlocks([]*hoistv1.PromptBlock{{Parts: list, FirstCrashAgeMs: age, LeftMs: left}, {Parts: []uint64{0, 1}, LeftMs: left}, nil})
-		_, _ = server.ClearParts(context.Background(), &hoistv1.ClearPartsRequest{Parts: list}) // It always succeeds.
+		_, _ = server.Strike(context.Background(), &hoistv1.StrikeRequest{Requests: append(broken, nil), Upstream: "v"})          // It is rejected.
+		_, _ = server.Strike(context.Background(), &hoistv1.StrikeRequest{Requests: broken, Upstream: "v"})                       // It may be rejected.
+		guard.mergeBlocks([]*hoistv1.PromptBlock{{Parts: list, FirstCrashAgeMs: age, LeftMs: left}, {Parts: list, Request: request, FirstCrashAgeMs: age, LeftMs: left}, {Request: 1, LeftMs: left}, nil})
+		guard.blocksForMessage()
+		_, _ = server.ClearParts(context.Background(), &hoistv1.ClearPartsRequest{Parts: list, Requests: append(list, request)}) // It always succeeds.
 		guard.checkRequest(1)
 		guard.check([]poison.Part{1, 2, 3})
 		guard.blocksForMessage()
-		_, _ = suspectOf(metadata.NewIncomingContext(context.Background(), metadata.Pairs(fingerprintMetadata, string(fingerprints), partsMetadata, string(parts)))) // It may be malformed.
+		withSuspectOf(context.Background(), &hoistv1.RunStageRequest{Fingerprint: fingerprints, PromptParts: list})
 	})
 }
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -183,6 +183,7 @@
 		Zone: job.Zone, Priority: uint32(max(job.Priority, 0)), ReleaseInputs: inputs.isOnlyConsumer, KeepInputs: job.KeepInputs,
 		Lost: search.unresponsive, NotOwners: search.notOwners,
 	}
+	setSuspect(ctx, request)
 	var result stageResult
 	err := s.peers.call(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) error {
 		response, err := client.RunStage(ctx, request)
--- a/internal/edge/stagecrash.go
+++ b/internal/edge/stagecrash.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"slices"
 
 	"go.uber.org/zap"
-	"google.golang.org/grpc/metadata"
 
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
@@ -15,48 +14,42 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
-const (
-	// fingerprintMetadata and partsMetadata are the keys of the metadata of a RunStage call that hold
-	// the fingerprint of the request, and eight bytes for each shared part of its prompt.
-	fingerprintMetadata = "hoist-fingerprint-bin"
-	partsMetadata       = "hoist-prompt-parts-bin"
-	partBytes           = 8
-	// maxStageParts bounds the parts in the metadata.
-	maxStageParts = 32
-)
+// maxStageParts bounds the parts of the prompt that are sent with a stage.
+const maxStageParts = 32
 
 type suspectKey struct{}
 
-// withSuspect returns a context for the stages of a request. The owner of a pool learns from it what is
+// withSuspect returns a context for the stages of a request. The runner of a pool learns from it what is
 // under suspicion if an upstream crashes during a stage call.
 func withSuspect(ctx context.Context, s suspect) context.Context {
-	var parts []byte
-	for _, part := range s.parts[:min(len(s.parts), maxStageParts)] {
-		parts = binary.BigEndian.AppendUint64(parts, uint64(part))
-	}
-	ctx = metadata.AppendToOutgoingContext(ctx, fingerprintMetadata, string(s.fingerprint[:]), partsMetadata, string(parts))
 	return context.WithValue(ctx, suspectKey{}, s)
 }
 
 // suspectOf returns the suspect of the request whose stage runs, on the VM of the request or on the owner of
-// the pool. Older versions send none; malformed metadata counts as none.
+// the pool.
 func suspectOf(ctx context.Context) (suspect, bool) {
-	if s, ok := ctx.Value(suspectKey{}).(suspect); ok {
-		return s, true
-	}
-	values := metadata.ValueFromIncomingContext(ctx, fingerprintMetadata)
-	if len(values) != 1 || len(values[0]) != fingerprintBytes {
-		return suspect{}, false
+	s, ok := ctx.Value(suspectKey{}).(suspect)
+	return s, ok
+}
+
+// setSuspect makes a request to the owner of a pool carry the suspect of the context, if it has one.
+func setSuspect(ctx context.Context, r *hoistv1.RunStageRequest) {
+	if s, ok := suspectOf(ctx); ok {
+		r.Fingerprint, r.PromptParts = s.fingerprint[:], partsToProto(s.parts[:min(len(s.parts), maxStageParts)])
 	}
-	s := suspect{fingerprint: poison.Fingerprint([]byte(values[0]))}
-	parts := metadata.ValueFromIncomingContext(ctx, partsMetadata)
-	if len(parts) != 1 || len(parts[0])%partBytes != 0 || len(parts[0]) > maxStageParts*partBytes {
-		return s, true
+}
+
+// withSuspectOf returns a context with the suspect that a request to the owner of a pool carries. Older
+// versions send none; one with a malformed fingerprint counts as none, and too many parts count as no part.
+func withSuspectOf(ctx context.Context, r *hoistv1.RunStageRequest) context.Context {
+	if len(r.GetFingerprint()) != fingerprintBytes {
+		return ctx
 	}
-	for part := range slices.Chunk([]byte(parts[0]), partBytes) {
-		s.parts = append(s.parts, poison.Part(binary.BigEndian.Uint64(part)))
+	s := suspect{fingerprint: poison.Fingerprint(r.GetFingerprint())}
+	if parts := r.GetPromptParts(); len(parts) <= maxStageParts {
+		s.parts = partsFromProto(parts, maxStageParts)
 	}
-	return s, true
+	return withSuspect(ctx, s)
 }
 
 // suspectsOf returns the suspects of a call: the requests whose pieces it runs.
--- a/internal/edge/stagecrash_test.go
+++ b/internal/edge/stagecrash_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,8 +9,7 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc/metadata"
-
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 )
@@ -64,28 +62,30 @@
 	}
 }
 
-// TestSuspectOfStageCall guards against metadata of a stage call that blames other requests, or exhausts
-// memory.
+// TestSuspectOfStageCall guards against a stage call that blames other requests, or exhausts memory.
 func TestSuspectOfStageCall(t *testing.T) {
 	sent := suspect{fingerprint: poison.Fingerprint{1, 2, 3}, parts: partsOf("a", "b")}
-	outgoing, _ := metadata.FromOutgoingContext(withSuspect(t.Context(), sent))
-	received, ok := suspectOf(metadata.NewIncomingContext(context.Background(), outgoing))
+	var request hoistv1.RunStageRequest
+	setSuspect(withSuspect(t.Context(), sent), &request)
+	received, ok := suspectOf(withSuspectOf(t.Context(), &request))
 	if !ok || received.fingerprint != sent.fingerprint || !slices.Equal(received.parts, sent.parts) {
 		t.Errorf("received %v, expected %v", received, sent)
 	}
-	for name, pairs := range map[string][]string{
-		"none":              nil,
-		"short fingerprint": {fingerprintMetadata, "x"},
-		"two fingerprints":  {fingerprintMetadata, strings.Repeat("x", fingerprintBytes), fingerprintMetadata, strings.Repeat("y", fingerprintBytes)},
-	} {
-		if _, ok := suspectOf(metadata.NewIncomingContext(context.Background(), metadata.Pairs(pairs...))); ok {
-			t.Errorf("%s: accepted", name)
+	for _, n := range []int{0, 1, fingerprintBytes - 1, fingerprintBytes + 1, 2 * fingerprintBytes} {
+		request := hoistv1.RunStageRequest{Fingerprint: make([]byte, n), PromptParts: []uint64{1}}
+		if _, ok := suspectOf(withSuspectOf(t.Context(), &request)); ok {
+			t.Errorf("a fingerprint of %d bytes is accepted", n)
 		}
 	}
-	for _, n := range []int{partBytes + 1, (maxStageParts + 1) * partBytes} {
-		pairs := metadata.Pairs(fingerprintMetadata, strings.Repeat("x", fingerprintBytes), partsMetadata, strings.Repeat("y", n))
-		if received, ok := suspectOf(metadata.NewIncomingContext(context.Background(), pairs)); !ok || received.parts != nil {
-			t.Errorf("%d bytes of parts: received %v", n, received)
+	for n, expected := range map[int]int{maxStageParts: maxStageParts, maxStageParts + 1: 0} {
+		request := hoistv1.RunStageRequest{Fingerprint: make([]byte, fingerprintBytes), PromptParts: make([]uint64, n)}
+		if received, ok := suspectOf(withSuspectOf(t.Context(), &request)); !ok || len(received.parts) != expected {
+			t.Errorf("%d parts: received %v, expected %d parts", n, received, expected)
 		}
 	}
+	sent.parts = make([]poison.Part, 2*maxStageParts)
+	setSuspect(withSuspect(t.Context(), sent), &request)
+	if n := len(request.GetPromptParts()); n != maxStageParts {
+		t.Errorf("%d parts sent, expected %d", n, maxStageParts)
+	}
 }
