Bound what messages about placements can do

The owner of a shard of engines took the figures of other VMs as they came. One request with 2^32 tokens made an engine look busy for hours, also after it had expired; a huge time between events or cold start decided the averages or excluded an engine; parts without tokens and engines without a stated memory let the model of a cache grow without limit. A response that is no stream has no events, so what the engine had read for it was forgotten. The end of a request at an earlier instance counted for the one that has started under its ID. Callers choose the IDs of requests, so two requests with one ID counted as one.

Malformed requests to place are refused and counted, impossible measurements are ignored, the state is bounded, EndPlacement names the start of the engine, and each question to an owner has an ID of its own.

At the asking VM, a question that took 60 ms closed the connection to the owner, and with it each stage call on it. All questions of an attempt now share 60 ms, where two owners and two tries could take 240 ms, and the connection stays unless a ping fails. Signals of upstreams that arrive while the owner is asked count, also those in the responses to /report; a panic in the decoder of a report no longer ends the process. Runners of shards that another VM owns are dropped also if there was no claim, and the end of a request no longer creates one. Fleets of up to 8 VMs claim no shards of engines, and a VM that has just started decides alone.

--- a/internal/edge/enginerunner.go
+++ b/internal/edge/enginerunner.go
@@ -20,6 +20,9 @@
 // engineReportTimeout bounds the query for the load of an engine.
 const engineReportTimeout = 200 * time.Millisecond
 
+// maxCopyTimePerToken bounds the time to copy a token, in nanoseconds. Reading one takes some microseconds.
+const maxCopyTimePerToken = 1e7
+
 // engineRunner places requests on the engines of one shard on the VM that owns the shard.
 type engineRunner struct {
 	pool    string
@@ -30,6 +33,7 @@
 	metrics *metrics
 	contain *containment
 	signals *upstreamSignals
+	view    func() *View
 
 	mu      sync.Mutex
 	placer  *enginepool.Pool
@@ -40,7 +44,7 @@
 
 func newEngineRunner(pool string, s *Server) *engineRunner {
 	return &engineRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals,
+		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals, view: s.view.Load,
 		placer: enginepool.New(), entries: map[string]*registry.Entry{},
 	}
 }
@@ -48,9 +52,13 @@
 // engineLimits returns the limits of the engines of a pool.
 func engineLimits(e *catalog.Engine) enginepool.Limits {
 	limits := enginepool.Limits{Concurrency: e.Concurrency, CacheTokens: e.CacheTokens}
-	if e.LinkBytesPerSecond > 0 {
+	if e.LinkBytesPerSecond > 0 && e.CacheBytesPerToken > 0 {
 		limits.CopyTimePerToken = e.CacheBytesPerToken / e.LinkBytesPerSecond * float64(time.Second)
 	}
+	if limits.CopyTimePerToken > maxCopyTimePerToken {
+		// A copy would take longer than reading, and the times of many tokens would overflow.
+		limits.CopyTimePerToken = 0
+	}
 	return limits
 }
 
@@ -87,7 +95,7 @@
 		now := r.now()
 		r.placer.End(now, id, outcome)
 		if cold > 0 {
-			r.placer.RecordColdStart(now, outcome.Engine, cold)
+			r.placer.RecordColdStart(now, outcome.Engine, outcome.Start, cold)
 		}
 	})
 }
@@ -98,7 +106,7 @@
 	r.reportIDs = r.placer.ReportsWanted(now, r.reportIDs[:0])
 	for _, id := range r.reportIDs {
 		if entry := r.entries[id]; entry != nil {
-			go r.queryReport(entry)
+			go r.contain.run("engine report", func() { r.queryReport(entry) })
 		}
 	}
 }
@@ -110,14 +118,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), engineReportTimeout)
 	defer cancel()
-	report, err := r.fetchReport(ctx, entry.Address)
-	valid := false
-	if err == nil {
-		r.mu.Lock()
-		valid = r.placer.RecordReport(r.now(), entry.ID, report)
-		r.mu.Unlock()
-	}
-	if !valid {
+	report, err := r.fetchReport(ctx, entry)
+	if err != nil || !r.recordReport(entry, report) {
 		r.metrics.engineReports.WithLabelValues("ignored").Inc()
 		r.logger.Info("load of an engine not available", zap.String("pool", r.pool), zap.String("upstream", entry.ID), obs.ErrorField(err))
 		return
@@ -125,14 +127,28 @@
 	r.metrics.engineReports.WithLabelValues("used").Inc()
 }
 
-func (r *engineRunner) fetchReport(ctx context.Context, address string) (enginepool.Report, error) {
-	request := r.dialect.EncodeMemoryQuery(address)
+// recordReport applies a report, and reports whether it is valid.
+func (r *engineRunner) recordReport(entry *registry.Entry, report enginepool.Report) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.placer.RecordReport(r.now(), entry.ID, entry.StartID, report)
+}
+
+func (r *engineRunner) fetchReport(ctx context.Context, entry *registry.Entry) (enginepool.Report, error) {
+	request := r.dialect.EncodeMemoryQuery(entry.Address)
 	// The response does not say which query it belongs to.
 	request.SingleUse = true
-	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
+	response, err := r.client.Do(ctx, entry.Address, request, maxStageResponseBytes)
 	if err != nil {
 		return enginepool.Report{}, err
 	}
+	info := r.dialect.DecodeResponse(response.Status, response.Header)
+	if view := r.view(); view != nil {
+		r.signals.record(view, entry, info)
+	}
+	if info.UpstreamID != "" && info.UpstreamID != entry.ID {
+		return enginepool.Report{}, errors.Newf("report of upstream %q", info.UpstreamID)
+	}
 	if response.Status != http.StatusOK {
 		return enginepool.Report{}, errors.Newf("status %d", response.Status)
 	}
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -232,6 +232,11 @@
 	beforeStage func()
 	results     func(call stagepool.Call, results []stagepool.PieceResult) []stagepool.PieceResult
 
+	// memoryQueries counts the queries for the free memory or the load. With memoryPause they are refused with
+	// that pause.
+	memoryQueries atomic.Int64
+	memoryPause   atomic.Pointer[string]
+
 	mu          sync.Mutex
 	runs        map[string]int
 	inputs      map[string]string
@@ -257,6 +262,12 @@
 		u.stage(w, body)
 		return
 	case "/memory":
+		u.memoryQueries.Add(1)
+		if pause := u.memoryPause.Load(); pause != nil {
+			w.Header().Set("Pause", *pause)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		_, _ = io.WriteString(w, "1000000000") // The caller reports an incomplete response.
 		return
 	case "/release":
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -36,6 +36,10 @@
 	promptTokens  *prometheus.CounterVec
 	placementWait *prometheus.HistogramVec
 	engineReports *prometheus.CounterVec
+	// placeInvalid counts malformed requests of other VMs to place, and loadsInvalid malformed statements
+	// of load in responses of upstreams.
+	placeInvalid prometheus.Counter
+	loadsInvalid prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -88,10 +92,16 @@
 		engineReports: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_engine_reports_total", Help: "Queries for the load of engines: used or ignored.",
 		}, []string{"result"}),
+		placeInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_place_requests_invalid_total", Help: "Malformed requests of other VMs to place a request on an engine.",
+		}),
+		loadsInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_upstream_loads_invalid_total", Help: "Responses of upstreams whose statement of load was malformed and ignored.",
+		}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.placeInvalid, m.loadsInvalid)
 	return m
 }
 
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -201,4 +201,5 @@
 		s.handOver(released.Resource.Name, released.NewOwner)
 		s.dropEngineRunner(released.Resource.Name)
 	}
+	s.dropForeignEngineRunners()
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -111,6 +111,16 @@
 	return errors.Wrapf(err, "%s", entry.Name)
 }
 
+// callBriefly runs a call whose context ends after a few tens of milliseconds. Unlike callWithoutPing it
+// keeps the connection then, since an owner that is only slow would lose all other calls on it.
+func (p *peers) callBriefly(ctx context.Context, entry fleet.Entry, run func(context.Context, hoistv1.FleetClient) error) error {
+	c, err := p.conn(entry)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(run(ctx, c.client), "%s", entry.Name)
+}
+
 // beginCall counts a pending call, and returns a context that is cancelled when a ping fails.
 func (c *peerConn) beginCall() context.Context {
 	c.mu.Lock()
--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,15 +16,19 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
 const (
-	// placeTimeout bounds the question to the owner of a shard of engines. Without an answer this VM
-	// chooses by itself.
+	// placeTimeout bounds all questions to owners of shards of engines for one attempt. Without an answer
+	// this VM chooses by itself.
 	placeTimeout = 60 * time.Millisecond
 	// placeBackoff is how long an owner is not asked again after it did not answer.
 	placeBackoff = time.Second
+	// minSkipTime is the time that an owner must have had for its answer to count as not answering. What is
+	// left of placeTimeout for a second owner may be too short.
+	minSkipTime = placeTimeout / 2
 	// endPlacementTimeout bounds the report of the end of a request. If it is lost, the owner counts
 	// the request for some seconds more.
 	endPlacementTimeout = 500 * time.Millisecond
@@ -40,14 +45,17 @@
 	skipped map[string]clock.Instant
 }
 
-// skip makes an owner count as not answering for some time.
-func (e *engineOwners) skip(name string, until clock.Instant) {
+// skip makes an owner count as not answering for some time. It reports whether the owner did not count so
+// before.
+func (e *engineOwners) skip(name string, now clock.Instant) (isNew bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.skipped == nil {
 		e.skipped = map[string]clock.Instant{}
 	}
-	e.skipped[name] = until
+	isNew = now >= e.skipped[name]
+	e.skipped[name] = now.Add(placeBackoff)
+	return isNew
 }
 
 // isSkipped reports whether an owner did not answer a short time ago.
@@ -75,16 +83,17 @@
 	switch {
 	case p.CachedTokens+p.CopiedTokens >= other.CachedTokens+other.CopiedTokens:
 	case other.CacheSource != "":
-		p.CacheSource, p.CopiedTokens = other.CacheSource, other.CachedTokens+other.CopiedTokens-p.CachedTokens
+		p.CacheSource, p.CopiedTokens = other.CacheSource, max(other.CachedTokens+other.CopiedTokens-p.CachedTokens, 0)
 	default:
-		p.CacheSource, p.CopiedTokens = other.Engine, other.CachedTokens-p.CachedTokens
+		p.CacheSource, p.CopiedTokens = other.Engine, max(other.CachedTokens-p.CachedTokens, 0)
 	}
 }
 
 // placesByOwner reports whether the owners of shards place the requests to a pool. In a small fleet a
-// VM sees enough of the load by itself.
+// VM sees enough of the load by itself. A VM that has just started does not know the owners yet: when
+// all VMs start at once, each would take itself for the owner of all shards.
 func (s *Server) placesByOwner(view *View, pool string) bool {
-	return s.fleetSize.Load() > smallFleetSize && len(view.ShardsOf[pool]) > 0 && view.ShardsOf[pool][0].engine != nil
+	return s.fleetSize.Load() > s.maxDecidingAlone && s.now().Sub(s.startedAt) >= discoveryTimeout && len(view.ShardsOf[pool]) > 0 && view.ShardsOf[pool][0].engine != nil
 }
 
 // acquirePlaced asks the owner of a shard for an engine. It returns nil if no owner answers or none
@@ -93,7 +102,8 @@
 	if !t.s.placesByOwner(view, t.pool) {
 		return nil
 	}
-	t.placements++
+	ctx, cancel := context.WithTimeout(t.ctx, placeTimeout)
+	defer cancel()
 	excluded := make([]string, 0, len(t.tried)+len(request.Restrictions)+maxPlaceTries)
 	for id := range t.tried {
 		excluded = append(excluded, id)
@@ -102,11 +112,13 @@
 		excluded = append(excluded, id)
 	}
 	for range maxPlaceTries {
-		placed := t.placeOnShards(view, excluded)
+		placed := t.placeOnShards(ctx, view, excluded)
 		if placed == nil {
-			t.s.metrics.placements.WithLabelValues(t.pool, "vm").Inc()
-			return nil
+			break
 		}
+		// The view and the signals of upstreams may have changed while the owner was asked.
+		view = t.s.view.Load()
+		request.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
 		if l := t.s.upstreams.acquireNamed(view, t.pool, placed, request); l != nil {
 			t.s.metrics.recordPlacement(t.pool, &placed.Placement)
 			t.s.logger.Info("engine chosen", zap.String("request", t.requestInfo.ID), zap.String("shard", placed.shard.Name), zap.String("owner", placed.owner.Name),
@@ -117,19 +129,20 @@
 		t.s.endPlacement(placed, enginepool.Outcome{Engine: placed.Engine, Result: enginepool.Aborted}, 0)
 		excluded = append(excluded, placed.Engine)
 	}
+	t.s.metrics.placements.WithLabelValues(t.pool, "vm").Inc()
 	return nil
 }
 
 // placeOnShards asks the owner of the first shard of the request, and that of the second one if the
 // engines of the first are busy.
-func (t *transaction) placeOnShards(view *View, excluded []string) *enginePlacement {
+func (t *transaction) placeOnShards(ctx context.Context, view *View, excluded []string) *enginePlacement {
 	first, second := t.engineShards(view)
 	var best *enginePlacement
 	for _, shard := range []*poolShard{first, second} {
 		if shard == nil {
 			continue
 		}
-		placed := t.placeOn(shard, excluded)
+		placed := t.placeOn(ctx, shard, excluded)
 		if placed == nil {
 			continue
 		}
@@ -214,10 +227,10 @@
 
 // placeOn asks the owner of a shard for an engine. It returns nil if the owner does not answer, has
 // changed, or has no engine for the request.
-func (t *transaction) placeOn(shard *poolShard, excluded []string) *enginePlacement {
+func (t *transaction) placeOn(ctx context.Context, shard *poolShard, excluded []string) *enginePlacement {
 	s := t.s
 	owner := s.gossip.owner(shard.resource())
-	request := t.engineRequest(excluded)
+	request := t.engineRequest(shard, excluded)
 	if owner.Name == s.settings.VM {
 		runner := s.engineRunner(shard.Name)
 		if runner == nil {
@@ -232,32 +245,49 @@
 	if s.engineOwners.isSkipped(owner.Name, s.now()) {
 		return nil
 	}
-	response := t.callPlace(owner, shard, request)
+	response := t.callPlace(ctx, owner, shard, request)
 	if response == nil || response.GetUpstream() == "" {
 		return nil
 	}
-	return &enginePlacement{
-		Placement: enginepool.Placement{
-			Engine: response.GetUpstream(), CacheSource: response.GetCacheSource(), Expected: time.Duration(response.GetExpectedUs()) * time.Microsecond,
-			Wait: time.Duration(response.GetWaitUs()) * time.Microsecond, CachedTokens: int(response.GetCachedTokens()), CopiedTokens: int(response.GetCopiedTokens()),
-		},
-		id: request.ID, shard: shard, owner: owner,
+	return &enginePlacement{Placement: placementFromProto(response), id: request.ID, shard: shard, owner: owner}
+}
+
+// placementFromProto decodes what an owner answered. Figures that no request has become 0.
+func placementFromProto(r *hoistv1.PlaceResponse) enginepool.Placement {
+	tokens := func(n uint32) int {
+		if n > maxPlaceTokens {
+			return 0
+		}
+		return int(n)
+	}
+	placed := enginepool.Placement{
+		Engine: r.GetUpstream(), Expected: durationFromProto(r.GetExpectedUs(), time.Microsecond), Wait: durationFromProto(r.GetWaitUs(), time.Microsecond),
+		CachedTokens: tokens(r.GetCachedTokens()),
+	}
+	if r.GetCacheSource() != placed.Engine {
+		placed.CacheSource = r.GetCacheSource()
 	}
+	if placed.CacheSource != "" {
+		placed.CopiedTokens = tokens(r.GetCopiedTokens())
+	}
+	return placed
 }
 
 // callPlace calls the owner of a shard. It returns nil if the owner does not answer or has changed.
-func (t *transaction) callPlace(owner fleet.Entry, shard *poolShard, request *enginepool.Request) *hoistv1.PlaceResponse {
+func (t *transaction) callPlace(ctx context.Context, owner fleet.Entry, shard *poolShard, request *enginepool.Request) *hoistv1.PlaceResponse {
 	s := t.s
-	ctx, cancel := context.WithTimeout(t.ctx, placeTimeout)
-	defer cancel()
+	if ctx.Err() != nil {
+		return nil
+	}
+	asked := s.now()
 	var response *hoistv1.PlaceResponse
-	err := s.peers.callWithoutPing(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
+	err := s.peers.callBriefly(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
 		response, err = client.Place(ctx, placeRequestToProto(shard.Name, request))
 		return err
 	})
 	if err != nil {
 		if t.ctx.Err() == nil {
-			s.engineOwners.skip(owner.Name, s.now().Add(placeBackoff))
+			s.skipEngineOwner(owner, ctx.Err() != nil && s.now().Sub(asked) < minSkipTime)
 			s.logger.Info("owner of engines did not answer; choosing without it", zap.String("request", t.requestInfo.ID),
 				zap.String("shard", shard.Name), zap.String("owner", owner.Name), obs.ErrorField(err))
 		}
@@ -270,10 +300,32 @@
 	return response
 }
 
-// engineRequest describes the request for the placement on an engine. Each send has its own ID.
-func (t *transaction) engineRequest(excluded []string) *enginepool.Request {
+// skipEngineOwner makes an owner that did not answer count as such, unless it had too little time, and checks
+// whether its connection is broken without an error.
+func (s *Server) skipEngineOwner(owner fleet.Entry, hadLittleTime bool) {
+	if hadLittleTime || !s.engineOwners.skip(owner.Name, s.now()) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endPlacementTimeout)
+		defer cancel()
+		// A ping without an answer closes the connection, so that the next call opens another one.
+		err := s.peers.callWithoutPing(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) error {
+			_, err := client.Ping(ctx, &hoistv1.PingRequest{})
+			return err
+		})
+		s.logger.Debug("owner of engines checked", zap.String("owner", owner.Name), obs.ErrorField(err))
+	}()
+}
+
+// engineRequest describes the request for the placement on an engine of a shard. Each question has its own
+// ID: callers may use the ID of a request several times.
+func (t *transaction) engineRequest(shard *poolShard, excluded []string) *enginepool.Request {
+	excluded = slices.DeleteFunc(slices.Clone(excluded), func(id string) bool {
+		return !slices.ContainsFunc(shard.entries, func(entry *registry.Entry) bool { return entry.ID == id })
+	})
 	request := &enginepool.Request{
-		ID: t.requestInfo.ID + "/" + strconv.Itoa(t.placements), PromptTokens: t.requestInfo.PromptTokens, OutputTokens: t.requestInfo.expectedOutput(),
+		ID: t.s.nextPlacementID(), PromptTokens: t.requestInfo.PromptTokens, OutputTokens: t.requestInfo.expectedOutput(),
 		InputZone: t.inputZone(), Excluded: excluded, Slack: max(t.due.Sub(t.s.now()), 0),
 	}
 	if !t.route.HasPromptPrefixes {
@@ -285,10 +337,16 @@
 	return request
 }
 
+// nextPlacementID returns an ID that no other question to an owner has, also not one of an earlier process
+// of this VM.
+func (s *Server) nextPlacementID() string {
+	return s.settings.VM + "/" + strconv.FormatInt(int64(s.startedAt), 36) + "/" + strconv.FormatInt(s.placementCount.Add(1), 36)
+}
+
 // endPlacement reports the end of a request to the owner that placed it, without waiting.
 func (s *Server) endPlacement(placed *enginePlacement, outcome enginepool.Outcome, cold time.Duration) {
 	if placed.owner.Name == s.settings.VM {
-		if runner := s.engineRunner(placed.shard.Name); runner != nil {
+		if runner := s.findEngineRunner(placed.shard.Name); runner != nil {
 			runner.end(placed.id, outcome, cold)
 		}
 		return
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -114,6 +114,10 @@
 	engineRunnersMu sync.Mutex
 	engineRunners   map[string]*engineRunner
 	engineOwners    engineOwners
+	// maxDecidingAlone is the fleet size up to which each VM chooses engines by itself.
+	maxDecidingAlone int64
+	// placementCount numbers the questions to the owners of engines.
+	placementCount atomic.Int64
 
 	poisonMu sync.Mutex
 	// poison tracks the requests during which upstreams crashed.
@@ -126,7 +130,7 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, releases: outbound.NewClient(options.Settings.IP), now: options.Now, logger: options.Logger, failures: options.Failures,
-		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
+		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, maxDecidingAlone: smallFleetSize, poison: poison.New(), stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
 		startup: newStartup(), startupWait: startupWait,
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
@@ -156,7 +160,7 @@
 	if view.Catalog != nil {
 		s.startup.setConfigured()
 	}
-	s.configureEngineRunners(view)
+	s.configureEngineRunners()
 	s.poolRunnersMu.Lock()
 	defer s.poolRunnersMu.Unlock()
 	for name, runner := range s.poolRunners {
--- a/internal/edge/shards.go
+++ b/internal/edge/shards.go
@@ -65,6 +65,9 @@
 func (s *Server) ownableResources(view *View) []fleet.Resource {
 	var out []fleet.Resource
 	for _, shard := range view.Shards {
+		if shard.engine != nil && s.fleetSize.Load() <= s.maxDecidingAlone && !s.gossip.hasClaimed(shard.Name) {
+			continue
+		}
 		if shard.Zone == "" || shard.Zone == s.settings.Zone || !s.isZoneReachable(shard.Zone) || s.gossip.hasClaimed(shard.Name) {
 			out = append(out, shard.resource())
 		}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -50,8 +50,6 @@
 	// shards holds for each stage the name of the shard in which it is reserved; "" if it is not.
 	shards []string
 
-	// placements is the number of questions to the owners of engines.
-	placements int
 	// tried holds the IDs of the upstreams to which the request was sent.
 	tried map[string]bool
 	// mayHaveRun is set once an upstream may have started to run the request.
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -156,7 +156,7 @@
 	}
 	state.RecordStart(now)
 	l := &lease{upstreams: u, state: state, entry: state.entry, started: now, placed: placed}
-	if source := u.states[placed.CacheSource]; source != nil {
+	if source := u.states[placed.CacheSource]; source != nil && source != state && source.entry.Pool == pool {
 		l.cacheSource = source.entry.Address
 	}
 	return l
@@ -238,7 +238,7 @@
 
 // outcome returns what the owner of the engine learns from the request.
 func (l *lease) outcome(result enginepool.Result) enginepool.Outcome {
-	o := enginepool.Outcome{Engine: l.entry.ID, Result: result, Events: l.events}
+	o := enginepool.Outcome{Engine: l.entry.ID, Start: l.entry.StartID, Result: result, Events: l.events}
 	if l.events > 0 {
 		o.FirstEvent = max(l.firstEvent.Sub(l.started), 1)
 	}
--- a/pkg/enginepool/cache.go
+++ b/pkg/enginepool/cache.go
@@ -10,7 +10,9 @@
 // cache models the prompt cache of one engine: a list of parts from the latest used to the one that
 // was not used for longest. The zero value is empty.
 type cache struct {
-	tokens  int64
+	tokens int64
+	// size is the number of entries in the list.
+	size    int
 	entries map[uint64]*cacheEntry
 	front   *cacheEntry
 	back    *cacheEntry
@@ -32,6 +34,7 @@
 		c.entries[entry.part] = entry
 	}
 	c.tokens += int64(entry.tokens)
+	c.size++
 	c.pushFront(entry)
 }
 
@@ -40,6 +43,7 @@
 		delete(c.entries, entry.part)
 	}
 	c.tokens -= int64(entry.tokens)
+	c.size--
 	c.unlink(entry)
 }
 
--- a/pkg/enginepool/parts.go
+++ b/pkg/enginepool/parts.go
@@ -2,6 +2,10 @@
 
 import "github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 
+// maxEntries bounds the parts in the model of one cache. It holds for engines without a stated memory,
+// and for many short parts.
+const maxEntries = 4096
+
 // maxParts bounds the shared parts of a prompt that are considered.
 const maxParts = 4
 
@@ -120,7 +124,7 @@
 
 // evict drops the parts that were not used for longest until the cache fits into the memory.
 func (p *parts) evict(e *engine, capacity int64) {
-	for capacity > 0 && e.cache.tokens > capacity && e.cache.back != nil {
+	for e.cache.back != nil && (capacity > 0 && e.cache.tokens > capacity || e.cache.size > maxEntries) {
 		p.drop(e, e.cache.back)
 	}
 }
--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -101,8 +101,12 @@
 func (p *Pool) Place(now clock.Instant, r *Request) (Placement, bool) {
 	p.expire(now)
 	if old := p.flights[r.ID]; old != nil {
-		p.drop(r.ID, old)
+		p.drop(now, r.ID, old)
 	}
+	if len(p.flights) >= maxFlights {
+		return Placement{}, false
+	}
+	r.limit()
 	best := p.choose(now, r)
 	if best == nil {
 		return Placement{}, false
@@ -117,6 +121,22 @@
 	return placed, true
 }
 
+// limit bounds the figures of a request that another VM sent. Parts without tokens are nothing to cache,
+// and a prompt is no smaller than its parts.
+func (r *Request) limit() {
+	r.PromptTokens, r.OutputTokens = min(max(r.PromptTokens, 0), maxTokens), min(max(r.OutputTokens, 0), maxTokens)
+	r.Parts = r.Parts[:min(len(r.Parts), maxParts)]
+	shared := 0
+	for i, part := range r.Parts {
+		if part.ID == privatePart || part.Tokens <= 0 || part.Tokens > maxTokens-shared {
+			r.Parts = r.Parts[:i]
+			break
+		}
+		shared += part.Tokens
+	}
+	r.PromptTokens = max(r.PromptTokens, shared)
+}
+
 // choose returns the offer of the best engine, or nil if none may take the request.
 func (p *Pool) choose(now clock.Instant, r *Request) *offer {
 	holders := p.parts.holders(now, r.Parts)
--- a/pkg/enginepool/pool.go
+++ b/pkg/enginepool/pool.go
@@ -22,6 +22,14 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
 
+// maxTokens bounds the tokens of one request, and maxFlights the requests in flight of one shard. No
+// request and no shard reaches them; they keep a malformed message from occupying an engine for hours
+// and from exhausting the memory of the owner.
+const (
+	maxTokens  = 1 << 21
+	maxFlights = 1 << 16
+)
+
 // maxEngines is the number of engines of a shard whose caches are tracked. Shards are smaller; see
 // stagepool.Partition.
 const maxEngines = 64
@@ -159,7 +167,7 @@
 func (p *Pool) remove(e *engine) {
 	for id, f := range p.flights {
 		if f.engine == e {
-			p.drop(id, f)
+			p.drop(0, id, f)
 		}
 	}
 	p.parts.evictAll(e)
@@ -167,9 +175,12 @@
 	p.engines = slices.DeleteFunc(p.engines, func(other *engine) bool { return other == e })
 }
 
-// drop removes a flight.
-func (p *Pool) drop(id string, f *flight) {
+// drop removes a flight. An engine without flights has nothing left to read, whatever was expected.
+func (p *Pool) drop(now clock.Instant, id string, f *flight) {
 	f.engine.running--
+	if f.engine.running == 0 {
+		f.engine.readUntil = min(f.engine.readUntil, now)
+	}
 	f.engine.tokens -= f.tokens
 	delete(p.flights, id)
 	p.free = append(p.free, f)
@@ -197,7 +208,7 @@
 	p.expiredAt = now
 	for id, f := range p.flights {
 		if now >= f.expires {
-			p.drop(id, f)
+			p.drop(now, id, f)
 		}
 	}
 }
--- a/pkg/enginepool/pool_test.go
+++ b/pkg/enginepool/pool_test.go
@@ -187,14 +187,14 @@
 		t.Errorf("the load of %v is asked for again", ids)
 	}
 	for _, r := range []Report{{Running: -1}, {Queued: math.MaxInt}, {UsedTokens: -5}, {NextTokens: math.MaxInt64}} {
-		if p.RecordReport(start, "a", r) {
+		if p.RecordReport(start, "a", 1, r) {
 			t.Errorf("report %+v was accepted", r)
 		}
 	}
-	if p.RecordReport(start, "x", Report{}) {
+	if p.RecordReport(start, "x", 1, Report{}) {
 		t.Error("a report of an unknown engine was accepted")
 	}
-	if !p.RecordReport(start, "a", Report{Running: 3, Queued: 4, NextTokens: 10_000}) {
+	if !p.RecordReport(start, "a", 1, Report{Running: 3, Queued: 4, NextTokens: 10_000}) {
 		t.Error("a valid report was ignored")
 	}
 	if placed := place(t, p, start, Request{ID: "1", PromptTokens: 1000}); placed.Engine != "b" {
--- a/pkg/enginepool/report.go
+++ b/pkg/enginepool/report.go
@@ -67,10 +67,10 @@
 
 // RecordReport combines a report with the requests in flight: what the engine has beyond them comes
 // from elsewhere, such as from VMs that could not reach this owner. It reports whether the report
-// is valid.
-func (p *Pool) RecordReport(now clock.Instant, id string, r Report) bool {
+// is valid. A report of an instance other than the one that started at start is not.
+func (p *Pool) RecordReport(now clock.Instant, id string, start int64, r Report) bool {
 	e := p.byID[id]
-	if e == nil || !r.isValid() {
+	if e == nil || e.Start != start || !r.isValid() {
 		return false
 	}
 	e.report.until = now.Add(reportTTL)
