Use the stated pace of upstreams for the next stage call

Upstreams state four figures of load, of which two were read and any others accepted. All are now decoded; a load with a missing, extra or impossible figure, or a pace of 0, is counted and ignored as a whole.

The slowness of an upstream is learned from the time of its calls, with a half-life of 3 s. The stated pace changes several times per second, so it is a hint for the next call only: half of the weight when it is stated, halved each 100 ms, gone once a call has begun or a response states none. Timeouts and the slowness handed to the next owner do not follow it.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -96,8 +96,10 @@
 	Encoded bool
 	// ColdRemaining is how long the upstream remains in cold start; 0 if not stated.
 	ColdRemaining time.Duration
-	// Load is the number of other calls at the upstream; nil if not stated.
-	Load *stagepool.CallLoad
+	// Load is the number of other calls at the upstream and its pace; nil if not stated. LoadInvalid is
+	// set if what was stated is malformed.
+	Load        *stagepool.CallLoad
+	LoadInvalid bool
 	// UpstreamID is the ID of the upstream that responded; empty if not stated.
 	UpstreamID string
 	// Leaving is set if the upstream states that it is about to stop.
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -79,6 +79,9 @@
 // record records the signals of a response to a request that was sent to an upstream. A response of
 // another upstream at its address says nothing about it, but may say something about the other one.
 func (s *upstreamSignals) record(view *View, entry *registry.Entry, info ResponseInfo) {
+	if info.LoadInvalid {
+		s.metrics.loadsInvalid.Inc()
+	}
 	if info.PauseInvalid {
 		s.metrics.upstreamSignals.WithLabelValues(signalInvalid).Inc()
 		s.logger.Debug("Retry-After of an upstream ignored", zap.String("upstream", entry.ID))
--- a/pkg/stagepool/finish.go
+++ b/pkg/stagepool/finish.go
@@ -11,6 +11,10 @@
 type CallLoad struct {
 	Running int
 	Waiting int
+	// Places is the number of calls that the upstream runs at a time; 0 if not stated.
+	Places int
+	// Pace is how long work takes at the upstream now, relative to the usual time; 0 if not stated.
+	Pace float64
 }
 
 // FinishCall records the end of a call. results has an entry for each piece of an answered
@@ -27,6 +31,7 @@
 	if outcome == CallRejected || (load != nil && load.Running+load.Waiting > len(u.calls)) {
 		u.contendedUntil = now.Add(contentionDuration)
 	}
+	u.recordPace(now, load)
 	succeeded, outOfMemory := 0, false
 	for i, callPiece := range running.call.Pieces {
 		result := PieceResult{Outcome: PieceFailed}
--- a/pkg/stagepool/schedule.go
+++ b/pkg/stagepool/schedule.go
@@ -36,7 +36,7 @@
 		}
 		freeBytes := int64(float64(p.batch.ResultMemoryBytes)*usableMemoryFraction) - u.usedBytes - u.currentExternalBytes(now)
 		out = append(out, slot{
-			upstream: u, freeAt: max(u.availableAt(now, p.batch.Concurrency), p.blocks[id]), slowness: max(1, u.currentSlowness(now)), freeBytes: freeBytes,
+			upstream: u, freeAt: max(u.availableAt(now, p.batch.Concurrency), p.blocks[id]), slowness: max(1, u.nextSlowness(now)), freeBytes: freeBytes,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b slot) int {
@@ -318,7 +318,8 @@
 	running.call = call
 	u.calls[call.ID] = running
 	u.usedBytes += running.reservedBytes
-	u.freeAt = now.Add(expected)
+	u.freeAt = now.Add(time.Duration(float64(running.expectedTime) * u.nextSlowness(now)))
+	u.statedPace = 0
 	return call
 }
 
--- a/pkg/stagepool/sim_test.go
+++ b/pkg/stagepool/sim_test.go
@@ -20,6 +20,9 @@
 	batch catalog.Batch
 	// slowness is the slowness of an upstream; 1 if missing.
 	slowness map[string]float64
+	// pace, if set, is the pace of an upstream over time, which responses state if statesPace is set.
+	pace       func(id string, at clock.Instant) float64
+	statesPace bool
 	// holdTime is how long the caller keeps results.
 	holdTime time.Duration
 	// onJobEnd is called at the end of each job. If it is nil, results are released after the
@@ -201,16 +204,33 @@
 	if made == 0 {
 		callTime = 2 * time.Millisecond
 	}
+	if s.pace != nil {
+		callTime = s.timeAtPace(call.Upstream, callTime)
+	}
 	s.after(callTime, func() {
+		var load *CallLoad
+		if s.statesPace {
+			load = &CallLoad{Places: s.batch.Concurrency, Pace: s.pace(call.Upstream, s.now)}
+		}
 		s.runningCalls[call.Upstream]--
 		for _, piece := range call.Pieces {
 			delete(s.overdueAt, fmt.Sprint(piece.Job, "/", piece.Piece))
 		}
-		s.pool.FinishCall(s.now, call.Upstream, call.ID, CallAnswered, results, nil)
+		s.pool.FinishCall(s.now, call.Upstream, call.ID, CallAnswered, results, load)
 		s.dispatch()
 	})
 }
 
+// timeAtPace returns how long work takes that begins now at an upstream, in steps of a millisecond.
+func (s *simulation) timeAtPace(id string, work time.Duration) time.Duration {
+	took := time.Duration(0)
+	for work > 0 {
+		took += time.Millisecond
+		work -= time.Duration(float64(time.Millisecond) / s.pace(id, s.now.Add(took)))
+	}
+	return took
+}
+
 func (l *eventLoop) run(until time.Duration) {
 	for l.events.Len() > 0 && l.events.items[0].at <= clock.Instant(until) {
 		next := heap.Pop(&l.events).(event)
--- a/pkg/stagepool/upstream.go
+++ b/pkg/stagepool/upstream.go
@@ -52,6 +52,10 @@
 	// slowness is the ratio of measured to expected call times; 1 is normal.
 	slowness           float64
 	slownessMeasuredAt clock.Instant
+	// statedPace is the pace that the upstream stated with its latest response, at paceStatedAt; 0 if it
+	// stated none or if a call has begun since.
+	statedPace   float64
+	paceStatedAt clock.Instant
 	// externalBytes is the memory used by results of others, such as a previous owner, until
 	// externalUntil.
 	externalBytes int64
@@ -96,6 +100,37 @@
 	u.slownessMeasuredAt = now
 }
 
+const (
+	// paceWeight is the weight of a pace that was just stated in the expected time of the next call, and
+	// paceHalfLife its half-life: the pace changes several times per second, so that only a call that
+	// begins at once runs at it, and only for its first part.
+	paceWeight   = 0.5
+	paceHalfLife = 100 * time.Millisecond
+	// minStatedPace and maxStatedPace bound a stated pace: one figure must not rule out an upstream.
+	minStatedPace = 0.25
+	maxStatedPace = 4
+)
+
+// recordPace records the pace that the upstream stated with a response. A response without a pace voids
+// an earlier one.
+func (u *upstream) recordPace(now clock.Instant, load *CallLoad) {
+	u.statedPace, u.paceStatedAt = 0, now
+	if load != nil && load.Pace > 0 {
+		u.statedPace = min(max(load.Pace, minStatedPace), maxStatedPace)
+	}
+}
+
+// nextSlowness returns the expected slowness of a call that begins now: the slowness of the latest calls and,
+// for a short time, the pace that the upstream stated.
+func (u *upstream) nextSlowness(now clock.Instant) float64 {
+	slowness := u.currentSlowness(now)
+	if u.statedPace == 0 {
+		return slowness
+	}
+	age := float64(max(now.Sub(u.paceStatedAt), 0)) / float64(paceHalfLife)
+	return slowness + paceWeight*math.Exp2(-age)*(u.statedPace-slowness)
+}
+
 func (u *upstream) recordFailure(now clock.Instant) {
 	u.failures++
 	backoff := min(initialBackoff<<min(u.failures-1, 8), maxBackoff)
