Test the placement by owners against late signals and lost state

The tests cover one request ID at two VMs, a signal that arrives while the owner is asked, the state of a shard that another VM owns, a panic in the decoder of a report, a VM that has just started, and a question without time left.

--- a/internal/edge/place_test.go
+++ b/internal/edge/place_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,7 +29,16 @@
 // startPlacingFleet starts VMs whose engines are chosen by owners although the fleet is small.
 func startPlacingFleet(t *testing.T, n int, engines ...*testUpstream) *testFleet {
 	t.Helper()
-	f := startFleetWith(t, n, nil, func(s *Server) { s.maxDecidingAlone = 1 })
+	return startPlacingFleetWith(t, n, func(*Server) {}, engines...)
+}
+
+// startPlacingFleetWith is startPlacingFleet with a function that changes each server before it runs.
+func startPlacingFleetWith(t *testing.T, n int, prepare func(*Server), engines ...*testUpstream) *testFleet {
+	t.Helper()
+	f := startFleetWith(t, n, nil, func(s *Server) {
+		s.maxDecidingAlone = 1
+		prepare(s)
+	})
 	f.publish(&catalog.Catalog{Version: 1, Pools: enginePools(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}}, catalogUpstreams("p", engines...)...)
 	for _, s := range f.servers {
 		await(t, "placement by owners", func() bool { return s.placesByOwner(s.view.Load(), "p") })
@@ -458,3 +468,127 @@
 		}
 	})
 }
+
+// TestSameRequestIDAtTwoVMs guards against two requests that count as one at the owner, since their callers chose
+// the same ID: the load of the engines would be underestimated.
+func TestSameRequestIDAtTwoVMs(t *testing.T) {
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	engine := newTestUpstream(t, "e0", func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		writeSealed(w, "body")
+	})
+	f := startPlacingFleet(t, 2, engine)
+	t.Cleanup(end) // A failed test must not wait for the requests.
+	owner, _ := f.ownerAndOther(t)
+	var sends sync.WaitGroup
+	for vm := range f.servers {
+		sends.Go(func() {
+			if _, _, err := f.send(vm, "same", "/x/", nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	await(t, "two requests in flight at the owner", func() bool {
+		runner := f.servers[owner].findEngineRunner("p")
+		return runner != nil && runner.inFlight() == 2
+	})
+	end()
+	sends.Wait()
+}
+
+// TestSignalWhileOwnerIsAsked guards against a request to an upstream that asked for no traffic after its owner
+// was asked, and before it answered.
+func TestSignalWhileOwnerIsAsked(t *testing.T) {
+	engines := newEngines(t, 2)
+	f := startPlacingFleet(t, 2, engines...)
+	owner, other := f.ownerAndOther(t)
+	s := f.servers[other]
+	startFakeOwner(t, s, f.servers[owner], func(context.Context, *hoistv1.PlaceRequest) (*hoistv1.PlaceResponse, error) {
+		s.signals.recordPause(s.view.Load().ByID["e0"], time.Hour)
+		return &hoistv1.PlaceResponse{Upstream: "e0"}, nil
+	})
+	f.mustServe(t, other, "1")
+	if n := engines[0].totalRuns(); n > 0 {
+		t.Errorf("the paused engine got %d requests", n)
+	}
+}
+
+// TestLostShardIsForgotten guards against the state of a shard that stays at a VM which owned the shard without a
+// claim: it would be out of date when the VM owns the shard again.
+func TestLostShardIsForgotten(t *testing.T) {
+	f := startPlacingFleet(t, 2, newEngines(t, 1)...)
+	_, other := f.ownerAndOther(t)
+	s := f.servers[other]
+	if s.engineRunner("p") == nil {
+		t.Fatal("the shard does not exist")
+	}
+	await(t, "the state to be dropped", func() bool {
+		s.updatePoolClaims()
+		return s.findEngineRunner("p") == nil
+	})
+}
+
+// TestPanicInReport guards against a report of an engine that ends the process.
+func TestPanicInReport(t *testing.T) {
+	f := startPlacingFleetWith(t, 2, func(s *Server) { s.dialect = panickingReports{s.dialect} }, newEngines(t, 1)...)
+	owner, _ := f.ownerAndOther(t)
+	s := f.servers[owner]
+	f.mustServe(t, owner, "1")
+	await(t, "a contained panic", func() bool { return testutil.ToFloat64(s.metrics.panics.WithLabelValues("engine report")) == 1 })
+	f.mustServe(t, owner, "2")
+}
+
+// panickingReports is a dialect whose decoder of reports panics.
+type panickingReports struct{ Dialect }
+
+// DecodeEngineReport implements Dialect.
+func (panickingReports) DecodeEngineReport([]byte) (enginepool.Report, error) {
+	panic("report of the test")
+}
+
+// TestStartedVMDecidesAlone guards against VMs that take themselves for the owner of all shards when all start at
+// once: each would ask all engines for reports.
+func TestStartedVMDecidesAlone(t *testing.T) {
+	uptime := discoveryTimeout - 1
+	s := &Server{startedAt: clock.Instant(time.Hour), maxDecidingAlone: smallFleetSize}
+	s.now = func() clock.Instant { return s.startedAt.Add(uptime) }
+	s.fleetSize.Store(80)
+	view := &View{ShardsOf: map[string][]*poolShard{"p": {{engine: &catalog.Engine{}}}}}
+	if s.placesByOwner(view, "p") {
+		t.Error("a VM that has just started asks owners")
+	}
+	uptime++
+	if !s.placesByOwner(view, "p") {
+		t.Error("a VM that has had time to discover others does not ask owners")
+	}
+	s.fleetSize.Store(smallFleetSize)
+	if s.placesByOwner(view, "p") {
+		t.Error("a VM of a small fleet asks owners")
+	}
+}
+
+// TestNoTimeLeftForOwner guards against a request that waits once for each owner and each try, and against an
+// owner that counts as not answering although it had no time to answer.
+func TestNoTimeLeftForOwner(t *testing.T) {
+	f := startPlacingFleet(t, 2, newEngines(t, 2)...)
+	owner, other := f.ownerAndOther(t)
+	s, entry := f.servers[other], selfEntry(f.servers[owner])
+	fake := startFakeOwner(t, s, f.servers[owner], func(context.Context, *hoistv1.PlaceRequest) (*hoistv1.PlaceResponse, error) {
+		return &hoistv1.PlaceResponse{Upstream: "e0"}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	transaction := &transaction{s: s, ctx: context.Background()}
+	if response := transaction.callPlace(ctx, entry, s.view.Load().Shards["p"], &enginepool.Request{ID: "x"}); response != nil || fake.asked.Load() != 0 {
+		t.Errorf("the owner was asked %d times", fake.asked.Load())
+	}
+	s.skipEngineOwner(entry, true)
+	if s.engineOwners.isSkipped(entry.Name, s.now()) {
+		t.Error("an owner without time to answer counts as not answering")
+	}
+	s.skipEngineOwner(entry, false)
+	if !s.engineOwners.isSkipped(entry.Name, s.now()) {
+		t.Error("an owner that did not answer is asked again")
+	}
+}
