--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -38,6 +38,10 @@
 	engineReports *prometheus.CounterVec
 	// ignoredDatagrams counts membership datagrams that were not handled.
 	ignoredDatagrams *prometheus.CounterVec
+	// placeInvalid counts malformed requests of other VMs to place, and loadsInvalid malformed statements
+	// of load in responses of upstreams.
+	placeInvalid prometheus.Counter
+	loadsInvalid prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -93,10 +97,16 @@
 		ignoredDatagrams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_datagrams_ignored_total", Help: "Membership datagrams that were malformed or exceeded the rate of one address.",
 		}, []string{"reason"}),
+		placeInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_place_requests_invalid_total", Help: "Malformed requests of other VMs to place a request on an engine.",
+		}),
+		loadsInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_upstream_loads_invalid_total", Help: "Responses of upstreams whose statement of load was malformed and ignored.",
+		}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid)
 	return m
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -111,8 +111,8 @@
 	return errors.Wrapf(err, "%s", entry.Name)
 }
 
-// callBriefly runs a call to a peer that is bounded by a context of some tens of milliseconds. A timeout
-// says nothing about the connection, which stays open for the other calls on it.
+// callBriefly runs a call whose context ends after a few tens of milliseconds. Unlike callWithoutPing it
+// keeps the connection then, since an owner that is only slow would lose all other calls on it.
 func (p *peers) callBriefly(ctx context.Context, entry fleet.Entry, run func(context.Context, hoistv1.FleetClient) error) error {
 	c, err := p.conn(entry)
 	if err != nil {
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -72,6 +72,9 @@
 // another upstream at its address says nothing about it, but may say something about the other one,
 // if that is in the view.
 func (s *upstreamSignals) record(view *View, entry *registry.Entry, info ResponseInfo) {
+	if info.LoadInvalid {
+		s.metrics.loadsInvalid.Inc()
+	}
 	if info.PauseInvalid {
 		s.metrics.upstreamSignals.WithLabelValues(signalInvalid).Inc()
 		s.logger.Debug("Retry-After of an upstream ignored", zap.String("upstream", entry.ID))
--- a/pkg/enginepool/report.go
+++ b/pkg/enginepool/report.go
@@ -9,9 +9,6 @@
 const (
 	// reportTTL is how long a report of an engine is used.
 	reportTTL = 2 * time.Second
-	// reportInterval is the least time between two reports that are asked for of one engine: each
-	// costs as much as a liveness check.
-	reportInterval = time.Second
 	// maxReported bounds the requests and tokens of a report, which no engine exceeds.
 	maxReported = 1 << 30
 )
@@ -67,10 +64,10 @@
 
 // RecordReport combines a report with the requests in flight: what the engine has beyond them comes
 // from elsewhere, such as from VMs that could not reach this owner. It reports whether the report
-// is valid.
-func (p *Pool) RecordReport(now clock.Instant, id string, r Report) bool {
+// is valid. A report of an instance other than the one that started at start is not.
+func (p *Pool) RecordReport(now clock.Instant, id string, start int64, r Report) bool {
 	e := p.byID[id]
-	if e == nil || !r.isValid() {
+	if e == nil || e.Start != start || !r.isValid() {
 		return false
 	}
 	e.report.until = now.Add(reportTTL)
@@ -84,7 +81,7 @@
 }
 
 // ReportsWanted appends the engines whose load should be asked for to ids: those of which this
-// owner knows nothing yet. Each is returned at most once in reportInterval.
+// owner knows nothing yet. Each is returned once, since a report costs as much as a liveness check.
 func (p *Pool) ReportsWanted(now clock.Instant, ids []string) []string {
 	for _, e := range p.engines {
 		if e.inService && e.report.askedAt == 0 {
@@ -94,11 +91,3 @@
 	}
 	return ids
 }
-
-// WantReport makes ReportsWanted return an engine, because it behaved as if it had load of unknown
-// origin.
-func (p *Pool) WantReport(now clock.Instant, id string) {
-	if e := p.byID[id]; e != nil && now.Sub(e.report.askedAt) >= reportInterval {
-		e.report.askedAt = 0
-	}
-}
