Refuse a new connection without closing it when memory is taken

If running requests held all of the memory for callers, Accept listed the new connection itself among those to close. It was reset before the 503 could be written, and counted both as closed and as refused. Room is now made before the connection is added, and a refusal is counted once.

--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -202,8 +202,8 @@
 // Limits returns the limits in force.
 func (a *Account) Limits() Limits { return a.limits }
 
-// Accept adds a connection. It returns nil if all others are running, so that the new one is the one
-// to close.
+// Accept adds a connection. It returns nil if there is no room and all others are running, so that the
+// new one must be refused. The new connection is never in the list of connections to close.
 //
 // The lists that Accept and the other methods return are valid until the next call.
 func (a *Account) Accept(now clock.Instant, owner any) (*Conn, []Closing) {
@@ -214,16 +214,16 @@
 			return nil, a.closing
 		}
 	}
+	for a.limits.Bytes > 0 && a.held+ConnectionBytes > a.limits.Bytes {
+		if !a.evict(now, nil, MemoryLimit) {
+			a.refused++
+			return nil, a.closing
+		}
+	}
 	c := &Conn{Owner: owner, phase: Unused, since: now, progress: now}
 	a.counts[Unused]++
 	a.unused.add(c)
 	a.hold(c, ConnectionBytes)
-	a.makeRoom(now, c)
-	if c.phase == Closed {
-		a.Remove(c)
-		a.refused++
-		return nil, a.closing
-	}
 	return c, a.closing
 }
 
--- a/pkg/ingress/ingress_test.go
+++ b/pkg/ingress/ingress_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// TestRefusedConnectionIsNotClosed guards against a new connection that is reset before its refusal is
+// written, since running requests hold all of the memory.
+func TestRefusedConnectionIsNotClosed(t *testing.T) {
+	a := New(Limits{Bytes: ConnectionBytes + ConnectionBytes/2})
+	running := accept(t, a, 1, "running")
+	a.Received(2, running, 100, 3)
+	if !a.Begin(2, running) || !a.Admit(2, running) {
+		t.Fatal("not admitted")
+	}
+	refused, closing := a.Accept(3, "new")
+	if refused != nil {
+		t.Error("accepted beyond the memory limit")
+	}
+	expectClosed(t, closing)
+	if stats := a.Stats(); stats.Refused != 1 || stats.Closed[MemoryLimit] != 0 {
+		t.Errorf("refused %d and closed %d, expected 1 and 0", stats.Refused, stats.Closed[MemoryLimit])
+	}
+}
+
 // TestMemoryOfHeads guards against an account that counts the bytes of a head and not its cost, and
 // against heads that take the memory of other requests.
 func TestMemoryOfHeads(t *testing.T) {
