Ask a returned upstream for its state after a pause, and contain panics

A health query that was withheld because of a pause counted as answered, so an upstream that was lost meanwhile got requests after the pause without having told whether it is cold. The question now stays open until it is sent.

The query ran in a goroutine without containment: a panic in the decoder of a response ended the process.

--- a/internal/edge/healthquery.go
+++ b/internal/edge/healthquery.go
@@ -73,8 +73,7 @@
 // not reused, since the response does not say which request it belongs to.
 func (s *Server) askHealth(q healthQuestion) {
 	if !s.signals.mayCall(instanceOf(q.entry), "health") {
-		// No request goes there either as long as the upstream asks for no traffic.
-		s.upstreams.recordHealth(q, 0, false)
+		s.upstreams.recordWithheld(q)
 		return
 	}
 	info, end, err := s.fetchHealth(q)
@@ -108,6 +107,14 @@
 	return info, "answered", nil
 }
 
+// recordWithheld records that a health query was not sent because of a signal of the upstream. It gets no
+// requests either at that time, and is asked before the first one after a pause.
+func (u *upstreams) recordWithheld(q healthQuestion) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	q.state.Return.RecordRefusal(u.now(), q.asked)
+}
+
 // recordHealth records the end of a health query, and returns the remaining cold start.
 func (u *upstreams) recordHealth(q healthQuestion, cold time.Duration, refused bool) time.Duration {
 	u.mu.Lock()
--- a/internal/edge/healthquery_test.go
+++ b/internal/edge/healthquery_test.go
@@ -12,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 )
 
@@ -171,3 +174,46 @@
 		t.Errorf("the upstream got %s, want no health query", strings.Join(paths, " "))
 	}
 }
+
+// askedUpstream returns a health query of a returned upstream that is about to be sent.
+func askedUpstream(s *Server) healthQuestion {
+	s.upstreams.recordLost("u", 1)
+	s.upstreams.mu.Lock()
+	defer s.upstreams.mu.Unlock()
+	state, now := s.upstreams.states["u"], s.now()
+	state.TryAsk(now, false)
+	return healthQuestion{state: state, entry: state.entry, path: testHealthPath, asked: now}
+}
+
+// TestUpstreamIsAskedAfterAPause guards against an upstream that is lost while it asks for no traffic and
+// gets requests after the pause without having told whether it is cold.
+func TestUpstreamIsAskedAfterAPause(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	publishReturning(f, newReturningUpstream(t))
+	s := f.servers[0]
+	q := askedUpstream(s)
+	s.signals.recordPause(q.entry, time.Hour)
+	s.askHealth(q)
+	s.upstreams.mu.Lock()
+	defer s.upstreams.mu.Unlock()
+	if !q.state.Return.Blocks(s.now()) {
+		t.Error("a query that was not sent counts as answered")
+	}
+}
+
+// panickingDialect panics when it encodes a health query.
+type panickingDialect struct{ testDialect }
+
+// EncodeHealthQuery implements Dialect.
+func (panickingDialect) EncodeHealthQuery(_, _, _ string) *outbound.Request { panic("test") }
+
+// TestPanicInHealthQuery guards against a panic in a health query that ends the process.
+func TestPanicInHealthQuery(t *testing.T) {
+	f := startFleetWith(t, 1, nil, func(s *Server) { s.dialect = panickingDialect{} })
+	publishReturning(f, newReturningUpstream(t))
+	s := f.servers[0]
+	s.upstreams.askHealth(askedUpstream(s))
+	await(t, "the contained panic", func() bool {
+		return testutil.ToFloat64(s.metrics.panics.WithLabelValues("health query")) == 1
+	})
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -132,7 +132,9 @@
 	}
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.signals = newUpstreamSignals(options.Now, options.Logger, s.metrics, options.Settings.DrainTime, s.reportLeaving)
-	s.upstreams.askHealth = func(q healthQuestion) { go s.askHealth(q) }
+	s.upstreams.askHealth = func(q healthQuestion) {
+		go s.contain.run("health query", func() { s.askHealth(q) })
+	}
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.requestMemory, s.responseMemory = newRequestMemory(options.Settings.MemoryBytes), newResponseMemory(options.Settings.MemoryBytes)
--- a/pkg/placement/returncheck.go
+++ b/pkg/placement/returncheck.go
@@ -10,8 +10,8 @@
 	// HealthTimeout bounds a question to an upstream that may have come back. Without an answer by
 	// then, requests are sent to it all the same.
 	HealthTimeout = 200 * time.Millisecond
-	// refusedQuestionPause is the time after a refused question until the next one, for requests
-	// that have no other upstream.
+	// refusedQuestionPause is the time after a question that was refused or not sent until the next one,
+	// for requests that have no other upstream.
 	refusedQuestionPause = initialBackoff
 )
 
@@ -29,7 +29,7 @@
 	pending bool
 	// askedAt is when the question under way was asked; 0 if none is.
 	askedAt clock.Instant
-	// askAgainAt is the earliest time of the next question after a refused one.
+	// askAgainAt is the earliest time of the next question after one that was refused or not sent.
 	askAgainAt clock.Instant
 }
 
@@ -62,8 +62,8 @@
 	}
 }
 
-// RecordRefusal records that the question that was asked at an instant was refused: the upstream has
-// not come back.
+// RecordRefusal records that the question that was asked at an instant was refused, since the upstream
+// has not come back, or was not sent. It is asked again later.
 func (c *ReturnCheck) RecordRefusal(now, asked clock.Instant) {
 	if c.askedAt == asked {
 		*c = ReturnCheck{pending: true, askAgainAt: now.Add(refusedQuestionPause)}
