--- a/internal/edge/clientlimits.go
+++ b/internal/edge/clientlimits.go
@@ -119,8 +119,8 @@
 }
 
 // callerLimits returns the limits for callers. Those of the configuration have a margin, so that
-// callers within them never reach these; the constants apply where it sets none. Callers stop to reuse
-// a connection at four fifths of the idle timeout, which is margin enough.
+// callers within them never reach these; the constants apply where it sets none. Callers stop reusing a
+// connection at four fifths of the idle timeout, which is a sufficient margin.
 func callerLimits(s *Settings, configured *catalog.Limits) ingress.Limits {
 	limits := ingress.Limits{
 		Connections: max(s.sharedDescriptors()/callerDescriptorsDivisor, minCallerConnections),
@@ -173,8 +173,8 @@
 	return g.Listener(inner), nil
 }
 
-// acquireBodyMemory is the acquireFunc of the bodies of requests. Bodies that make no progress give way
-// to this one; their memory is free once their handlers have noticed.
+// acquireBodyMemory is the acquireFunc of the bodies of requests. Connections whose bodies make no
+// progress are closed to make room; their memory is free once their handlers have noticed.
 func (t *transaction) acquireBodyMemory(n int64) error {
 	if !guard.FromContext(t.r.Context()).Reserve(n) {
 		return errNoBodyMemory
--- a/internal/edge/directorysync.go
+++ b/internal/edge/directorysync.go
@@ -53,7 +53,7 @@
 	return n
 }
 
-// compareDirectories asks a random VM for its directory if the own one is not settled.
+// compareDirectories asks a random VM for its directory if that of this VM is not settled.
 func (g *gossip) compareDirectories(now clock.Instant) {
 	g.mu.Lock()
 	if !g.directorySync.isDue(now) {
@@ -76,8 +76,8 @@
 	return &hoistv1.Datagram{Hello: true, Digest: g.directory.Digest()}
 }
 
-// answerHello sends the directory to a VM whose own differs: all of it, or a part as at any other
-// message if the sender does not say what it has, or the budget is spent.
+// answerHello sends the directory to a VM whose own differs: all of it, or a part as in other messages
+// if the sender does not say what it has or if the budget is spent.
 func (g *gossip) answerHello(hello *hoistv1.Datagram, to *net.UDPAddr) {
 	now := g.now()
 	g.mu.Lock()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -243,8 +243,8 @@
 	}
 }
 
-// wakeWaiters wakes the pulls of peers that wait for newer tables, or for the news that this VM
-// cannot read the store. The caller holds the lock.
+// wakeWaiters wakes the pulls of peers. They wait for newer tables, or to learn that this VM cannot
+// read the store. The caller holds the lock.
 func (f *follower) wakeWaiters() {
 	close(f.refreshed)
 	f.refreshed = make(chan struct{})
@@ -267,8 +267,8 @@
 	})
 }
 
-// adoptShards divides the pools as the other VMs do. A VM that has just started may have done it in
-// another way before it learned of their claims.
+// adoptShards divides the pools as the other VMs do. A VM that has just started may have
+// divided them differently before it learned of the claims of the others.
 func (f *follower) adoptShards() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,7 +27,8 @@
 	// response could not be told from the next response.
 	stageConnectionsClosed *prometheus.CounterVec
 	bodiesRevoked          prometheus.Counter
-	// upstreamSignals counts signals by kind, and callsWithheld what they kept from upstreams.
+	// upstreamSignals counts signals by kind, and callsWithheld the calls that were not made because of
+	// them.
 	upstreamSignals *prometheus.CounterVec
 	callsWithheld   *prometheus.CounterVec
 	healthChecks    *prometheus.CounterVec
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -23,7 +23,7 @@
 )
 
 // owner returns the VM that owns a resource according to the directory of this VM, or this VM if
-// the directory names no owner. So a VM that shuts down and knows no other VM remains the owner.
+// the directory names no owner: a VM that shuts down and knows no other VM remains the owner.
 func (g *gossip) owner(resource fleet.Resource) fleet.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,7 +59,7 @@
 	return g.directory.IsClaimed(g.now(), fleet.Resource{Name: resource})
 }
 
-// unreachableZones returns the zones of which VMs are known but none is reachable.
+// unreachableZones returns the zones that have known VMs but no reachable one.
 func (g *gossip) unreachableZones() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -18,7 +18,7 @@
 	pingInterval = 120 * time.Millisecond
 	// pingTimeout is the timeout of a ping, after which the pending calls to the peer are
 	// cancelled. A call can then still be sent to another VM within its objective. An owner that
-	// is only slow is found again at once, since the next VM asks it before it takes over.
+	// is only slow remains the owner, since the next VM checks it before it takes over.
 	pingTimeout = 300 * time.Millisecond
 )
 
--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -31,7 +31,7 @@
 	exitMargin  = 100 * time.Millisecond
 	cutDivisor  = 8
 	exitDivisor = 20
-	// requestPollInterval is how often a VM that stops looks whether requests are in progress.
+	// requestPollInterval is how often a VM that stops checks whether requests are in progress.
 	requestPollInterval = 10 * time.Millisecond
 	// stopSafetyFactor is how many times the expected duration of a request must be left before a
 	// VM stops. Durations vary, and requests take longer while VMs stop one after the other.
--- a/internal/edge/progress.go
+++ b/internal/edge/progress.go
@@ -15,8 +15,8 @@
 	minStreamPatience = 2 * time.Second
 	objectivePatience = 4
 	gapPatience       = 8
-	// patienceMargin is added before a silent stream is ended, so that a caller that is as
-	// patient as it should be decides itself when to leave.
+	// patienceMargin is added before a silent stream is ended, so that a caller that waits as long as
+	// expected disconnects before its stream is ended here.
 	patienceMargin = 250 * time.Millisecond
 	// resumePatienceDivisor sets when a silent stream moves to another upstream: after a
 	// fraction of the caller's patience, which leaves time for the first event there.
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -24,8 +24,8 @@
 	spillGainDivisor = 4
 	// minAdmissionRetryDelay and admissionRetryJitter set the delay after which a refused caller
 	// should retry. A burst lasts seconds, and callers that retry together would cause the next
-	// one. A caller that has more time waits for a part of it, since it can hardly be on time any
-	// more and the worst would be to be refused again.
+	// one. A caller with more time left waits for a fraction of that time: its answer will be late
+	// in any case, and a second refusal would be worse than the wait.
 	minAdmissionRetryDelay = time.Second
 	admissionRetryDivisor  = 4
 	admissionRetryJitter   = 2 * time.Second
@@ -74,14 +74,14 @@
 	return t.newError(errkind.Overloaded, "the stages would take "+levelStart.Sub(t.s.now()).String())
 }
 
-// admissionRetryDelay returns after which time a caller should return whose request would have ended
-// too late by the excess.
+// admissionRetryDelay returns the delay after which the caller of a refused request should retry. The
+// excess is the time by which the request would have been late.
 func (t *transaction) admissionRetryDelay(excess time.Duration) time.Duration {
 	return max(excess+minAdmissionRetryDelay, t.remaining()/admissionRetryDivisor) + rand.N(admissionRetryJitter)
 }
 
-// admissionLimit returns by when the request must be expected to be answered to be admitted. Once an
-// upstream may have run it, its caller cannot safely send it again, so that only its deadline counts.
+// admissionLimit returns the latest expected end with which the request is admitted. Once an upstream
+// may have run it, its caller cannot safely send it again, so only its deadline counts.
 func (t *transaction) admissionLimit() clock.Instant {
 	if t.mayHaveRun {
 		return t.deadline
--- a/internal/edge/responsememory.go
+++ b/internal/edge/responsememory.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// memoryWait is how long a body waits for memory before another one has to give way. In this time
-// the bodies that are about to end return their memory; objectives are 0.1 s and more.
+// memoryWait is how long a body waits for memory before another one is broken off. In this time the
+// bodies that are about to end return their memory; objectives are 0.1 s and more.
 const memoryWait = 50 * time.Millisecond
 
 // errBodyRevoked reports that a body took too much memory while others waited for it.
@@ -39,8 +39,8 @@
 	return &responseMemory{bodyMemory: newBodyMemory(vmBytes), reading: map[*bodyReading]bool{}}
 }
 
-// readResponse reads a whole body until the context ends. It calls interrupt if the body has to give
-// way to others, and then returns errBodyRevoked unless the body was complete; interrupt must end the
+// readResponse reads a whole body until the context ends. It calls interrupt if others need the memory
+// of the body, and then returns errBodyRevoked unless the body was complete; interrupt must end the
 // reader. The caller must release the body, also after an error.
 func (m *responseMemory) readResponse(ctx context.Context, reader io.Reader, length int64, interrupt context.CancelFunc) (*body, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -70,7 +70,7 @@
 	return b, errBodyRevoked
 }
 
-// acquire takes memory for a body. If there is none for memoryWait, the body that holds most gives way.
+// acquire takes memory for a body. If there is none for memoryWait, the body that holds most is broken off.
 func (m *responseMemory) acquire(ctx context.Context, r *bodyReading, n int64) error {
 	if !m.free.TryAcquire(n) {
 		if err := m.await(ctx, n); err != nil {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -91,7 +91,7 @@
 		t.target, t.route = target, config.Match(t.r.Host, target)
 	}
 	if t.route == nil {
-		// The query may hold what does not belong into logs.
+		// The query may contain secrets.
 		path, _, _ := strings.Cut(t.r.RequestURI, "?")
 		return errkind.New(errkind.UnknownRoute, strconv.Quote(shorten(t.r.Host)+" "+shorten(path)))
 	}
@@ -116,9 +116,10 @@
 	return t.checkStop(t.s.now())
 }
 
-// maxLoggedBytes bounds what a caller makes a log line hold for each of host and path.
+// maxLoggedBytes bounds the host, and the path, of a request in a log line.
 const maxLoggedBytes = 256
 
+// shorten cuts a text to maxLoggedBytes. The result may end within a character.
 func shorten(text string) string { return text[:min(len(text), maxLoggedBytes)] }
 
 func (t *transaction) authenticate(config *catalog.Catalog) *errkind.Error {
@@ -189,7 +190,7 @@
 	if !ingress.FromContext(t.r.Context()).Admit() {
 		return errkind.New(errkind.BadRequest, "the connection was closed for a limit")
 	}
-	// A limit that passes later would count as the caller's disconnect.
+	// A read limit that expires later would be taken for a disconnect of the caller.
 	t.limitBodyReads(time.Time{})
 	t.body = requestBody.bytes()
 	t.fingerprint = requestFingerprint(t)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -118,7 +118,7 @@
 
 	// parts tracks the requests, and the parts of prompts, that crash upstreams.
 	parts *partGuard
-	// crashReports holds the crashes that the other VMs have yet to be told of.
+	// crashReports holds the crashes that are not reported to the other VMs yet.
 	crashReports crashReports
 }
 
--- a/internal/edge/stagerun.go
+++ b/internal/edge/stagerun.go
@@ -97,7 +97,7 @@
 		run.running++
 		inputs := run.inputsOf(stage)
 		if inputs.isOnlyConsumer {
-			// The owner of this stage's pool has the inputs released once they have been read.
+			// The owner of this stage's pool releases the inputs once they have been read.
 			for _, dependency := range run.t.route.Stages[stage].DependsOn {
 				run.releaseDelegated[dependency] = true
 			}
--- a/internal/edge/startup.go
+++ b/internal/edge/startup.go
@@ -6,8 +6,8 @@
 )
 
 // startupWait is how long after the start of a VM requests wait for the first configuration
-// instead of being refused. Tables arrive within that time also if all VMs start at once, while a
-// refused caller returns no sooner than after a second.
+// instead of being refused. Tables arrive within that time even if all VMs start at once, while a
+// refused caller retries after one second at the earliest.
 const startupWait = time.Second
 
 // startup tells requests when the first configuration of this VM is in force.
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -22,8 +22,8 @@
 	// random time of up to leavingReportJitter is added. In a rollout many leave at a time.
 	leavingReportDelay  = 20 * time.Millisecond
 	leavingReportJitter = 30 * time.Millisecond
-	// maxReportedInstances is the size of the table up to which reports are recorded, so that signals
-	// which this VM receives itself always have room.
+	// maxReportedInstances is the size of the table up to which reports are recorded. It leaves room for
+	// signals that this VM receives itself.
 	maxReportedInstances = 4096
 )
 
@@ -49,7 +49,7 @@
 	count atomic.Int64
 	mu    sync.Mutex
 	table *upstreamsignal.Table
-	// reports are the leaving instances that the other VMs have yet to be told of.
+	// reports are the leaving instances that are not reported to the other VMs yet.
 	reports []upstreamsignal.Instance
 }
 
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -75,9 +75,9 @@
 	return view
 }
 
-// addShards divides the pools that run stages and the pools of engines into shards. Upstreams that are draining or out of
-// service belong to a shard as well, since they hold results, and since the shards then do not
-// change when a zone leaves or returns.
+// addShards divides the pools that run stages and the pools of engines into shards. Upstreams that
+// are draining or out of service belong to a shard as well, since they hold results, and since the
+// shards then do not change when a zone leaves or returns.
 func (v *View) addShards(entries []*registry.Entry, isShard func(name string) bool) {
 	if v.Catalog == nil {
 		return
--- a/internal/edge/zones.go
+++ b/internal/edge/zones.go
@@ -60,7 +60,7 @@
 	return s.isZoneReachable(zone) && !s.isZoneSuspect(zone) && !s.reservationResponses.isSuspect(s.now(), zone)
 }
 
-// updateZones records which zones have VMs of which none is reachable, and which are suspect.
+// updateZones records which zones have VMs but no reachable one, and which are suspect.
 func (s *Server) updateZones() {
 	unreachable, suspect := s.gossip.unreachableZones(), s.gossip.suspectZones()
 	s.unreachableZones.Store(&unreachable)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -195,9 +195,9 @@
 	return c.Conn.Close()
 }
 
-// awaitRoom delays the read of a head, or more memory for a body, while the servers of closed connections have yet to give up their
-// memory. On a busy VM the heads of many connections would otherwise be in memory at a time, although
-// most of the connections are closed.
+// awaitRoom delays the read of a head, or the use of more memory for a body, until the servers of closed
+// connections have released their memory. On a busy VM the heads of many connections would otherwise be
+// in memory at a time, although most of the connections are closed.
 func (c *Conn) awaitRoom(applies func() bool) {
 	g := c.guard
 	g.mu.Lock()
@@ -362,7 +362,7 @@
 	heldMetric        = prometheus.NewDesc("hoist_ingress_held_bytes", "Memory that the clients of a port hold before their requests are admitted, and until the end of their responses.", []string{"port"}, nil)
 	bodyMetric        = prometheus.NewDesc("hoist_ingress_body_bytes", "Part of hoist_ingress_held_bytes for bodies.", []string{"port"}, nil)
 	closedMetric      = prometheus.NewDesc("hoist_ingress_closed_total", "Connections closed for a limit by port and reason.", []string{"port", "reason"}, nil)
-	refusedMetric     = prometheus.NewDesc("hoist_ingress_refused_total", "Connections refused since all others were running a request.", []string{"port"}, nil)
+	refusedMetric     = prometheus.NewDesc("hoist_ingress_refused_total", "Connections refused since there was no room and all others were running a request.", []string{"port"}, nil)
 	limitMetric       = prometheus.NewDesc("hoist_ingress_limit", "Limits in force by port: connections, bytes, body_bytes, head_bytes, head_timeout_seconds, idle_timeout_seconds.", []string{"port", "limit"}, nil)
 )
 
