Report all invalid settings at once and in a fixed order

Validate returned one invalid setting, of several in the random order of a map. The error of a settings file that stayed the same therefore changed between checks, and was logged again each time. Negative values of drain_ms and max_fds are rejected now, as docs/settings.md says of bounds.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -6,7 +6,9 @@
 package edge
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,30 +77,48 @@
 	return min(int64(memoryLimitFraction*float64(s.MemoryBytes)), max(s.MemoryBytes-programBytes, s.MemoryBytes/2))
 }
 
-// Validate checks the settings that a Server requires.
+// Validate checks the settings that a Server requires. The error names all invalid settings in a fixed
+// order, so that the same settings always have the same error.
 func (s *Settings) Validate() error {
-	for name, address := range map[string]string{
-		"listen address": s.Listen, "readiness address": s.ReadyListen,
-		"peer address": s.PeerListen, "store address": s.Store,
+	var problems []string
+	if s.VM == "" || s.Zone == "" {
+		problems = append(problems, "the VM name or its zone is missing")
+	}
+	for _, a := range []struct{ name, address string }{
+		{"listen address", s.Listen},
+		{"readiness address", s.ReadyListen},
+		{"peer address", s.PeerListen},
+		{"store address", s.Store},
 	} {
-		if _, err := net.ResolveTCPAddr("tcp", address); address == "" || err != nil {
-			return errors.Newf("the %s is %q; expected IP:port", name, address)
+		if _, err := net.ResolveTCPAddr("tcp", a.address); a.address == "" || err != nil {
+			problems = append(problems, fmt.Sprintf("the %s is %q; expected IP:port", a.name, a.address))
 		}
 	}
-	if s.VM == "" || s.Zone == "" {
-		return errors.New("the VM name or its zone is missing")
+	if s.GossipPort <= 0 {
+		problems = append(problems, fmt.Sprintf("the gossip port is %d; expected a positive number", s.GossipPort))
 	}
-	for name, value := range map[string]float64{
-		"grace period": s.GracePeriod.Seconds(), "key revocation timeout": s.KeyRevocationTimeout.Seconds(), "seed lag": s.SeedLag.Seconds(),
-		"retry ratio": s.RetryRatio, "retry burst": s.RetryBurst, "retry window": s.RetryWindow.Seconds(),
-		"cold rate factor": s.ColdRateFactor, "cold rate burst": s.ColdRateBurst, "memory": float64(s.MemoryBytes),
+	for _, n := range []struct {
+		name  string
+		value float64
+	}{
+		{"grace period", s.GracePeriod.Seconds()},
+		{"drain time", s.DrainTime.Seconds()},
+		{"key revocation timeout", s.KeyRevocationTimeout.Seconds()},
+		{"seed lag", s.SeedLag.Seconds()},
+		{"retry ratio", s.RetryRatio},
+		{"retry burst", s.RetryBurst},
+		{"retry window", s.RetryWindow.Seconds()},
+		{"cold rate factor", s.ColdRateFactor},
+		{"cold rate burst", s.ColdRateBurst},
+		{"memory", float64(s.MemoryBytes)},
+		{"number of descriptors", float64(s.MaxDescriptors)},
 	} {
-		if value < 0 {
-			return errors.Newf("the %s is %v; expected no negative number", name, value)
+		if n.value < 0 {
+			problems = append(problems, fmt.Sprintf("the %s is %v; expected no negative number", n.name, n.value))
 		}
 	}
-	if s.GossipPort <= 0 {
-		return errors.Newf("the gossip port is %d; expected a positive number", s.GossipPort)
+	if len(problems) > 0 {
+		return errors.New(strings.Join(problems, "; "))
 	}
 	return nil
 }
