--- a/internal/edge/responsememory_test.go
+++ b/internal/edge/responsememory_test.go
@@ -21,20 +21,20 @@
 func TestEndlessBodiesLeaveMemory(t *testing.T) {
 	const (
 		memory = 64 << 20
-		hogs   = 4
+		largeBodies   = 4
 		// Four such bodies, each of which then waits for its next byte, take all but 16 KB.
-		hogBytes      = (252 + 6*256) << 10
+		endlessBytes      = (252 + 6*256) << 10
 		ordinaryBytes = 200 << 10
 	)
-	for name, hogHeaders := range map[string]string{"no length": "", "length": fmt.Sprintf("Content-Length: %d\r\n", memory/bodyMemoryDivisor-1)} {
+	for name, endlessHeaders := range map[string]string{"no length": "", "length": fmt.Sprintf("Content-Length: %d\r\n", memory/bodyMemoryDivisor-1)} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			release := make(chan struct{})
 			var releaseOnce sync.Once
 			t.Cleanup(func() { releaseOnce.Do(func() { close(release) }) })
 			u := newRawUpstream(t, func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
-				if strings.HasPrefix(request.Header.Get("Request"), "hog") {
-					u.write(conn, head(request, hogHeaders)+strings.Repeat("x", hogBytes))
+				if strings.HasPrefix(request.Header.Get("Request"), "endless") {
+					u.write(conn, head(request, endlessHeaders)+strings.Repeat("x", endlessBytes))
 					<-release
 					return false
 				}
@@ -42,15 +42,15 @@
 			})
 			f := startFleet(t, 1, func(s *Settings) { s.MemoryBytes = memory })
 			f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{
-				testRoute("/hog/", catalog.NonIdempotent, func(r *catalog.Route) { r.Timeout = 12 * time.Second }),
+				testRoute("/endless/", catalog.NonIdempotent, func(r *catalog.Route) { r.Timeout = 12 * time.Second }),
 				testRoute("/x/", catalog.NonIdempotent, func(r *catalog.Route) { r.Timeout = 5 * time.Second }),
 			}}, u.entry("u0"))
 			var wg sync.WaitGroup
-			for i := range hogs {
+			for i := range largeBodies {
 				wg.Go(func() {
-					response, _, err := f.send(0, fmt.Sprint("hog-", i), "/hog/", nil)
+					response, _, err := f.send(0, fmt.Sprint("endless-", i), "/endless/", nil)
 					if err == nil && response.StatusCode != http.StatusGatewayTimeout && response.StatusCode != http.StatusBadGateway {
-						t.Errorf("hog %d: status %d, expected 502 or 504", i, response.StatusCode)
+						t.Errorf("endless body %d: status %d, expected 502 or 504", i, response.StatusCode)
 					}
 				})
 			}
@@ -60,7 +60,7 @@
 					free.Release(ordinaryBytes)
 					return false
 				}
-				return u.requests.Load() == hogs
+				return u.requests.Load() == largeBodies
 			})
 			for i := range 3 {
 				response, body, err := f.send(0, fmt.Sprint("r", i), "/x/", nil)
@@ -94,21 +94,21 @@
 }
 
 // TestBodiesThatWaitForEachOther guards against bodies that each hold memory and wait for more, so that
-// none of them ends, and against an ordinary body that has to give way to them.
+// none of them ends, and against an ordinary body that is broken off because of them.
 func TestBodiesThatWaitForEachOther(t *testing.T) {
 	const (
 		memory = 64 << 20
-		hogs   = 16
+		largeBodies   = 16
 	)
 	m := newResponseMemory(memory)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
-	for range hogs {
+	for range largeBodies {
 		wg.Go(func() {
-			hogContext, interrupt := context.WithCancel(ctx)
+			bodyContext, interrupt := context.WithCancel(ctx)
 			defer interrupt()
-			b, err := m.readResponse(ctx, &pendingReader{hogContext, memory/bodyMemoryDivisor - 1}, -1, interrupt)
+			b, err := m.readResponse(ctx, &pendingReader{bodyContext, memory/bodyMemoryDivisor - 1}, -1, interrupt)
 			defer b.release()
 			if err == nil || errors.Is(err, errBodyTooLarge) {
 				t.Errorf("error %v, expected that the body is broken off", err)
@@ -118,11 +118,11 @@
 	await(t, "a body broken off", func() bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return len(m.reading) < hogs && m.waiting == 0
+		return len(m.reading) < largeBodies && m.waiting == 0
 	})
 	for range 3 {
 		body := strings.Repeat("y", 32<<10)
-		b, err := m.readResponse(ctx, strings.NewReader(body), -1, func() { t.Error("the ordinary body has to give way") })
+		b, err := m.readResponse(ctx, strings.NewReader(body), -1, func() { t.Error("the ordinary body is broken off") })
 		if err != nil || b.size() != int64(len(body)) {
 			t.Errorf("%d bytes, error %v", b.size(), err)
 		}
