--- a/internal/edge/responsememory_test.go
+++ b/internal/edge/responsememory_test.go
@@ -20,10 +20,10 @@
 // of their request.
 func TestEndlessBodiesLeaveMemory(t *testing.T) {
 	const (
-		memory = 64 << 20
-		largeBodies   = 4
+		memory      = 64 << 20
+		largeBodies = 4
 		// Four such bodies, each of which then waits for its next byte, take all but 16 KB.
-		endlessBytes      = (252 + 6*256) << 10
+		endlessBytes  = (252 + 6*256) << 10
 		ordinaryBytes = 200 << 10
 	)
 	for name, endlessHeaders := range map[string]string{"no length": "", "length": fmt.Sprintf("Content-Length: %d\r\n", memory/bodyMemoryDivisor-1)} {
@@ -97,8 +97,8 @@
 // none of them ends, and against an ordinary body that is broken off because of them.
 func TestBodiesThatWaitForEachOther(t *testing.T) {
 	const (
-		memory = 64 << 20
-		largeBodies   = 16
+		memory      = 64 << 20
+		largeBodies = 16
 	)
 	m := newResponseMemory(memory)
 	ctx, cancel := context.WithCancel(context.Background())
