--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -202,11 +202,12 @@
 
 // Strike records the crash of an upstream that another VM reported.
 func (f fleetServer) Strike(_ context.Context, r *hoistv1.StrikeRequest) (*hoistv1.StrikeResponse, error) {
-	f.s.upstreams.recordLost(r.GetUpstream(), int64(r.GetUpstreamStart()))
 	requests, prompts, err := brokenRequests(r)
 	if err != nil {
+		f.s.metrics.crashReportsInvalid.Inc()
 		return nil, err
 	}
+	f.s.upstreams.recordLost(r.GetUpstream(), int64(r.GetUpstreamStart()))
 	f.s.parts.recordCrashes(r.GetUpstream(), int64(r.GetUpstreamStart()), requests, prompts)
 	return &hoistv1.StrikeResponse{}, nil
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -43,6 +43,8 @@
 	// of load in responses of upstreams.
 	placeInvalid prometheus.Counter
 	loadsInvalid prometheus.Counter
+	// crashReportsInvalid counts malformed reports of crashes by other VMs.
+	crashReportsInvalid prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -104,10 +106,13 @@
 		loadsInvalid: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hoist_edge_upstream_loads_invalid_total", Help: "Responses of upstreams whose statement of load was malformed and ignored.",
 		}),
+		crashReportsInvalid: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "hoist_edge_crash_reports_invalid_total", Help: "Malformed reports of other VMs that an upstream crashed.",
+		}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid, m.crashReportsInvalid)
 	return m
 }
 
--- a/internal/edge/requestguard_test.go
+++ b/internal/edge/requestguard_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
@@ -265,7 +266,7 @@
 	f.Add(make([]byte, fingerprintBytes), []byte{1, 0, 2, 3, 0, 0}, uint64(0), int64(1), int64(1000))
 	f.Fuzz(func(_ *testing.T, fingerprints, parts []byte, request uint64, age, left int64) {
 		guard := newPartGuard(bootclock.Now, zap.NewNop(), func([]poison.Part, []poison.Part) {})
-		server := fleetServer{s: &Server{parts: guard, upstreams: newUpstreams(bootclock.Now, func(string) bool { return false })}}
+		server := fleetServer{s: &Server{metrics: newMetrics(prometheus.NewRegistry()), parts: guard, upstreams: newUpstreams(bootclock.Now, func(string) bool { return false })}}
 		var list []uint64
 		for _, part := range parts {
 			list = append(list, uint64(part))
