List the items at once when the store has dropped its history

A substitute reader took the answer "history gone" for a failed read and waited up to 60 ms for each VM of the fleet before it listed the items, so all VMs kept the old configuration for seconds.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -78,7 +78,7 @@
 }
 
 // readStore lists or watches the store once, and then waits before the next read if needed. It reports
-// whether the read succeeded.
+// whether the store answered. It has also answered if it dropped the changes: the next read lists all items.
 func (f *follower) readStore(ctx context.Context) bool {
 	var err error
 	if f.mustList || !f.isComplete() {
@@ -96,7 +96,7 @@
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		sleep(ctx, readRetryDelay+rand.N(readRetryDelay))
 	}
-	return err == nil
+	return err == nil || errors.Is(err, ErrHistoryGone)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
