Use one linked list for caches, workspaces and connections

pkg/enginepool and pkg/ingress had brought two more copies of the intrusive list of pkg/admission. All three now use pkg/list, which allocates nothing on a move either. The order of each list is unchanged.

--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/list"
 )
 
 const (
@@ -19,9 +20,8 @@
 // Usage counts the requests in flight per workspace.
 type Usage struct {
 	entries map[string]*WorkspaceUsage
-	// head and tail are the ends of the list of entries, most recently used first.
-	head, tail   *WorkspaceUsage
-	freeList     *WorkspaceUsage
+	// order holds the entries, most recently used first, and free those for new workspaces.
+	order, free  list.List[WorkspaceUsage]
 	activeWeight int
 }
 
@@ -30,10 +30,10 @@
 	// InFlight counts admitted requests.
 	InFlight int
 
-	name       string
-	weight     int
-	lastUsed   clock.Instant
-	prev, next *WorkspaceUsage
+	name     string
+	weight   int
+	lastUsed clock.Instant
+	node     list.Node[WorkspaceUsage]
 }
 
 // NewUsage returns an empty Usage.
@@ -54,8 +54,7 @@
 	}
 	w.weight = weight
 	w.lastUsed = now
-	u.unlink(w)
-	u.pushFront(w)
+	u.order.PushFront(w, &w.node)
 	return w
 }
 
@@ -92,12 +91,12 @@
 
 // Expire removes idle workspaces.
 func (u *Usage) Expire(now clock.Instant) {
-	for w := u.tail; w != nil && now.Sub(w.lastUsed) >= idleTimeout; {
-		prev := w.prev
+	for w := u.order.Back(); w != nil && now.Sub(w.lastUsed) >= idleTimeout; {
+		previous := w.node.Previous()
 		if w.InFlight == 0 {
 			u.remove(w)
 		}
-		w = prev
+		w = previous
 	}
 }
 
@@ -108,20 +107,19 @@
 	if len(u.entries) >= maxWorkspaces && !u.evict() {
 		return nil
 	}
-	w := u.freeList
+	w := u.free.Front()
 	if w == nil {
 		w = &WorkspaceUsage{}
-	} else {
-		u.freeList = w.next
 	}
+	w.node.Remove()
 	*w = WorkspaceUsage{name: name}
 	u.entries[name] = w
-	u.pushFront(w)
+	u.order.PushFront(w, &w.node)
 	return w
 }
 
 func (u *Usage) evict() bool {
-	for w := u.tail; w != nil; w = w.prev {
+	for w := u.order.Back(); w != nil; w = w.node.Previous() {
 		if w.InFlight == 0 {
 			u.remove(w)
 			return true
@@ -131,33 +129,6 @@
 }
 
 func (u *Usage) remove(w *WorkspaceUsage) {
-	u.unlink(w)
 	delete(u.entries, w.name)
-	w.next = u.freeList
-	u.freeList = w
-}
-
-func (u *Usage) pushFront(w *WorkspaceUsage) {
-	w.prev, w.next = nil, u.head
-	if u.head != nil {
-		u.head.prev = w
-	}
-	u.head = w
-	if u.tail == nil {
-		u.tail = w
-	}
-}
-
-func (u *Usage) unlink(w *WorkspaceUsage) {
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		u.head = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		u.tail = w.prev
-	}
-	w.prev, w.next = nil, nil
+	u.free.PushFront(w, &w.node)
 }
--- a/pkg/enginepool/cache.go
+++ b/pkg/enginepool/cache.go
@@ -1,5 +1,7 @@
 package enginepool
 
+import "github.com/hornbeamhoist/hornbeamhoist/pkg/list"
+
 // privatePart is the ID of entries for tokens that no other request shares.
 const privatePart = 0
 
@@ -7,23 +9,19 @@
 // bounds the number of entries of a cache.
 const maxPrivateTokens = 8192
 
-// cache models the prompt cache of one engine: a list of parts from the latest used to the one that
-// was not used for longest. The zero value is empty.
+// cache models the prompt cache of one engine. The zero value is empty.
 type cache struct {
-	tokens int64
-	// size is the number of entries in the list.
-	size    int
+	tokens  int64
 	entries map[uint64]*cacheEntry
-	front   *cacheEntry
-	back    *cacheEntry
+	// order holds the entries from the latest used to the one that was not used for longest.
+	order list.List[cacheEntry]
 }
 
 // cacheEntry is a part in the cache of one engine.
 type cacheEntry struct {
 	part   uint64
 	tokens int
-	newer  *cacheEntry
-	older  *cacheEntry
+	node   list.Node[cacheEntry]
 }
 
 func (c *cache) add(entry *cacheEntry) {
@@ -34,8 +32,7 @@
 		c.entries[entry.part] = entry
 	}
 	c.tokens += int64(entry.tokens)
-	c.size++
-	c.pushFront(entry)
+	c.markUsed(entry)
 }
 
 func (c *cache) remove(entry *cacheEntry) {
@@ -43,38 +40,7 @@
 		delete(c.entries, entry.part)
 	}
 	c.tokens -= int64(entry.tokens)
-	c.size--
-	c.unlink(entry)
-}
-
-func (c *cache) moveToFront(entry *cacheEntry) {
-	if c.front != entry {
-		c.unlink(entry)
-		c.pushFront(entry)
-	}
+	entry.node.Remove()
 }
 
-func (c *cache) pushFront(entry *cacheEntry) {
-	entry.newer, entry.older = nil, c.front
-	if c.front != nil {
-		c.front.newer = entry
-	}
-	c.front = entry
-	if c.back == nil {
-		c.back = entry
-	}
-}
-
-func (c *cache) unlink(entry *cacheEntry) {
-	if entry.newer != nil {
-		entry.newer.older = entry.older
-	} else {
-		c.front = entry.older
-	}
-	if entry.older != nil {
-		entry.older.newer = entry.newer
-	} else {
-		c.back = entry.newer
-	}
-	entry.newer, entry.older = nil, nil
-}
+func (c *cache) markUsed(entry *cacheEntry) { c.order.PushFront(entry, &entry.node) }
--- a/pkg/enginepool/hostile_test.go
+++ b/pkg/enginepool/hostile_test.go
@@ -64,8 +64,8 @@
 		place(t, p, start, Request{ID: id, PromptTokens: 10, Parts: []Part{{ID: uint64(i + 1), Tokens: 1}, {ID: 1 << 40, Tokens: 0}}})
 		p.End(start, id, Outcome{Engine: "a", FirstEvent: 1})
 	}
-	if e := p.byID["a"]; e.cache.size > maxEntries || len(e.cache.entries) > maxEntries || len(p.parts.byID) > maxEntries {
-		t.Errorf("%d entries, %d parts of the engine and %d in all", e.cache.size, len(e.cache.entries), len(p.parts.byID))
+	if e := p.byID["a"]; e.cache.order.Len() > maxEntries || len(e.cache.entries) > maxEntries || len(p.parts.byID) > maxEntries {
+		t.Errorf("%d entries, %d parts of the engine and %d in all", e.cache.order.Len(), len(e.cache.entries), len(p.parts.byID))
 	}
 	if p.parts.byID[1<<40] != nil {
 		t.Error("a part without tokens is known")
--- a/pkg/enginepool/parts.go
+++ b/pkg/enginepool/parts.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	if entry := e.cache.entries[part.ID]; entry != nil {
-		e.cache.moveToFront(entry)
+		e.cache.markUsed(entry)
 		return false
 	}
 	known := p.byID[part.ID]
@@ -112,7 +112,7 @@
 	if e.index < 0 || tokens == 0 {
 		return
 	}
-	if front := e.cache.front; front != nil && front.part == privatePart && front.tokens < maxPrivateTokens {
+	if front := e.cache.order.Front(); front != nil && front.part == privatePart && front.tokens < maxPrivateTokens {
 		front.tokens += tokens
 		e.cache.tokens += int64(tokens)
 		return
@@ -124,8 +124,11 @@
 
 // evict drops the parts that were not used for longest until the cache fits into the memory.
 func (p *parts) evict(e *engine, capacity int64) {
-	for e.cache.back != nil && (capacity > 0 && e.cache.tokens > capacity || e.cache.size > maxEntries) {
-		p.drop(e, e.cache.back)
+	for oldest := e.cache.order.Back(); oldest != nil; oldest = e.cache.order.Back() {
+		if (capacity <= 0 || e.cache.tokens <= capacity) && e.cache.order.Len() <= maxEntries {
+			return
+		}
+		p.drop(e, oldest)
 	}
 }
 
@@ -138,8 +141,8 @@
 
 // evictAll drops all parts of an engine.
 func (p *parts) evictAll(e *engine) {
-	for e.cache.back != nil {
-		p.drop(e, e.cache.back)
+	for oldest := e.cache.order.Back(); oldest != nil; oldest = e.cache.order.Back() {
+		p.drop(e, oldest)
 	}
 }
 
--- a/pkg/enginepool/pool_test.go
+++ b/pkg/enginepool/pool_test.go
@@ -291,7 +291,7 @@
 	}
 	for _, e := range p.engines {
 		tokens := int64(0)
-		for entry := e.cache.front; entry != nil; entry = entry.older {
+		for entry := e.cache.order.Front(); entry != nil; entry = entry.node.Next() {
 			tokens += int64(entry.tokens)
 			if entry.part != privatePart && p.parts.byID[entry.part].holders&(1<<e.index) == 0 {
 				t.Errorf("engine %s caches part %d without its bit", e.ID, entry.part)
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/list"
 )
 
 // Phase is the phase of a connection.
@@ -125,50 +126,18 @@
 	headBytes, arrived int64
 	// since is the start of the phase and progress the time of the last progress.
 	since, progress clock.Instant
-	// previous and next link the connections of a list.
-	previous, next *Conn
-	list           *list
+	node            list.Node[Conn]
 }
 
 // Phase returns the phase of the connection.
 func (c *Conn) Phase() Phase { return c.phase }
 
-// list is a list of connections in the order of their progress, the oldest first.
-type list struct{ first, last *Conn }
-
-func (l *list) add(c *Conn) {
-	c.list, c.previous, c.next = l, l.last, nil
-	if l.last == nil {
-		l.first = c
-	} else {
-		l.last.next = c
-	}
-	l.last = c
-}
-
-// firstExcept returns the first connection that is not c, or nil.
-func (l *list) firstExcept(c *Conn) *Conn {
-	if l.first != nil && l.first == c {
-		return c.next
-	}
-	return l.first
-}
-
-func (c *Conn) unlink() {
-	if c.list == nil {
-		return
-	}
-	if c.previous == nil {
-		c.list.first = c.next
-	} else {
-		c.previous.next = c.next
-	}
-	if c.next == nil {
-		c.list.last = c.previous
-	} else {
-		c.next.previous = c.previous
+// firstExcept returns the first connection of a list that is not c, or nil.
+func firstExcept(l *list.List[Conn], c *Conn) *Conn {
+	if first := l.Front(); first == nil || first != c {
+		return first
 	}
-	c.list, c.previous, c.next = nil, nil, nil
+	return c.node.Next()
 }
 
 // Closing is a connection that must be closed.
@@ -188,8 +157,9 @@
 	closed  [reasonCount]uint64
 	// refused is the number of connections that found all others running.
 	refused uint64
-	// waiting holds the connections in the phases Head and Body.
-	waiting, unused, idle list
+	// waiting holds the connections in the phases Head and Body, in the order of their progress, the
+	// oldest first.
+	waiting, unused, idle list.List[Conn]
 	closing               []Closing
 }
 
@@ -222,7 +192,7 @@
 	}
 	c := &Conn{Owner: owner, phase: Unused, since: now, progress: now}
 	a.counts[Unused]++
-	a.unused.add(c)
+	a.unused.PushBack(c, &c.node)
 	a.hold(c, ConnectionBytes)
 	return c, a.closing
 }
@@ -268,8 +238,7 @@
 	c.arrived += bytes
 	if c.arrived >= progressBytes {
 		c.arrived, c.progress = 0, now
-		c.unlink()
-		a.waiting.add(c)
+		a.waiting.PushBack(c, &c.node)
 	}
 }
 
@@ -346,8 +315,8 @@
 func (a *Account) Tick(now clock.Instant) []Closing {
 	a.closing = a.closing[:0]
 	if timeout := a.limits.HeadTimeout; timeout > 0 {
-		for c := a.waiting.first; c != nil; {
-			next := c.next
+		for c := a.waiting.Front(); c != nil; {
+			next := c.node.Next()
 			if c.phase == Head && now.Sub(c.since) > timeout {
 				a.close(c, HeadTimeout)
 			}
@@ -355,9 +324,9 @@
 		}
 	}
 	if timeout := a.limits.IdleTimeout; timeout > 0 {
-		for _, l := range [...]*list{&a.unused, &a.idle} {
-			for l.first != nil && now.Sub(l.first.since) > timeout {
-				a.close(l.first, IdleTimeout)
+		for _, l := range [...]*list.List[Conn]{&a.unused, &a.idle} {
+			for c := l.Front(); c != nil && now.Sub(c.since) > timeout; c = l.Front() {
+				a.close(c, IdleTimeout)
 			}
 		}
 	}
@@ -386,12 +355,12 @@
 	a.counts[c.phase]--
 	a.counts[phase]++
 	c.phase, c.since, c.progress, c.arrived = phase, now, now, 0
-	c.unlink()
+	c.node.Remove()
 	switch phase {
 	case Head, Body:
-		a.waiting.add(c)
+		a.waiting.PushBack(c, &c.node)
 	case Idle:
-		a.idle.add(c)
+		a.idle.PushBack(c, &c.node)
 	}
 }
 
@@ -417,14 +386,14 @@
 // most goes first. The order of their progress says little then: on a busy VM, a small head that is
 // complete waits for its handler while large ones go on to arrive.
 func (a *Account) evict(now clock.Instant, c *Conn, reason Reason) bool {
-	if reason == MemoryLimit && !a.isStalled(now, a.waiting.firstExcept(c)) {
+	if reason == MemoryLimit && !a.isStalled(now, firstExcept(&a.waiting, c)) {
 		if victim := a.heaviest(c); victim != nil {
 			a.close(victim, reason)
 			return true
 		}
 	}
-	for _, l := range [...]*list{&a.waiting, &a.unused, &a.idle} {
-		if victim := l.firstExcept(c); victim != nil {
+	for _, l := range [...]*list.List[Conn]{&a.waiting, &a.unused, &a.idle} {
+		if victim := firstExcept(l, c); victim != nil {
 			a.close(victim, reason)
 			return true
 		}
@@ -442,7 +411,7 @@
 func (a *Account) heaviest(c *Conn) *Conn {
 	var head, body *Conn
 	headHeld, bodyHeld := int64(usualBytes), int64(usualBytes)
-	for other := a.waiting.first; other != nil; other = other.next {
+	for other := a.waiting.Front(); other != nil; other = other.node.Next() {
 		switch {
 		case other == c:
 		case other.phase == Head && other.held > headHeld:
@@ -461,7 +430,7 @@
 // the longest time or, if all have made progress a moment ago, the one that holds the most.
 func (a *Account) evictBody(now clock.Instant, c *Conn) bool {
 	var victim *Conn
-	for other := a.waiting.first; other != nil; other = other.next {
+	for other := a.waiting.Front(); other != nil; other = other.node.Next() {
 		if other == c || other.body == 0 {
 			continue
 		}
@@ -490,7 +459,7 @@
 
 func (a *Account) remove(c *Conn) {
 	a.counts[c.phase]--
-	c.unlink()
+	c.node.Remove()
 	a.held -= c.held
 	a.body -= c.body
 	c.phase, c.held, c.body = Closed, 0, 0
