Drop repeated bounds and factors of the placement of engines

Request.limit bounds the parts once for a placement. The weight of a stream, the expected time and the cost of errors had two copies each; placement.Upstream had two names for its backoff and its error score.

--- a/pkg/enginepool/end.go
+++ b/pkg/enginepool/end.go
@@ -77,7 +77,7 @@
 	}
 	p.recordHealth(now, e, o.Result)
 	if o.Events > 1 && o.EventGap > 0 {
-		p.gap.add(o.EventGap, gapWeight*min(float64(o.Events-1)/fullGaps, 1)/float64(max(len(p.engines), 1)))
+		p.gap.add(o.EventGap, weightOfGaps(o.Events-1)/float64(max(len(p.engines), 1)))
 		e.pace.add(now, p.gap, o.EventGap, o.Events-1)
 	}
 }
--- a/pkg/enginepool/pace.go
+++ b/pkg/enginepool/pace.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// gapWeight is the weight of a stream with fullGaps events or more in the averages of the time
-	// between events.
+	// gapWeight is the weight of a stream with fullGaps gaps between its events or more in the averages
+	// of the time between events.
 	gapWeight = 0.3
 	fullGaps  = 8
 	// paceHalfLife is the half-life of the knowledge about the pace of an engine that gets no
@@ -34,10 +34,13 @@
 	if p.gap.value == 0 {
 		p.gap = usual
 	}
-	p.gap.add(gap, gapWeight*min(float64(gaps)/fullGaps, 1))
+	p.gap.add(gap, weightOfGaps(gaps))
 	p.measuredAt = now
 }
 
+// weightOfGaps returns the weight of a stream with a number of gaps between its events.
+func weightOfGaps(n int) float64 { return gapWeight * min(float64(n)/fullGaps, 1) }
+
 // factor returns how much longer than usual the engine takes. usual is the average of all engines.
 func (p *pace) factor(now clock.Instant, usual mean) float64 {
 	if p.gap.value == 0 || usual.value == 0 {
--- a/pkg/enginepool/place.go
+++ b/pkg/enginepool/place.go
@@ -38,8 +38,6 @@
 	crossZoneCopyFactor = 2
 	// otherZoneCost is the cost of moving large inputs to an engine in another zone.
 	otherZoneCost = 5 * time.Millisecond
-	// errorCost is the relative cost of one recent error of an engine.
-	errorCost = 2
 	// memoryFraction is the fraction of the memory that requests in flight may fill, since the
 	// output of a request may be longer than expected.
 	memoryFraction = 0.9
@@ -113,7 +111,7 @@
 	}
 	p.start(now, r, best)
 	placed := Placement{
-		Engine: best.engine.ID, Expected: best.wait + best.read, Wait: best.wait, CachedTokens: best.cached, CopiedTokens: best.copied,
+		Engine: best.engine.ID, Expected: best.expected(), Wait: best.wait, CachedTokens: best.cached, CopiedTokens: best.copied,
 	}
 	if best.source != nil {
 		placed.CacheSource = best.source.ID
@@ -186,7 +184,7 @@
 // returns its offer; nil if there is no such part. It is the first engine by rendezvous hashing, so
 // that parts are found again after a change of the owner, which loses what the old one knew.
 func (p *Pool) prefer(r *Request, holders *partHolders) *offer {
-	shared := min(len(r.Parts), maxParts)
+	shared := len(r.Parts)
 	if holders.count == shared {
 		return nil
 	}
@@ -256,7 +254,7 @@
 		o.cost += float64(otherZoneCost)
 	}
 	o.work = p.work(e, r, o)
-	o.cost = (o.cost + o.work - float64(o.readTime)) * (1 + errorCost*e.health.ErrorScore(now))
+	o.cost = (o.cost + o.work - float64(o.readTime)) * e.health.ErrorFactor(now)
 }
 
 // work returns the work that a request makes: reading, copying, and reading again what the engine
@@ -341,7 +339,7 @@
 	e.tokens += f.tokens
 	e.readUntil = max(e.readUntil, now).Add(o.readTime)
 	shared := 0
-	for _, part := range r.Parts[:min(len(r.Parts), maxParts)] {
+	for _, part := range r.Parts {
 		shared += part.Tokens
 		if p.parts.add(e, part, e.readUntil) {
 			f.parts[f.count] = part.ID
--- a/pkg/enginepool/timemodel.go
+++ b/pkg/enginepool/timemodel.go
@@ -32,8 +32,7 @@
 }
 
 func newTimeModel() timeModel {
-	m := timeModel{base: float64(defaultFirstEvent), perToken: float64(defaultReadPerToken)}
-	return m
+	return timeModel{base: float64(defaultFirstEvent), perToken: float64(defaultReadPerToken)}
 }
 
 // firstEvent returns the time to the first event.
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -170,7 +170,7 @@
 // inBackoff reports whether the upstream, or its whole zone, failed a short time ago, or is to be
 // used as a last resort only.
 func (r *Request) inBackoff(now clock.Instant, u *Upstream) bool {
-	return u.inBackoff(now) || r.Restrictions[u.ID] == LastResort || (r.IsZoneSuspect != nil && u.Zone != r.Zone && r.IsZoneSuspect(u.Zone))
+	return u.InBackoff(now) || r.Restrictions[u.ID] == LastResort || (r.IsZoneSuspect != nil && u.Zone != r.Zone && r.IsZoneSuspect(u.Zone))
 }
 
 func candidates(now clock.Instant, r *Request, upstreams []*Upstream) (available, inBackoff []*Upstream) {
--- a/pkg/placement/returncheck.go
+++ b/pkg/placement/returncheck.go
@@ -77,7 +77,7 @@
 	if c.timedOut(now) {
 		*c = ReturnCheck{}
 	}
-	if !c.pending || c.askedAt != 0 || now < c.askAgainAt || (hasOthers && u.inBackoff(now)) {
+	if !c.pending || c.askedAt != 0 || now < c.askAgainAt || (hasOthers && u.InBackoff(now)) {
 		return false
 	}
 	c.askedAt = now
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -104,13 +104,19 @@
 // cost ranks upstreams: the load estimated from the requests of this VM, multiplied by the
 // latency ratio and a penalty for recent errors.
 func (u *Upstream) cost(now clock.Instant, fleetWeight float64) float64 {
-	return (float64(u.InFlight)*max(1, fleetWeight) + 1) * max(1, u.latencyRatio) * (1 + errorCost*u.currentErrorScore(now))
+	return (float64(u.InFlight)*max(1, fleetWeight) + 1) * max(1, u.latencyRatio) * u.ErrorFactor(now)
 }
 
 // errorCost is the relative cost increase for one recent error.
 const errorCost = 2
 
-func (u *Upstream) inBackoff(now clock.Instant) bool { return u.backoffUntil > now }
+// ErrorFactor returns the factor by which recent errors increase the cost of the upstream.
+func (u *Upstream) ErrorFactor(now clock.Instant) float64 {
+	return 1 + errorCost*u.currentErrorScore(now)
+}
+
+// InBackoff reports whether the upstream failed a short time ago and should get no request.
+func (u *Upstream) InBackoff(now clock.Instant) bool { return u.backoffUntil > now }
 
 // atColdRateLimit reports whether another request would exceed the rate limit of a cold start.
 func (u *Upstream) atColdRateLimit(now clock.Instant) bool {
@@ -124,9 +130,3 @@
 	}
 	return u.recentStarts[first:]
 }
-
-// InBackoff reports whether the upstream failed a short time ago and should get no request.
-func (u *Upstream) InBackoff(now clock.Instant) bool { return u.inBackoff(now) }
-
-// ErrorScore returns the number of recent errors, of which older ones count less.
-func (u *Upstream) ErrorScore(now clock.Instant) float64 { return u.currentErrorScore(now) }
