Share the steps that two ways to choose an upstream repeat

Whether an upstream takes work, what makes it a candidate and which zones are suspect stood in two to four places of internal/edge. The parts of a prompt were hashed again for each question to an owner, and a whole question was built only to count their tokens. The default memory of a VM and the size of the fleet in a tick were computed twice. Behavior is unchanged.

--- a/internal/edge/bodymemory.go
+++ b/internal/edge/bodymemory.go
@@ -37,9 +37,6 @@
 }
 
 func newBodyMemory(vmBytes int64) *bodyMemory {
-	if vmBytes <= 0 {
-		vmBytes = defaultMemoryBytes
-	}
 	total := vmBytes / bodiesMemoryDivisor
 	return &bodyMemory{limit: min(vmBytes/bodyMemoryDivisor, maxBodyBytes), total: total, free: semaphore.NewWeighted(total)}
 }
--- a/internal/edge/clientlimits.go
+++ b/internal/edge/clientlimits.go
@@ -194,10 +194,7 @@
 // that a request within the limits of the configuration is served in calm conditions.
 func newRequestMemory(vmBytes int64) *bodyMemory {
 	m := newBodyMemory(vmBytes)
-	if vmBytes <= 0 {
-		vmBytes = defaultMemoryBytes
-	}
-	m.limit = min(vmBytes/bodiesMemoryDivisor, maxBodyBytes)
+	m.limit = min(m.total, maxBodyBytes)
 	return m
 }
 
--- a/internal/edge/enginerunner.go
+++ b/internal/edge/enginerunner.go
@@ -63,14 +63,14 @@
 }
 
 // configure applies the limits of the pool and the engines of the shard.
-func (r *engineRunner) configure(shard *poolShard, zonesOut map[string]bool) {
+func (r *engineRunner) configure(view *View, shard *poolShard) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.entries)
 	engines := make([]enginepool.Engine, 0, len(shard.members))
 	for _, entry := range shard.members {
 		engines = append(engines, enginepool.Engine{
-			ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil, OutOfService: entry.Draining || zonesOut[entry.Zone],
+			ID: entry.ID, Zone: entry.Zone, Start: entry.StartID, ColdUntil: entry.ColdUntil, OutOfService: !view.takesWork(entry),
 		})
 		r.entries[entry.ID] = entry
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -89,14 +89,15 @@
 		f.mustList = errors.Is(err, ErrHistoryGone)
 	}
 	f.recordRead(err)
+	answered := err == nil || errors.Is(err, ErrHistoryGone)
 	if err == nil && f.hasChanges {
 		f.hasChanges = false
 		sleep(ctx, changeBatchDelay)
 	}
-	if err != nil && !errors.Is(err, ErrHistoryGone) {
+	if !answered {
 		sleep(ctx, readRetryDelay+rand.N(readRetryDelay))
 	}
-	return err == nil || errors.Is(err, ErrHistoryGone)
+	return answered
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -186,7 +186,6 @@
 			g.hellos.Remember(address)
 		}
 	}
-	g.sizes.Record(now, g.directory.Size())
 	g.mu.Unlock()
 	g.sendMessages(out)
 	g.sendHellos(now)
--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
 )
@@ -171,9 +170,8 @@
 // locateElsewhere makes the chosen engine copy a prompt that no engine of its shard has read. Another
 // shard has if that one was the first one of the prompt until a zone left or returned.
 func (t *transaction) locateElsewhere(ctx context.Context, view *View, placed *enginePlacement) {
-	request := t.engineRequest(placed.shard, nil)
 	shared := 0
-	for _, part := range request.Parts {
+	for _, part := range t.engineParts() {
 		shared += part.Tokens
 	}
 	known := placed.CachedTokens + placed.CopiedTokens
@@ -184,7 +182,7 @@
 	if shard == nil {
 		return
 	}
-	source, tokens := t.locateAt(ctx, shard, request)
+	source, tokens := t.locateAt(ctx, shard)
 	if tokens = min(tokens, shared); tokens > known {
 		placed.CacheSource, placed.CopiedTokens = source, tokens-placed.CachedTokens
 	}
@@ -208,12 +206,12 @@
 }
 
 // locateAt asks the owner of a shard which engine has read the beginning of the prompt.
-func (t *transaction) locateAt(ctx context.Context, shard *poolShard, request *enginepool.Request) (source string, tokens int) {
+func (t *transaction) locateAt(ctx context.Context, shard *poolShard) (source string, tokens int) {
 	s := t.s
 	owner := s.gossip.owner(shard.resource())
 	if owner.Name == s.settings.VM {
 		if runner := s.engineRunner(shard.Name); runner != nil {
-			return runner.locate(request.Parts)
+			return runner.locate(t.engineParts())
 		}
 		return "", 0
 	}
@@ -222,7 +220,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	message := placeRequestToProto(shard.Name, request)
+	message := placeRequestToProto(shard.Name, t.engineRequest(shard, nil))
 	message.Locate = true
 	err := s.peers.callBriefly(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) error {
 		response, err := client.Place(ctx, message)
@@ -398,17 +396,22 @@
 	excluded = slices.DeleteFunc(slices.Clone(excluded), func(id string) bool {
 		return !slices.ContainsFunc(shard.entries, func(entry *registry.Entry) bool { return entry.ID == id })
 	})
-	request := &enginepool.Request{
+	return &enginepool.Request{
 		ID: t.s.nextPlacementID(), PromptTokens: t.requestInfo.PromptTokens, OutputTokens: t.requestInfo.expectedOutput(),
-		InputZone: t.inputZone(), Excluded: excluded, Slack: max(t.due.Sub(t.s.now()), 0),
+		InputZone: t.inputZone(), Excluded: excluded, Slack: max(t.due.Sub(t.s.now()), 0), Parts: t.engineParts(),
 	}
+}
+
+// engineParts returns the shared parts of the prompt by which an engine is chosen.
+func (t *transaction) engineParts() []enginepool.Part {
 	if !t.route.HasPromptPrefixes {
-		return request
+		return nil
 	}
-	for _, part := range t.requestInfo.PromptPrefix[:max(len(t.requestInfo.PromptPrefix)-1, 0)] {
-		request.Parts = append(request.Parts, enginepool.Part{ID: uint64(poison.PartOf(part.ID)), Tokens: part.Tokens})
+	var parts []enginepool.Part
+	for i, part := range t.promptParts() {
+		parts = append(parts, enginepool.Part{ID: uint64(part), Tokens: t.requestInfo.PromptPrefix[i].Tokens})
 	}
-	return request
+	return parts
 }
 
 // nextPlacementID returns an ID that no other question to an owner has, also not one of an earlier process
--- a/internal/edge/placeserver.go
+++ b/internal/edge/placeserver.go
@@ -44,7 +44,7 @@
 	}
 	shard := view.Shards[name]
 	runner := newEngineRunner(shard.pool, s)
-	runner.configure(shard, view.ZonesOut)
+	runner.configure(view, shard)
 	s.engineRunners[name] = runner
 	return runner
 }
@@ -57,7 +57,7 @@
 	view := s.view.Load()
 	for name, runner := range s.engineRunners {
 		if shard := view.Shards[name]; shard != nil && shard.engine != nil {
-			runner.configure(shard, view.ZonesOut)
+			runner.configure(view, shard)
 			continue
 		}
 		delete(s.engineRunners, name)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -141,7 +141,7 @@
 	}
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
-	s.requestMemory, s.responseMemory = newRequestMemory(options.Settings.MemoryBytes), newResponseMemory(options.Settings.MemoryBytes)
+	s.requestMemory, s.responseMemory = newRequestMemory(s.settings.memoryBytes()), newResponseMemory(s.settings.memoryBytes())
 	s.guards = newGuards(s)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
 	s.fleetSize.Store(1)
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -116,8 +116,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
-	candidates := u.candidates(view, pool)
+	request.IsZoneSuspect = u.suspectZones(now)
+	candidates := u.candidates(now, view, pool)
 	u.askReturned(view, pool, candidates, true)
 	choice, status := placement.Pick(now, request, candidates)
 	if status != placement.Found {
@@ -140,15 +140,12 @@
 	defer u.mu.Unlock()
 	now := u.now()
 	state := u.states[placed.Engine]
-	if state == nil || !isInService(view, pool, placed.Engine) {
+	if entry := view.ByID[placed.Engine]; state == nil || entry == nil || entry.Pool != pool || !view.takesWork(entry) {
 		return nil
 	}
-	u.updateColdRate(now, pool, state)
-	if view.healthPath(pool) == "" {
-		state.Return = placement.ReturnCheck{}
-	}
+	u.prepare(now, pool, state, view.healthPath(pool) != "")
 	u.askReturned(view, pool, []*placement.Upstream{&state.Upstream}, true)
-	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
+	request.IsZoneSuspect = u.suspectZones(now)
 	if !placement.IsAvailable(now, request, &state.Upstream) {
 		return nil
 	}
@@ -160,23 +157,25 @@
 	return l
 }
 
-// isInService reports whether an upstream of a pool may get new work.
-func isInService(view *View, pool, id string) bool {
-	entry := view.ByID[id]
-	return entry != nil && entry.Pool == pool && !entry.Draining && !view.ZonesOut[entry.Zone]
+// suspectZones returns which zones are probably cut off. The caller holds the lock while it uses the
+// result.
+func (u *upstreams) suspectZones(now clock.Instant) func(zone string) bool {
+	return func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
 }
 
-// updateColdRate computes the share of this VM of the rate limit of an upstream in a cold start. The
-// caller holds the lock.
-func (u *upstreams) updateColdRate(now clock.Instant, pool string, state *upstreamState) {
+// prepare makes an upstream a candidate: it computes the share of this VM of the rate limit during a cold
+// start, and drops questions for the state in a pool without health queries. The caller holds the lock.
+func (u *upstreams) prepare(now clock.Instant, pool string, state *upstreamState, needsHealth bool) {
 	if state.ColdUntil > now && state.share != u.coldShare {
 		state.ColdRate, state.share = u.coldShare.rate(pool, state.ID), u.coldShare
 	}
+	if !needsHealth {
+		state.Return = placement.ReturnCheck{}
+	}
 }
 
 // candidates returns the upstreams in service of a pool. The caller holds the lock.
-func (u *upstreams) candidates(view *View, pool string) []*placement.Upstream {
-	now := u.now()
+func (u *upstreams) candidates(now clock.Instant, view *View, pool string) []*placement.Upstream {
 	entries, needsHealth := view.InService[pool], view.healthPath(pool) != ""
 	out := make([]*placement.Upstream, 0, len(entries))
 	for i := range entries {
@@ -184,10 +183,7 @@
 		if state == nil {
 			continue
 		}
-		u.updateColdRate(now, pool, state)
-		if !needsHealth {
-			state.Return = placement.ReturnCheck{}
-		}
+		u.prepare(now, pool, state, needsHealth)
 		out = append(out, &state.Upstream)
 	}
 	return out
@@ -198,8 +194,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.now()
-	request.IsZoneSuspect = func(zone string) bool { return u.zones.IsSuspect(now, zone) || u.isZoneSuspect(zone) }
-	choice, status := placement.Pick(now, request, u.candidates(view, pool))
+	request.IsZoneSuspect = u.suspectZones(now)
+	choice, status := placement.Pick(now, request, u.candidates(now, view, pool))
 	if status != placement.Found {
 		return ""
 	}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -66,7 +66,7 @@
 	for _, entry := range entries {
 		view.ByID[entry.ID] = entry
 		view.ZoneOf[entry.Address], view.ByAddress[entry.Address] = entry.Zone, entry
-		if c == nil || c.Pools[entry.Pool] == nil || entry.Draining || zonesOut[entry.Zone] {
+		if c == nil || c.Pools[entry.Pool] == nil || !view.takesWork(entry) {
 			continue
 		}
 		view.InService[entry.Pool] = append(view.InService[entry.Pool], entry)
@@ -75,6 +75,12 @@
 	return view
 }
 
+// takesWork reports whether an upstream may get new work: it is not draining, and its zone is not out of
+// service.
+func (v *View) takesWork(entry *registry.Entry) bool {
+	return !entry.Draining && !v.ZonesOut[entry.Zone]
+}
+
 // addShards divides the pools that run stages and the pools of engines into shards. Upstreams that
 // are draining or out of service belong to a shard as well, since they hold results, and since the
 // shards then do not change when a zone leaves or returns.
@@ -120,7 +126,7 @@
 		v.ShardAt[entry.Address] = shard
 	}
 	shard.members = append(shard.members, entry)
-	if !entry.Draining && !v.ZonesOut[entry.Zone] {
+	if v.takesWork(entry) {
 		shard.entries = append(shard.entries, entry)
 	}
 }
