--- a/internal/edge/clientlimits.go
+++ b/internal/edge/clientlimits.go
@@ -56,8 +56,6 @@
 	maxPeerHeaderBytes = 16 << 10
 	// maxPeerCalls bounds the calls at a time on a connection of one VM, which run stages there.
 	maxPeerCalls = 1000
-	// probeBytes must arrive of a long body before memory is taken for all of its announced length.
-	probeBytes = 64 << 10
 	// bodyMemoryWait is how long a request waits for the memory of bodies whose connections were
 	// closed for it.
 	bodyMemoryWait = 250 * time.Millisecond
@@ -202,27 +200,27 @@
 // part of it has arrived, since an announcement costs a client nothing.
 func (m *bodyMemory) readRequest(reader io.Reader, length, limit int64, acquire acquireFunc) (*body, error) {
 	limit = min(limit, m.limit)
-	if length <= probeBytes || length > limit {
+	if length <= ingress.ProbeBytes || length > limit {
 		return m.read(reader, length, limit, acquire)
 	}
 	b := &body{memory: m}
-	if err := acquire(probeBytes); err != nil {
+	if err := acquire(ingress.ProbeBytes); err != nil {
 		return b, err
 	}
-	b.taken = probeBytes
-	probe := make([]byte, probeBytes)
+	b.taken = ingress.ProbeBytes
+	probe := make([]byte, ingress.ProbeBytes)
 	if _, err := io.ReadFull(reader, probe); err != nil {
 		return b, err
 	}
 	// The byte beyond the body finds its end.
-	if err := acquire(length + 1 - probeBytes); err != nil {
+	if err := acquire(length + 1 - ingress.ProbeBytes); err != nil {
 		return b, err
 	}
 	b.taken = length + 1
 	whole := make([]byte, length+1)
 	copy(whole, probe)
-	n, err := readPart(reader, whole[probeBytes:])
-	b.parts = [][]byte{whole[:probeBytes+n]}
+	n, err := readPart(reader, whole[ingress.ProbeBytes:])
+	b.parts = [][]byte{whole[:ingress.ProbeBytes+n]}
 	if errors.Is(err, io.EOF) {
 		err = nil
 	}
--- a/internal/edge/clientlimits_test.go
+++ b/internal/edge/clientlimits_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/ingress"
 )
 
 // TestCallerLimitsFollowTheConfiguration guards against limits that callers within the configuration
@@ -70,8 +71,8 @@
 		taken = append(taken, n)
 		return m.tryMemory(n)
 	}
-	b, err := m.readRequest(strings.NewReader(strings.Repeat("b", probeBytes-1)), length, length, acquire)
-	if !errors.Is(err, io.ErrUnexpectedEOF) || len(taken) != 1 || taken[0] != probeBytes {
+	b, err := m.readRequest(strings.NewReader(strings.Repeat("b", ingress.ProbeBytes-1)), length, length, acquire)
+	if !errors.Is(err, io.ErrUnexpectedEOF) || len(taken) != 1 || taken[0] != ingress.ProbeBytes {
 		t.Errorf("error %v, taken %v", err, taken)
 	}
 	b.release()
--- a/internal/edge/partguard.go
+++ b/internal/edge/partguard.go
@@ -95,11 +95,6 @@
 	return strings.Join(texts, ",")
 }
 
-// recordCrash records that an upstream crashed before it had answered a request with the parts.
-func (g *partGuard) recordCrash(upstream string, start int64, parts []poison.Part) {
-	g.recordCrashes(upstream, start, nil, [][]poison.Part{parts})
-}
-
 // recordCrashes records that one start of an upstream crashed while it ran the requests, and before it
 // had answered those with the prompts.
 func (g *partGuard) recordCrashes(upstream string, start int64, requests []poison.Part, prompts [][]poison.Part) {
--- a/internal/edge/partguard_test.go
+++ b/internal/edge/partguard_test.go
@@ -301,3 +301,8 @@
 		t.Errorf("%d requests reached upstreams, expected 3", n)
 	}
 }
+
+// recordCrash records that an upstream crashed before it had answered a request with the parts.
+func (g *partGuard) recordCrash(upstream string, start int64, parts []poison.Part) {
+	g.recordCrashes(upstream, start, nil, [][]poison.Part{parts})
+}
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -21,8 +21,6 @@
 	defaultIngressBytes  = 1 << 30
 	// minBodyBuffer is the first size of the buffer of a body.
 	minBodyBuffer = 4 << 10
-	// probeBytes must arrive of a long body before memory is taken for all of its announced length.
-	probeBytes = 64 << 10
 )
 
 // NewGuard returns the guard of the listener for callers, which bounds their connections and what they
@@ -77,7 +75,7 @@
 	for {
 		if len(body) == cap(body) {
 			size := max(2*cap(body), minBodyBuffer)
-			if announced >= 0 && (cap(body) >= probeBytes || size > announced) {
+			if announced >= 0 && (cap(body) >= ingress.ProbeBytes || size > announced) {
 				// The byte beyond the body finds its end.
 				size = announced + 1
 			}
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -74,6 +74,9 @@
 	wholeFactor = 2
 )
 
+// ProbeBytes must arrive of a long body before memory is taken for all of its announced length.
+const ProbeBytes = 64 << 10
+
 // progressBytes is what must arrive on a connection to count as progress. Single bytes at intervals
 // would otherwise keep a head from ever being the oldest.
 const progressBytes = 1 << 10
