--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -10,17 +10,18 @@
 
 // Figures of the case.
 const (
+	// unframedEvents is the number of events of a stream, and of lines of another answer.
 	unframedEvents   = 20
-	unframedGapMS    = 100
+	unframedGapMS    = 60
 	unframedRequests = 12
 	// killAfter is when workers are killed, counted from the first request: each stream is in its middle.
-	killAfter = 1200 * time.Millisecond
+	killAfter = 700 * time.Millisecond
 )
 
-// runUnframed checks that a stream whose worker is killed in its middle does not look complete. The answers
+// runUnframed checks that an answer whose worker is killed in its middle does not look complete. The answers
 // have neither a length nor chunks and end with their channel.
 func runUnframed(s *scene) (broken bool, err error) {
-	s.configure(route("once", "stream", false, 1), route("again", "stream", true, 2))
+	s.configure(route("once", "stream", false, 1), route("again", "stream", true, 2), route("plain", "safe", false, 2))
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	var workers []*workerProcess
 	for i := range 4 {
@@ -46,19 +47,19 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for n := range unframedRequests {
-		path := []string{"/once/x", "/again/x"}[n%2]
+		path := []string{"/once/x", "/again/x", "/plain/x"}[n%3]
 		prefix, tokens := promptOf(fmt.Sprintf("%08x", 0x70000000+n), false)
 		r := request{id: fmt.Sprintf("%s-%d", path[1:strings.LastIndexByte(path, '/')], n), path: path, prefix: prefix, tokens: tokens, deadline: 15 * time.Second}
 		v := vms[n%len(vms)]
 		s.note("client: sends %s to %s", r.id, v.name)
 		wg.Go(func() {
 			a := r.send(v.front)
-			events := strings.Count(a.body, "\n\n")
-			s.note("client: %s is answered: status %d, %d of %d events, complete %v, error %v", r.id, a.status, events, unframedEvents, a.complete, a.err)
+			parts := countParts(path, a.body)
+			s.note("client: %s is answered: status %d, %d of %d parts, complete %v, error %v", r.id, a.status, parts, unframedEvents, a.complete, a.err)
 			mu.Lock()
 			defer mu.Unlock()
-			if a.complete && a.status == 200 && events < unframedEvents {
-				s.note("check: the answer to %s ended as complete before its last event", r.id)
+			if a.complete && a.status == 200 && parts < unframedEvents {
+				s.note("check: the answer to %s is a success and looks complete, but %d parts are missing", r.id, unframedEvents-parts)
 				broken = true
 			}
 		})
@@ -76,6 +77,14 @@
 	return broken, nil
 }
 
+// countParts returns the number of events of a stream, or of lines of another answer.
+func countParts(path, body string) int {
+	if isStream(path) {
+		return strings.Count(body, "\n\n")
+	}
+	return strings.Count(body, "\n")
+}
+
 // busiest returns the worker that runs the most requests.
 func (s *scene) busiest(workers []*workerProcess) []*workerProcess {
 	runs := map[string]int{}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -140,7 +140,7 @@
 	return false
 }
 
-// answer writes a stream of events.
+// answer writes a stream of events, or a text of lines.
 func (w *worker) answer(rw http.ResponseWriter, r *http.Request, id string, deadline <-chan time.Time) {
 	write := w.framed(rw)
 	if w.Unframed {
@@ -151,7 +151,7 @@
 		}
 		defer conn.Close()
 		head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
-		for name, value := range w.answerHeader(id) {
+		for name, value := range w.answerHeader(r.URL.Path, id) {
 			head += name + ": " + value + "\r\n"
 		}
 		write = func(text string) error {
@@ -161,20 +161,24 @@
 		}
 		head += "\r\n"
 	} else {
-		for name, value := range w.answerHeader(id) {
+		for name, value := range w.answerHeader(r.URL.Path, id) {
 			rw.Header().Set(name, value)
 		}
 	}
+	part, name := event, "event-"
+	if !isStream(r.URL.Path) {
+		part, name = line, "line-"
+	}
 	for n := 1; n <= w.Events; n++ {
 		if n > 1 && !pause(r, deadline, w.GapMS) {
 			w.log("leaves", id)
 			return
 		}
-		if err := write(event(id, n)); err != nil {
+		if err := write(part(id, n)); err != nil {
 			w.log("leaves", id)
 			return
 		}
-		w.log("event-"+strconv.Itoa(n), id)
+		w.log(name+strconv.Itoa(n), id)
 	}
 	w.log("ends", id)
 }
@@ -188,12 +192,25 @@
 	}
 }
 
-func (w *worker) answerHeader(id string) map[string]string {
+func (w *worker) answerHeader(path, id string) map[string]string {
+	contentType := "text/plain"
+	if isStream(path) {
+		contentType = "text/event-stream"
+	}
 	return map[string]string{
-		"Content-Type": "text/event-stream", "Hornbeamhoist-Attempt-Id": id, "Hornbeamhoist-Response-Seal": "seal-" + w.ID + "-" + id,
+		"Content-Type": contentType, "Hornbeamhoist-Attempt-Id": id, "Hornbeamhoist-Response-Seal": "seal-" + w.ID + "-" + id,
 		"Hornbeamhoist-Weight-Versions": "1", "Hornbeamhoist-Worker-Id": w.ID,
 	}
 }
 
 // event returns the nth event of the answer to a request.
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+
+// line returns the nth line of the answer to a request that is no stream.
+func line(id string, n int) string { return fmt.Sprintf("line %d of the answer to %s\n", n, id) }
+
+// isStream reports whether the path belongs to a route of streams.
+func isStream(path string) bool { return !strings.HasPrefix(path, plainPrefix) }
+
+// plainPrefix is the prefix of the route whose answers are no streams.
+const plainPrefix = "/plain/"
