--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -36,9 +36,9 @@
 
 // text returns the request as it is sent.
 func (r *request) text() string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nHornbeamhoist-Attempt-Id: %s\r\nHornbeamhoist-Model: m\r\n"+
-		"Hornbeamhoist-Token-Counts: %d,80\r\nHornbeamhoist-Prompt-Prefix: %s\r\nHornbeamhoist-Deadline-Ms: %d\r\nAuthorization: Token key-1\r\n"+
-		"Content-Length: %d\r\n\r\n%s", r.path, r.id, r.tokens, r.prefix, r.deadline.Milliseconds(), len(r.id), r.id)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: m\r\n%s: %d,80\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token key-1\r\n"+
+		"Content-Length: %d\r\n\r\n%s", r.path, wire.AttemptID, r.id, wire.Model, wire.TokenCounts, r.tokens, wire.PromptPrefix, r.prefix, wire.Deadline, r.deadline.Milliseconds(),
+		len(r.id), r.id)
 }
 
 // send sends a request on a new channel and reads the answer.
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -57,7 +57,7 @@
 	}
 	restart = func(p *workerProcess) {
 		id := p.options.ID
-		time.AfterFunc(expiry, func() { s.store.remove("servers/" + id) })
+		time.AfterFunc(expiry, func() { s.store.remove(wire.WorkerKeys + id) })
 		time.AfterFunc(workerDown, func() {
 			if err := add(id[:strings.LastIndexByte(id, '-')], p.options.Address, p.zone); err != nil {
 				s.note("restart of %s: %v", id, err)
--- a/review/standin-2/scene.go
+++ b/review/standin-2/scene.go
@@ -187,7 +187,7 @@
 	}
 	// The command of the deploy file.
 	v.cmd = exec.Command("target/hoist-edge")
-	v.cmd.Env = []string{"HORNBEAMHOIST_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	v.cmd.Env = []string{wire.SettingsVariable + "=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	v.cmd.Stdout, v.cmd.Stderr = log, log
 	if err := s.spawn(v.cmd); err != nil {
 		return err
@@ -276,7 +276,7 @@
 }
 
 func (s *scene) register(p *workerProcess) {
-	s.store.put("servers/"+p.options.ID, map[string]any{
+	s.store.put(wire.WorkerKeys+p.options.ID, map[string]any{
 		"service": "model", "address": p.options.Address, "zone": p.zone, "version": "v1", "slots": p.options.Slots, "state": "ready", "cold_left_ms": 0,
 		"stage": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": 1, "born": time.Now().UnixMilli(),
 	})
@@ -321,7 +321,7 @@
 
 // configure writes the first configuration.
 func (s *scene) configure(routes ...map[string]any) {
-	s.store.put("op/config", map[string]any{
+	s.store.put(wire.ConfigKey, map[string]any{
 		"version": 7, "routes": routes,
 		"services": []any{map[string]any{
 			"name": "model", "health_path": "/health", "max_conns": 280, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0,
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -42,8 +42,8 @@
 	}
 	s := &store{address: listener.Addr().String(), revision: firstRevision, items: map[string]storeItem{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("GET "+wire.GetRange, s.list)
+	mux.HandleFunc("GET "+wire.GetWatch, s.watch)
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -70,7 +70,7 @@
 			s.note("trouble: SIGKILL to worker %s", p.options.ID)
 			_ = p.cmd.Process.Kill()
 			id := p.options.ID
-			time.AfterFunc(expiry, func() { s.store.remove("servers/" + id) })
+			time.AfterFunc(expiry, func() { s.store.remove(wire.WorkerKeys + id) })
 		}
 	}
 	wg.Wait()
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -67,19 +67,19 @@
 
 // ServeHTTP answers the health check and requests.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("Hornbeamhoist-Worker-Id", w.ID)
+	rw.Header().Set(wire.WorkerID, w.ID)
 	if r.URL.Path == "/health" {
 		return
 	}
-	id := r.Header.Get("Hornbeamhoist-Attempt-Id")
-	rw.Header().Set("Hornbeamhoist-Attempt-Id", id)
-	if expected := r.Header.Get("Hornbeamhoist-Expect-Instance"); expected != "" && expected != w.ID {
-		rw.Header().Set("Hornbeamhoist-Not-Executed", "1")
+	id := r.Header.Get(wire.AttemptID)
+	rw.Header().Set(wire.AttemptID, id)
+	if expected := r.Header.Get(wire.ExpectInstance); expected != "" && expected != w.ID {
+		rw.Header().Set(wire.NotExecuted, "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.log("arrives", id)
-	left, _ := strconv.Atoi(r.Header.Get("Hornbeamhoist-Deadline-Ms"))
+	left, _ := strconv.Atoi(r.Header.Get(wire.Deadline))
 	deadline := time.After(time.Duration(left) * time.Millisecond)
 	if w.waiting.Add(1) > int64(w.Queue+w.Slots) {
 		w.waiting.Add(-1)
@@ -114,7 +114,7 @@
 // reject refuses a request as not run.
 func (w *worker) reject(rw http.ResponseWriter, id string) {
 	w.log("rejects", id)
-	rw.Header().Set("Hornbeamhoist-Not-Executed", "1")
+	rw.Header().Set(wire.NotExecuted, "1")
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -131,7 +131,7 @@
 
 // hasPart reports whether the prompt has the part, other than as its last one.
 func hasPart(r *http.Request, part string) bool {
-	parts := strings.Split(r.Header.Get("Hornbeamhoist-Prompt-Prefix"), ",")
+	parts := strings.Split(r.Header.Get(wire.PromptPrefix), ",")
 	for _, text := range parts[:len(parts)-1] {
 		if id, _, _ := strings.Cut(text, ":"); id == part {
 			return true
@@ -198,8 +198,8 @@
 		contentType = "text/event-stream"
 	}
 	return map[string]string{
-		"Content-Type": contentType, "Hornbeamhoist-Attempt-Id": id, "Hornbeamhoist-Response-Seal": "seal-" + w.ID + "-" + id,
-		"Hornbeamhoist-Weight-Versions": "1", "Hornbeamhoist-Worker-Id": w.ID,
+		"Content-Type": contentType, wire.AttemptID: id, wire.Seal: "seal-" + w.ID + "-" + id,
+		wire.WeightVersions: "1", wire.WorkerID: w.ID,
 	}
 }
 
