--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-2/review2 memory "review/8/record.txt"
+exec target/review-2/review2 parts "review/8/record.txt"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,7 @@
 const maxDuration = 110 * time.Second
 
 var cases = map[string]func(*scene) (broken bool, err error){
-	"parts": runParts, "memory": runMemory, "unframed": runUnframed,
+	"parts": runParts, "memory": runMemory, "unframed": runUnframed, "readers": runReaders,
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -20,6 +20,8 @@
 	Slots, Queue int
 	// Events is the number of events of an answer, the first one after FirstMS and the others GapMS apart.
 	Events, FirstMS, GapMS int
+	// LargeBytes is the size of the answers to requests below largePrefix.
+	LargeBytes int
 	// Unframed makes answers come with neither a length nor chunks and end with their channel.
 	Unframed bool
 	// CrashPart is a part of prompts on which the process ends as it begins to write an answer.
@@ -108,6 +110,10 @@
 		time.Sleep(20 * time.Millisecond)
 		os.Exit(3)
 	}
+	if strings.HasPrefix(r.URL.Path, largePrefix) {
+		w.answerLarge(rw, r.URL.Path, id)
+		return
+	}
 	w.answer(rw, r, id, deadline)
 }
 
@@ -183,6 +189,19 @@
 	w.log("ends", id)
 }
 
+// answerLarge writes an answer of LargeBytes with its length.
+func (w *worker) answerLarge(rw http.ResponseWriter, path, id string) {
+	for name, value := range w.answerHeader(path, id) {
+		rw.Header().Set(name, value)
+	}
+	rw.Header().Set("Content-Length", strconv.Itoa(w.LargeBytes))
+	if _, err := rw.Write([]byte(strings.Repeat("x", w.LargeBytes))); err != nil {
+		w.log("leaves", id)
+		return
+	}
+	w.log("ends", id)
+}
+
 func (w *worker) framed(rw http.ResponseWriter) func(string) error {
 	return func(text string) error {
 		if _, err := rw.Write([]byte(text)); err != nil {
@@ -212,5 +231,8 @@
 // isStream reports whether the path belongs to a route of streams.
 func isStream(path string) bool { return !strings.HasPrefix(path, plainPrefix) }
 
+// largePrefix is the prefix of requests with large answers, which are no streams.
+const largePrefix = plainPrefix + "large/"
+
 // plainPrefix is the prefix of the route whose answers are no streams.
 const plainPrefix = "/plain/"
