Outbound: take a response whose connection is reset during an upload for broken

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a whole answer. Streams ended as complete after the events of the part, and resumable ones did not go on at another upstream.

Cause: a body of more than 8 KiB is written beside the reading of the response. The kernel reports a reset to whichever of the two calls comes first. If the write learned of it, the read saw an ordinary end of the connection, which is the end of a response without a length or chunks; the error of the write was not looked at.

Change: at the end of such a response, while the request is still being written, the write has 250 ms left. If it fails, the connection was lost and the response is broken. A server that ends its response and reads on, or stops reading, is not affected. An upstream that dies with no unread bytes sends an ordinary end first, and its reset follows when the next bytes of the upload arrive; that is seen as well.

The gateway writes the whole request before it reads the response, and ends the call if that fails, so internal/upstream had not the fault; its test is kept.

--- a/internal/edge/brokenanswers_test.go
+++ b/internal/edge/brokenanswers_test.go
@@ -21,6 +21,8 @@
 	// zone is the zone of the upstream; "zone-a", that of the VMs, if empty.
 	zone     string
 	listener net.Listener
+	// early is set if the upstream reads the heads of requests alone. It then takes one on a connection.
+	early bool
 	// requests counts the requests, and closed those whose connection was then closed by the VM.
 	requests atomic.Int64
 	closed   atomic.Int64
@@ -30,13 +32,24 @@
 // newRawUpstream starts an upstream that calls respond with each request and its connection.
 // The upstream then closes the connection if respond returns false.
 func newRawUpstream(t *testing.T, respond func(u *rawUpstream, conn net.Conn, request *http.Request) bool) *rawUpstream {
+	t.Helper()
+	return startRawUpstream(t, &rawUpstream{}, respond)
+}
+
+// newEarlyUpstream is newRawUpstream for an upstream that responds before it has read the body.
+func newEarlyUpstream(t *testing.T, respond func(u *rawUpstream, conn net.Conn, request *http.Request) bool) *rawUpstream {
+	t.Helper()
+	return startRawUpstream(t, &rawUpstream{early: true}, respond)
+}
+
+func startRawUpstream(t *testing.T, u *rawUpstream, respond func(u *rawUpstream, conn net.Conn, request *http.Request) bool) *rawUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	u := &rawUpstream{listener: listener}
+	u.listener = listener
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -57,9 +70,11 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body) // The response does not depend on the body.
+		if !u.early {
+			_, _ = io.Copy(io.Discard, request.Body) // The response does not depend on the body.
+		}
 		u.requests.Add(1)
-		if !respond(u, conn, request) {
+		if !respond(u, conn, request) || u.early {
 			return
 		}
 	}
--- a/internal/edge/unframed_test.go
+++ b/internal/edge/unframed_test.go
@@ -48,6 +48,11 @@
 	if _, err := fmt.Fprintf(c.conn, "%s /x/ %s\r\nHost: a.example\r\nRequest: %s\r\n\r\n", method, protocol, id); err != nil {
 		return nil, "", err
 	}
+	return c.read(method)
+}
+
+// read returns the next response and its body, and an error if it does not look complete.
+func (c *rawCaller) read(method string) (*http.Response, string, error) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, "", err
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -40,6 +40,9 @@
 	idleTimeoutMargin = time.Second
 	// bodyWriteTimeout bounds writing the rest of a request body after the response ended.
 	bodyWriteTimeout = 500 * time.Millisecond
+	// resetDelay is how long after the end of a response a reset may follow that shows that the server
+	// died, if the request is still being written.
+	resetDelay = 250 * time.Millisecond
 	// maxInlineBodyBytes is the largest body that is written before the response is read.
 	maxInlineBodyBytes = 8 << 10
 	writeBufferBytes   = 8 << 10
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,7 +22,7 @@
 	// its end by closing the connection, as it also does when it dies.
 	EndsWithConnection bool
 	// Body returns io.EOF only at the end of a complete response. If EndsWithConnection is set, that
-	// is any end of the connection other than a reset.
+	// is an end that the server itself sent. The request need not be written completely by then.
 	Body io.Reader
 
 	client          *Client
@@ -29,9 +30,12 @@
 	address         string
 	response        *http.Response
 	stopCancelWatch func() bool
-	bodyWritten     chan error
-	complete        bool
-	closed          bool
+	// bodyWritten is closed once a body that is written concurrently was written, with the error in
+	// bodyErr. It is nil if the body was written before the response was read.
+	bodyWritten chan struct{}
+	bodyErr     error
+	complete    bool
+	closed      bool
 	// singleUse is set if the connection must not serve another request.
 	singleUse bool
 }
@@ -53,10 +57,10 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	x.bodyWritten = make(chan error, 1)
+	x.bodyWritten = make(chan struct{})
 	go func() {
-		_, err := x.conn.Write(request.Body)
-		x.bodyWritten <- err
+		defer close(x.bodyWritten)
+		_, x.bodyErr = x.conn.Write(request.Body)
 	}()
 	return nil
 }
@@ -109,12 +113,32 @@
 // Read implements io.Reader.
 func (r eofTracker) Read(p []byte) (int, error) {
 	n, err := r.exchange.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.exchange.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if lost := r.exchange.connLoss(); lost != nil {
+		return n, lost
+	}
+	r.exchange.complete = true
 	return n, err
 }
 
+// connLoss returns the error of a connection that was lost before the end of a body which ends with it,
+// or nil if the server ended the connection. The kernel reports a loss once: if the write of the request
+// learns of it, a read sees an ordinary end. A server that dies before bytes of the request arrive sends
+// an ordinary end as well, and resets the connection when they do.
+func (x *Exchange) connLoss() error {
+	if !x.EndsWithConnection || x.bodyWritten == nil {
+		return nil
+	}
+	_ = x.conn.SetWriteDeadline(time.Now().Add(resetDelay)) // Fails only if the connection is closed, which ends the write too.
+	<-x.bodyWritten
+	if x.bodyErr == nil || errors.Is(x.bodyErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return errors.Wrap(x.bodyErr, "the connection was lost while the request was written")
+}
+
 // Close ends the exchange. It returns the connection to the pool if the connection is
 // reusable, and closes it otherwise.
 func (x *Exchange) Close() {
@@ -144,8 +168,8 @@
 	}
 	if x.bodyWritten != nil {
 		select {
-		case err := <-x.bodyWritten:
-			if err != nil {
+		case <-x.bodyWritten:
+			if x.bodyErr != nil {
 				return false
 			}
 		case <-time.After(bodyWriteTimeout):
