Responses: refuse a status outside of 100 to 599

What callers saw: an upstream in trouble answered with the status 000. At the gateway its body reached the caller as a success, as the result of a stage and as events of a stream. At hoist-edge the rest of a resumed stream was taken from such an answer; another caller lost its connection without an answer, since a status below 100 cannot be written, and a repeatable request was not sent to another upstream. 600 to 999 were passed on. A release of results and a health query were taken for answered.

Cause: net/http takes any three bytes that strconv.Atoi reads, so also "+20" and "-00", and fasthttp reports the status 0 as 200. Neither client looked at the status in the head itself.

Change: internal/responsehead waits for the head of the final response, which it checks before the parser of either client reads it, as internal/outbound did for ambiguous lengths; peek and hasAmbiguousLength move there unchanged. A status outside of the range that HTTP defines is a broken answer, as one that is no number was. Both clients now skip interim responses in the same place, up to 16, and check them. The gateway took one before a stream for the final response.

Stage calls, reports of engines and queries for memory were refused before, since they need the status 200.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -49,8 +49,6 @@
 	// maxHeadBytes bounds the head of a response. It is also the size of the read buffer, since
 	// a head is parsed only once it is complete.
 	maxHeadBytes = 16 << 10
-	// maxInterimResponses bounds the responses with a status of 1xx before the final one.
-	maxInterimResponses = 16
 )
 
 // ErrNotSent marks the error of a request of which no byte was sent.
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/responsehead"
 )
 
 // Exchange is a sent request whose response headers were read.
@@ -81,30 +83,17 @@
 
 // readHead reads the head of the final response.
 func (x *Exchange) readHead(method string) error {
-	for range maxInterimResponses + 1 {
-		head, err := peekHead(x.conn.reader)
-		if err != nil {
-			return err
-		}
-		if hasAmbiguousLength(head) {
-			return errors.New("the response has chunks beside a length or in HTTP/1.0")
-		}
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return errors.New("the response switches protocols, which the request did not ask for")
-		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
-		x.response = response
-		x.Status, x.Header, x.Body, x.ContentLength = response.StatusCode, response.Header, eofTracker{x}, response.ContentLength
-		x.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && method != http.MethodHead
-		return nil
+	if err := responsehead.AwaitFinal(x.conn.reader); err != nil {
+		return err
 	}
-	return errors.Newf("more than %d interim responses", maxInterimResponses)
+	response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+	if err != nil {
+		return err
+	}
+	x.response = response
+	x.Status, x.Header, x.Body, x.ContentLength = response.StatusCode, response.Header, eofTracker{x}, response.ContentLength
+	x.EndsWithConnection = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && method != http.MethodHead
+	return nil
 }
 
 // eofTracker reads the response body and records that its end was reached.
--- a/internal/outbound/malformed_test.go
+++ b/internal/outbound/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -96,6 +97,36 @@
 	}
 }
 
+// TestStatusThatIsNone guards against a response whose status is outside of the range of HTTP: its first
+// digit tells no outcome, and one below 100 cannot be written to a caller.
+func TestStatusThatIsNone(t *testing.T) {
+	for _, status := range []string{
+		"000", "001", "020", "099", "600", "999", "+00", "+20", "-00", "-20", "0 0", "2 0", "2OO", "0x1", "", "20", "2000", "00200", "000200",
+	} {
+		for _, line := range []string{
+			"HTTP/1.1 " + status + " OK", "HTTP/1.1 " + status, "HTTP/1.0 " + status + " OK",
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " OK",
+		} {
+			s := newServer(t, func(conn net.Conn, _ *bufio.Reader) { writeString(t, conn, line+"\r\nContent-Length: 2\r\n\r\nok") })
+			if response, err := s.call(NewClient("")); err == nil || errors.Is(err, ErrNotSent) {
+				t.Errorf("%q: response %v, error %v; expected an error of a request that was sent", line, response, err)
+			}
+		}
+	}
+}
+
+// TestRareStatus guards against refusing a status that HTTP allows.
+func TestRareStatus(t *testing.T) {
+	for _, status := range []int{200, 207, 299, 300, 418, 499, 500, 599} {
+		s := newServer(t, func(conn net.Conn, _ *bufio.Reader) {
+			writeString(t, conn, fmt.Sprintf("HTTP/1.1 %d \r\nContent-Length: 2\r\n\r\nok", status))
+		})
+		if response, err := s.call(NewClient("")); err != nil || response.Status != status || string(response.Body) != "ok" {
+			t.Errorf("status %d: response %v, error %v", status, response, err)
+		}
+	}
+}
+
 // TestInterimResponses guards against taking an interim response for the final one, and against
 // refusing a server that sends a few of them.
 func TestInterimResponses(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamhoist/hornbeamhoist/internal/responsehead"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/dispatch"
 )
 
@@ -170,11 +171,13 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	var result Result
-	var err error
 	var reusable bool
-	if call.Stream {
+	err := responsehead.AwaitFinal(cn.reader)
+	switch {
+	case err != nil:
+	case call.Stream:
 		result, reusable, err = c.readStream(cn, call, response)
-	} else {
+	default:
 		result, reusable, err = c.readBuffered(cn, call, response)
 	}
 	// A late Cancel must not interrupt the next call on the connection.
