--- a/internal/edge/malformedhead_test.go
+++ b/internal/edge/malformedhead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,13 @@
 	for _, status := range []string{"000", "099", "600", "999", "+20"} {
 		heads["status "+status] = func(head string) string { return strings.Replace(head, "200 OK", status+" OK", 1) }
 	}
+	for _, line := range []string{"X y: z", "X : z", "X: y\r\n z: z", "X\x01: z", "X\r: z", "Content-Length : 5", "Transfer-Encoding : chunked", "Content-Length: 5\r\n Y: z"} {
+		heads[fmt.Sprintf("field %q", line)] = func(head string) string { return strings.Replace(head, "\r\n", "\r\n"+line+"\r\n", 1) }
+	}
+	heads["length not announced"] = func(head string) string { return strings.Replace(head, "Content-Length:", "Content-Length :", 1) }
+	heads["chunks not announced"] = func(head string) string {
+		return regexp.MustCompile("Content-Length: [0-9]+").ReplaceAllString(head, "Transfer-Encoding : chunked")
+	}
 	return heads
 }
 
@@ -66,6 +74,8 @@
 
 // TestMalformedHeadInResumedStream guards against the rest of a stream from a response whose head is none.
 func TestMalformedHeadInResumedStream(t *testing.T) {
+	rest := sseEvent(2) + sseEvent(3)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(rest))
 	for name, malform := range malformedHeads() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -74,7 +84,7 @@
 				if requests.Add(1) == 1 {
 					u.write(conn, head(request, streamHeaders)+sseEvent(1)+"id: 2\n")
 				} else {
-					u.write(conn, malform(head(request, streamHeaders))+sseEvent(2)+sseEvent(3))
+					u.write(conn, malform(head(request, streamHeaders+length))+rest)
 				}
 				return false
 			}
--- a/internal/upstream/malformedhead_test.go
+++ b/internal/upstream/malformedhead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -19,6 +20,14 @@
 			return "HTTP/1.1 100 Continue\r\n\r\n" + strings.Replace(head, "200 OK", status+" OK", 1)
 		}
 	}
+	for _, line := range []string{"X y: z", "X : z", "X: y\r\n z: z", "X\x01: z", "X\r: z", "Content-Length : 5", "Transfer-Encoding : chunked"} {
+		heads[fmt.Sprintf("field %q", line)] = func(head string) string { return strings.Replace(head, "\r\n", "\r\n"+line+"\r\n", 1) }
+	}
+	for _, name := range []string{"Content-Length", "Transfer-Encoding"} {
+		heads[name+" with a blank"] = func(head string) string {
+			return regexp.MustCompile("Content-Length: [0-9]+").ReplaceAllString(head, name+" : 5")
+		}
+	}
 	return heads
 }
 
