Engines: bound the body of an engine's response

What was seen: an engine that sent a body without end, or announced one of a terabyte, took the memory of the agent that had asked for its state; the agent ended, and with it the claims and leases of all callers on its VM. One announced length was enough, before any byte of the body had arrived.

Cause: the client for engines set no MaxResponseBodySize, and fasthttp takes memory for an announced length at once.

Change: a response has at most 64 KiB; a state has some hundred bytes.

Evidence, before the change, TestResponseWithoutEnd case by case: "body with a length" ended the process with "runtime: out of memory"; two calls accepted 1.6 GB without a length and 278 MB in chunks, where the test allows 34 MB; heads without end were refused. After it all pass, three times with the race detector.

--- a/internal/engines/client.go
+++ b/internal/engines/client.go
@@ -21,8 +21,12 @@
 	PathOrders = "/engine/orders"
 )
 
-// controlCallTimeout bounds one control call to an engine.
-const controlCallTimeout = time.Second
+const (
+	// controlCallTimeout bounds one control call to an engine.
+	controlCallTimeout = time.Second
+	// maxResponseBytes bounds the body of a response; a state has some hundred bytes.
+	maxResponseBytes = 64 << 10
+)
 
 // ModelDocument identifies a model with its adapter and version.
 type ModelDocument struct {
@@ -58,6 +62,7 @@
 		// The planner decides about retries.
 		MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader:  true,
+		MaxResponseBodySize:       maxResponseBytes,
 	}}
 }
 
--- /dev/null
+++ b/internal/engines/client_test.go
@@ -0,0 +1,69 @@
+package engines
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/orders"
+)
+
+// newEngine starts an engine that writes start to each request, then repeats unit until the connection is
+// closed, and counts the bytes. It closes the connection after start if unit is empty.
+func newEngine(t *testing.T, start, unit string) (address string, written *atomic.Int64) {
+	t.Helper()
+	written = &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, err = io.WriteString(conn, start)
+		for err == nil && unit != "" {
+			var n int
+			n, err = io.WriteString(conn, unit)
+			written.Add(int64(n))
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), written
+}
+
+const okHead = "HTTP/1.1 200 OK\r\n"
+
+// maxEndlessBytes is what an engine may write before the client has closed the connection: the limit of a
+// response, and the socket buffers of both ends.
+const maxEndlessBytes = 16 << 20
+
+// TestResponseWithoutEnd guards against an engine whose response takes memory until the call times out.
+func TestResponseWithoutEnd(t *testing.T) {
+	block := strings.Repeat("x", 16<<10)
+	for name, test := range map[string]struct{ start, unit string }{
+		"body without length": {okHead + "\r\n", block},
+		"body with a length":  {okHead + "Content-Length: 1000000000000\r\n\r\n", block},
+		"body in chunks":      {okHead + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + block + "\r\n"},
+		"field":               {okHead + "X: ", block},
+		"fields":              {okHead, "X: " + block + "\r\n"},
+		"no head":             {"", block},
+		"interim responses":   {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, written := newEngine(t, test.start, test.unit)
+			if state, err := NewClient().State(address, 0); err == nil {
+				t.Errorf("state %+v", state)
+			}
+			if result := NewClient().Send(orders.Order{Address: address}); result != orders.ResultFailed {
+				t.Errorf("the order has the result %d", result)
+			}
+			if n := written.Load(); n > 2*maxEndlessBytes {
+				t.Errorf("%d bytes were accepted in two calls, expected at most %d", n, 2*maxEndlessBytes)
+			}
+		})
+	}
+}
