Agent and hoistctl: refuse responses whose head is none

What was seen: a configuration service in trouble answered with the status 000, and its value came into force; an engine did, and its state was used, or an order counted as accepted; hoistctl showed the figures of such a response. The same with a blank in the name of a field, or a line that begins with one.

Cause: these three clients read heads with fasthttp alone, which reports 000 as 200 and accepts blanks.

Change: internal/httpclient provides the fasthttp clients of all three, with a transport that checks the head as the other clients do (internal/responsehead). The client for upstreams of hoist-edge would check as much, but has no TLS, which the base URL of the configuration service may ask for.

A request is written before its response is read here, and a failed write ends the call, so a reset during an upload was handled before; TestResetDuringUpload keeps it.

--- a/internal/ctl/fetch.go
+++ b/internal/ctl/fetch.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/adminapi"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/httpclient"
 )
 
 const (
@@ -38,15 +39,12 @@
 }
 
 func newAdminClient(timeout time.Duration) *adminClient {
-	return &adminClient{httpClient: &fasthttp.Client{
-		// Connection deadlines end a call without leaking a goroutine.
-		Dial:                      func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, timeout) },
-		ReadTimeout:               timeout,
-		WriteTimeout:              timeout,
-		MaxResponseBodySize:       maxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
-		Name:                      "hoistctl",
-	}}
+	client := httpclient.New(maxResponseBytes)
+	// Connection deadlines end a call without leaking a goroutine.
+	client.Dial = func(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, timeout) }
+	client.ReadTimeout, client.WriteTimeout = timeout, timeout
+	client.Name = "hoistctl"
+	return &adminClient{httpClient: client}
 }
 
 // get returns the body of the response. Any status other than 200 is an error.
--- a/internal/engines/client.go
+++ b/internal/engines/client.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamhoist/hornbeamhoist/internal/httpclient"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/orders"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/table"
@@ -57,14 +58,7 @@
 }
 
 // NewClient returns a client.
-func NewClient() *Client {
-	return &Client{http: &fasthttp.Client{
-		// The planner decides about retries.
-		MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader:  true,
-		MaxResponseBodySize:       maxResponseBytes,
-	}}
-}
+func NewClient() *Client { return &Client{http: httpclient.New(maxResponseBytes)} }
 
 // State reads an engine's state. It returns an error if the call fails, the status is not
 // 200 or the document cannot be decoded.
--- a/internal/engines/client_test.go
+++ b/internal/engines/client_test.go
@@ -67,3 +67,17 @@
 		})
 	}
 }
+
+// TestMalformedHead guards against a state that is used, or an order that counts as accepted, although the
+// head of the response is none.
+func TestMalformedHead(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX y: z\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n z: z\r\n"} {
+		address, _ := newEngine(t, head+"Content-Length: 17\r\n\r\n{\"in_flight\":123}", "")
+		if state, err := NewClient().State(address, 0); err == nil {
+			t.Errorf("%q: state %+v", head, state)
+		}
+		if result := NewClient().Send(orders.Order{Address: address}); result != orders.ResultFailed {
+			t.Errorf("%q: the order has the result %d", head, result)
+		}
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/httpclient"
 )
 
 // revisionHeader is the response header with the revision of a value.
@@ -33,15 +35,7 @@
 
 // NewClient returns a client for the service at the base URL.
 func NewClient(baseURL string) *Client {
-	return &Client{
-		baseURL: baseURL,
-		http: &fasthttp.Client{
-			// Every call counts against the service's rate limit, so the library must not retry.
-			MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader:  true,
-			MaxResponseBodySize:       maxValueBytes,
-		},
-	}
+	return &Client{baseURL: baseURL, http: httpclient.New(maxValueBytes)}
 }
 
 // Read returns the named value if its revision is above after. It waits up to wait for such
