Claims: take a result of another VM whose status is none for an unknown outcome

What callers saw: a gateway that answers with the result of an earlier send, which another VM holds, sent it on whatever its status was. The HTTP server sends the status 0, which is also that of a message without one, as 200: the caller got a success.

Cause: the message was converted without a look at the status.

Change: a result whose status is not that of a final response is unknown, as an outcome is that no VM can tell. The request is then not run again.

--- a/internal/claim/outcome.go
+++ b/internal/claim/outcome.go
@@ -7,6 +7,7 @@
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	keeperwire "github.com/hornbeamhoist/hornbeamhoist/internal/keeper"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/responsehead"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/keeper"
 )
 
@@ -67,8 +68,12 @@
 		if outcome != keeper.OutcomeResult {
 			return outcome, nil
 		}
+		status := int(message.GetStatus())
+		if !responsehead.IsFinalStatus(status) {
+			return keeper.OutcomeUnknown, nil
+		}
 		return outcome, &Result{
-			Status: int(message.GetStatus()), ContentType: message.GetContentType(), Body: bytes.Clone(message.GetBody()),
+			Status: status, ContentType: message.GetContentType(), Body: bytes.Clone(message.GetBody()),
 		}
 	}
 	return keeper.OutcomeUnknown, nil
--- a/internal/responsehead/await.go
+++ b/internal/responsehead/await.go
@@ -29,7 +29,7 @@
 		if status == http.StatusSwitchingProtocols {
 			return errors.New("the response switches protocols, which the request did not ask for")
 		}
-		if status >= http.StatusOK {
+		if IsFinalStatus(status) {
 			return nil
 		}
 		if _, err := reader.Discard(len(head)); err != nil {
--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,9 @@
 	statusDigits = 3
 )
 
+// IsFinalStatus reports whether a status is one of a final response.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // check returns the status of a complete head, or an error if the head is malformed.
 func check(head []byte) (int, error) {
 	line, fields, _ := bytes.Cut(head, []byte("\n"))
