--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,72 @@
 	}
 }
 
+// TestLateRequestsOfEachKindAreRefused guards against a request of any kind that is taken late in a planned
+// stop on a connection which has served requests before, and is then cut off with the process.
+func TestLateRequestsOfEachKindAreRefused(t *testing.T) {
+	f := startFleetWith(t, 1, nil, func(s *Server) { s.stop.refusalPeriod = 5 * time.Second })
+	u, stage := newTestUpstream(t, "u", func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, "stream") {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		writeSealed(w, sseEvent(1))
+	}), newTestUpstream(t, "s", nil)
+	batch := catalog.Batch{Concurrency: 1, MaxPieces: 4, CallTime: 10 * time.Millisecond, PieceTime: time.Millisecond, ResultTTL: time.Minute}
+	kinds := map[string]struct {
+		kind   catalog.RequestKind
+		change func(*catalog.Route)
+		header string
+	}{
+		"/unsafe/":         {kind: catalog.NonIdempotent},
+		"/safe/":           {kind: catalog.Idempotent},
+		"/stream/":         {kind: catalog.Stream},
+		"/resumed-stream/": {kind: catalog.Stream, change: func(r *catalog.Route) { r.Resumable = true }, header: "Last-Event: 0\r\n"},
+		"/staged/":         {kind: catalog.NonIdempotent, change: func(r *catalog.Route) { r.Stages = []catalog.Stage{{Pool: "a"}} }, header: "Pieces: 1\r\n"},
+	}
+	var routes []catalog.Route
+	for path, kind := range kinds {
+		routes = append(routes, testRoute(path, kind.kind, kind.change))
+	}
+	f.publish(&catalog.Catalog{Version: 1, Pools: map[string]*catalog.Pool{"p": {Name: "p"}, "a": {Name: "a", Batch: &batch}}, Routes: routes},
+		append(catalogUpstreams("p", u), catalogUpstreams("a", stage)...)...)
+	s := f.servers[0]
+	callers := map[string]*rawCaller{}
+	send := func(path, id string) *http.Response {
+		t.Helper()
+		caller := callers[path]
+		if _, err := fmt.Fprintf(caller.conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nRequest: %s\r\n%sContent-Length: 1\r\n\r\nb", path, id, kinds[path].header); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		response, _, err := caller.read(http.MethodPost)
+		if err != nil {
+			t.Fatalf("%s: no answer: %v", path, err)
+		}
+		return response
+	}
+	for path := range kinds {
+		callers[path] = newRawCaller(t, f)
+		if response := send(path, "early "+path); response.StatusCode != http.StatusOK {
+			t.Fatalf("%s: status %d before the stop", path, response.StatusCode)
+		}
+	}
+	f.stops[0]()
+	await(t, "the time for new requests is over", func() bool {
+		schedule := s.stop.schedule.Load()
+		return schedule != nil && s.now() > schedule.acceptUntil
+	})
+	for path := range kinds {
+		response := send(path, "late "+path)
+		if response.StatusCode != http.StatusServiceUnavailable || !response.Close || response.Header.Get("Retry-After") == "" || u.runCount("late "+path) != 0 {
+			t.Errorf("%s: status %d, close %v, header %v, %d runs; expected 503 without a run", path, response.StatusCode, response.Close, response.Header, u.runCount("late "+path))
+		}
+	}
+	stage.mu.Lock()
+	defer stage.mu.Unlock()
+	if len(stage.calls) != 1 {
+		t.Errorf("%d stage calls, expected that of the early request", len(stage.calls))
+	}
+}
+
 // TestRequestsOutlivingStopAreAnswered guards against requests that end with a closed connection
 // when a VM stops, although their callers could be told whether they may have run.
 func TestRequestsOutlivingStopAreAnswered(t *testing.T) {
--- a/pkg/table/decode_test.go
+++ b/pkg/table/decode_test.go
@@ -190,6 +190,31 @@
 	}
 }
 
+// TestOddEntry guards against an entry that ends the process which reads the table, or that is taken for an
+// upstream.
+func TestOddEntry(t *testing.T) {
+	pools := string(readFile(t, "pools.yaml"))
+	for _, change := range [][2]string{
+		{"10.0.0.1:80", "10.0.0.1:65536"},
+		{"10.0.0.1:80", "10.0.0.1:0"},
+		{"10.0.0.1:80", "10.0.0.1:-1"},
+		{"10.0.0.1:80", "10.0.0.1:18446744073709551617"},
+		{"10.0.0.1:80", "10.0.0.1"},
+		{"10.0.0.1:80", "10.0.0.999:80"},
+		{"cold: 2", "cold: 1e400"},
+		{"cold: 2", "cold: 99999999999999999999999"},
+		{`"10.0.0.1:80"`, strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000)},
+		{`"10.0.0.1:80"`, strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)},
+		{`"10.0.0.1:80"`, strings.Repeat("{a: ", 100_000)},
+		{"pools:", strings.Repeat("- ", 100_000) + "x"},
+	} {
+		changed := strings.Replace(pools, change[0], change[1], 1)
+		if _, err := DecodePools("pools.yaml", []byte(changed)); changed == pools || err == nil {
+			t.Errorf("%.40q: error %v", change[1], err)
+		}
+	}
+}
+
 // TestOutOfService guards against an upstream that counts as in service although it or its
 // zone is listed in out_of_service.
 func TestOutOfService(t *testing.T) {
