Gateway: bound what responses of upstreams hold together

An announced length took its memory before any byte had arrived.

Change: the client reads the body itself, through the readers that its streams use, and takes memory as the body arrives. All bodies that are being read hold at most a quarter of GOMEMLIMIT (1 GiB without it). Beyond that, a body that holds more than half of an equal part is broken off, as an upstream that failed; smaller ones go on, so that the sum stays below one and a half of the limit.

Evidence: TestResponsesWithoutEndTogether, where three of 16 such bodies fit into the memory, failed in its three cases before the change, since all 16 were held until the deadline of the test; it passes now, five times with the race detector, and so do the tests of the gateway.

--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// ingressMemoryDivisor is the fraction of GOMEMLIMIT that callers may hold before their requests
-	// are handled, and defaultIngressBytes applies if there is no such limit.
-	ingressMemoryDivisor = 4
-	defaultIngressBytes  = 1 << 30
+	// memoryDivisor is the fraction of GOMEMLIMIT that callers may hold before their requests are
+	// handled, and that responses of upstreams may hold while they are read. defaultMemoryBytes applies
+	// if there is no such limit.
+	memoryDivisor      = 4
+	defaultMemoryBytes = 1 << 30
 	// minBodyBuffer is the first size of the buffer of a body.
 	minBodyBuffer = 4 << 10
 )
@@ -26,11 +27,16 @@
 // NewGuard returns the guard of the listener for callers, which bounds their connections and what they
 // hold. The time limits are those of the server.
 func NewGuard(now func() clock.Instant, maxConnections int) *guard.Guard {
-	limits := ingress.Limits{Connections: maxConnections, Bytes: defaultIngressBytes, WholeRequests: true}
+	limits := ingress.Limits{Connections: maxConnections, Bytes: memoryShare(), WholeRequests: true}
+	return guard.New("callers", now, func() ingress.Limits { return limits })
+}
+
+// memoryShare returns the memory for one of the purposes of memoryDivisor, in bytes.
+func memoryShare() int64 {
 	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
-		limits.Bytes = limit / ingressMemoryDivisor
+		return limit / memoryDivisor
 	}
-	return guard.New("callers", now, func() ingress.Limits { return limits })
+	return defaultMemoryBytes
 }
 
 // guarded returns a handler that reads the body of a request and tells the guard of its connection when
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,8 @@
 	ProbeTimeout time.Duration
 	// MaxResponseBytes limits the body of a response that is not streamed.
 	MaxResponseBytes int
+	// MaxResponseMemory limits what such bodies hold together while they are read, in bytes.
+	MaxResponseMemory int64
 }
 
 // DefaultOptions returns the default options.
@@ -33,6 +35,7 @@
 		DialTimeout:       time.Second,
 		ProbeTimeout:      200 * time.Millisecond,
 		MaxResponseBytes:  64 << 20,
+		MaxResponseMemory: 1 << 30,
 	}
 }
 
@@ -50,8 +53,9 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	Stats   Stats
-	options Options
+	Stats     Stats
+	options   Options
+	responses responseMemory
 
 	mu          sync.RWMutex
 	hosts       map[string]*host
@@ -64,7 +68,10 @@
 
 // NewClient returns a client.
 func NewClient(options Options) *Client {
-	return &Client{options: options, hosts: map[string]*host{}, cancelSlots: make(chan struct{}, maxConcurrentCancels)}
+	return &Client{
+		options: options, responses: responseMemory{total: options.MaxResponseMemory},
+		hosts: map[string]*host{}, cancelSlots: make(chan struct{}, maxConcurrentCancels),
+	}
 }
 
 func (c *Client) host(address string) *host {
@@ -203,21 +210,24 @@
 }
 
 func (c *Client) readBuffered(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
-	if err := response.ReadLimitBody(cn.reader, c.options.MaxResponseBytes); err != nil {
+	if err := response.Header.Read(cn.reader); err != nil {
+		return Result{}, false, err
+	}
+	body, err := c.readBody(cn.reader, &response.Header)
+	if err != nil {
 		return Result{}, false, err
 	}
-	result := classifyResponse(call, response)
+	result, reusable := classifyResponse(call, response), endsClean(cn.reader, &response.Header)
 	if result.Outcome != dispatch.OutcomeSuccess {
-		return result, true, nil
+		return result, reusable, nil
 	}
-	if len(response.Body()) == 0 && cn.readErr != nil {
+	if len(body) == 0 && cn.readErr != nil {
 		// Only a body without a length or chunks is read up to the end of the connection, and an
 		// empty one cannot be told from that of an upstream that died after the head.
 		return Result{}, false, io.ErrUnexpectedEOF
 	}
-	// Take the buffer out of fasthttp's pool, so that no later response overwrites it.
-	result.Body = response.SwapBody(nil)
-	return result, true, nil
+	result.Body = body
+	return result, reusable, nil
 }
 
 // failureResult returns the result of a call that failed after its first byte was sent.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,12 +14,6 @@
 // maxEventBytes limits one event of a stream.
 const maxEventBytes = 1 << 20
 
-// Values of fasthttp's ResponseHeader.ContentLength for a response without a Content-Length.
-const (
-	contentLengthChunked  = -1
-	contentLengthIdentity = -2
-)
-
 // readStream reads a streamed response and passes its events to call.OnEvent. It also
 // reports whether the connection is reusable.
 func (c *Client) readStream(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
@@ -31,33 +24,16 @@
 	if result.Outcome != dispatch.OutcomeSuccess {
 		return result, false, nil
 	}
-	var body io.Reader
-	length := response.Header.ContentLength()
-	limited := &io.LimitedReader{R: cn.reader, N: int64(length)}
-	switch {
-	case length == contentLengthChunked:
-		body = httputil.NewChunkedReader(cn.reader)
-	case length >= 0:
-		body = limited
-	default:
-		body = cn.reader
-	}
-	done, err := readEvents(bufio.NewReader(body), call.OnEvent)
+	done, err := readEvents(bufio.NewReader(newBodyReader(cn.reader, &response.Header)), call.OnEvent)
 	if err != nil {
 		return Result{}, false, err
 	}
-	// Without chunked encoding, the end of the connection does not prove that the response is
-	// complete, and before the announced length it proves the opposite.
-	if length == contentLengthIdentity && !done || length >= 0 && limited.N > 0 {
+	length := response.Header.ContentLength()
+	if length == contentLengthIdentity && !done {
+		// The end of the connection does not prove that the response is complete.
 		return Result{}, false, io.ErrUnexpectedEOF
 	}
-	return result, length == contentLengthChunked && readTrailer(cn.reader), nil
-}
-
-// readTrailer reads the empty line after the last chunk and reports whether it was there.
-func readTrailer(r *bufio.Reader) bool {
-	line, err := r.ReadSlice('\n')
-	return err == nil && len(bytes.TrimSpace(line)) == 0
+	return result, length == contentLengthChunked && endsClean(cn.reader, &response.Header), nil
 }
 
 // readEvents passes each event to onEvent until the body ends. It reports whether the final
