Gateway: take a body in chunks without its end for broken again

Trailers are now read to their end, up to the size of the buffer, and a response without it has failed.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -19,8 +19,12 @@
 // maxBodyPreallocation bounds the memory that is taken for an announced body before it arrives.
 const maxBodyPreallocation = 64 << 10
 
-// errBodyTooLarge reports a body above Options.MaxResponseBytes.
-var errBodyTooLarge = errors.New("the response body is too large")
+var (
+	// errBodyTooLarge reports a body above Options.MaxResponseBytes.
+	errBodyTooLarge = errors.New("the response body is too large")
+	// errTrailersTooLarge reports trailers that exceed the buffer of the connection.
+	errTrailersTooLarge = errors.New("the trailers of the response are too large")
+)
 
 // newBodyReader returns a reader of the body after a head. It returns io.EOF only at the end that the head
 // announces, which is the end of the connection without a length and chunks.
@@ -70,19 +74,32 @@
 	return body.Bytes(), err
 }
 
-// endsClean reports whether the connection is at the end of a response whose body was read.
-func endsClean(r *bufio.Reader, header *fasthttp.ResponseHeader) bool {
+// readBodyEnd reads what follows the body of a response, and reports whether the connection may serve another
+// call. Without the end of the chunks the response is not complete.
+func readBodyEnd(r *bufio.Reader, header *fasthttp.ResponseHeader) (reusable bool, err error) {
 	switch {
 	case hasNoBody(header.StatusCode()):
-		return true
+		return true, nil
 	case header.ContentLength() == contentLengthChunked:
-		return readTrailer(r)
+		return true, readTrailers(r)
 	}
-	return header.ContentLength() >= 0
+	return header.ContentLength() >= 0, nil
 }
 
-// readTrailer reads the empty line after the last chunk and reports whether it was there.
-func readTrailer(r *bufio.Reader) bool {
-	line, err := r.ReadSlice('\n')
-	return err == nil && len(bytes.TrimSpace(line)) == 0
+// readTrailers reads the trailers after the last chunk, up to the empty line that ends them.
+func readTrailers(r *bufio.Reader) error {
+	for read := 0; read <= r.Size(); {
+		line, err := r.ReadSlice('\n')
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
+		}
+		read += len(line)
+	}
+	return errTrailersTooLarge
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -217,7 +217,11 @@
 	if err != nil {
 		return Result{}, false, err
 	}
-	result, reusable := classifyResponse(call, response), endsClean(cn.reader, &response.Header)
+	reusable, err := readBodyEnd(cn.reader, &response.Header)
+	if err != nil {
+		return Result{}, false, err
+	}
+	result := classifyResponse(call, response)
 	if result.Outcome != dispatch.OutcomeSuccess {
 		return result, reusable, nil
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -33,7 +33,7 @@
 		// The end of the connection does not prove that the response is complete.
 		return Result{}, false, io.ErrUnexpectedEOF
 	}
-	return result, length == contentLengthChunked && endsClean(cn.reader, &response.Header), nil
+	return result, length == contentLengthChunked && readTrailers(cn.reader) == nil, nil
 }
 
 // readEvents passes each event to onEvent until the body ends. It reports whether the final
