Tests: start the servers with raw answers in one place; split transport and reading of responses

The transport of internal/httpclient has one function each for the request and the response, and internal/upstream reads the head of both kinds of response in one place. Behaviour is the same.

--- a/internal/ctl/fetch_test.go
+++ b/internal/ctl/fetch_test.go
@@ -1,11 +1,13 @@
 package ctl
 
 import (
+	"bufio"
 	"io"
-	"net/http"
-	"net/http/httptest"
+	"net"
 	"testing"
 	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 )
 
 // TestMalformedHead guards against figures that are shown although the head of the response is none.
@@ -18,21 +20,14 @@
 		"HTTP/1.1 200 OK\r\nX\x01: z\r\n":      "",
 		"HTTP/1.1 503 Service Unavailable\r\n": "",
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
+		address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 			if _, err := io.WriteString(conn, head+"Content-Length: 7\r\n\r\nfigures"); err != nil {
 				t.Error(err)
 			}
-		}))
-		body, err := newAdminClient(5*time.Second).get(server.Listener.Addr().String(), "/metrics", nil)
+		})
+		body, err := newAdminClient(5*time.Second).get(address, "/metrics", nil)
 		if (err == nil) != (want != "") || string(body) != want {
 			t.Errorf("%q: body %q, error %v", head, body, err)
 		}
-		server.Close()
 	}
 }
--- a/internal/engines/client_test.go
+++ b/internal/engines/client_test.go
@@ -1,13 +1,14 @@
 package engines
 
 import (
+	"bufio"
 	"io"
-	"net/http"
-	"net/http/httptest"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
 
+	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/orders"
 )
 
@@ -16,22 +17,15 @@
 func newEngine(t *testing.T, start, unit string) (address string, written *atomic.Int64) {
 	t.Helper()
 	written = &atomic.Int64{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
-		_, err = io.WriteString(conn, start)
+	address = rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+		_, err := io.WriteString(conn, start)
 		for err == nil && unit != "" {
 			var n int
 			n, err = io.WriteString(conn, unit)
 			written.Add(int64(n))
 		}
-	}))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String(), written
+	})
+	return address, written
 }
 
 const okHead = "HTTP/1.1 200 OK\r\n"
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -4,7 +4,7 @@
 package httpclient
 
 import (
-	"bufio"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,18 +40,8 @@
 	}
 	conn := pooled.Conn()
 	response.ParseNetConn(conn)
-	if err = conn.SetWriteDeadline(earliest(deadline, deadlineAfter(host.WriteTimeout))); err == nil {
-		writer := host.AcquireWriter(conn)
-		err = writeRequest(writer, request)
-		host.ReleaseWriter(writer)
-	}
-	if err == nil {
-		err = conn.SetReadDeadline(earliest(deadline, deadlineAfter(host.ReadTimeout)))
-	}
-	if err == nil {
-		reader := host.AcquireReader(conn)
-		err = readResponse(reader, response, host.MaxResponseBodySize)
-		host.ReleaseReader(reader)
+	if err = writeRequest(host, conn, request, deadline); err == nil {
+		err = readResponse(host, conn, response, deadline)
 	}
 	if err != nil || request.ConnectionClose() || response.ConnectionClose() {
 		host.CloseConn(pooled)
@@ -61,18 +51,28 @@
 	return false, nil
 }
 
-func writeRequest(writer *bufio.Writer, request *fasthttp.Request) error {
+func writeRequest(host *fasthttp.HostClient, conn net.Conn, request *fasthttp.Request, deadline time.Time) error {
+	if err := conn.SetWriteDeadline(earliest(deadline, deadlineAfter(host.WriteTimeout))); err != nil {
+		return err
+	}
+	writer := host.AcquireWriter(conn)
+	defer host.ReleaseWriter(writer)
 	if err := request.Write(writer); err != nil {
 		return err
 	}
 	return writer.Flush()
 }
 
-func readResponse(reader *bufio.Reader, response *fasthttp.Response, maxBodyBytes int) error {
+func readResponse(host *fasthttp.HostClient, conn net.Conn, response *fasthttp.Response, deadline time.Time) error {
+	if err := conn.SetReadDeadline(earliest(deadline, deadlineAfter(host.ReadTimeout))); err != nil {
+		return err
+	}
+	reader := host.AcquireReader(conn)
+	defer host.ReleaseReader(reader)
 	if err := responsehead.AwaitFinal(reader); err != nil {
 		return err
 	}
-	return response.ReadLimitBody(reader, maxBodyBytes)
+	return response.ReadLimitBody(reader, host.MaxResponseBodySize)
 }
 
 // deadlineAfter returns the instant after a timeout, or the zero time if there is no timeout.
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -1,16 +1,18 @@
 package httpclient
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 )
 
 const maxBodyBytes = 1 << 10
@@ -20,22 +22,16 @@
 func startServer(t *testing.T, text string) (url string, conns *atomic.Int64) {
 	t.Helper()
 	conns = &atomic.Int64{}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, buffered, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
+	address := rawserver.Start(t, func(conn *net.TCPConn, reader *bufio.Reader) {
 		conns.Add(1)
+		_, err := io.WriteString(conn, text)
 		for err == nil {
-			if _, err = io.WriteString(conn, text); err == nil {
-				_, err = http.ReadRequest(buffered.Reader)
+			if _, err = http.ReadRequest(reader); err == nil {
+				_, err = io.WriteString(conn, text)
 			}
 		}
-	}))
-	t.Cleanup(server.Close)
-	return "http://" + server.Listener.Addr().String(), conns
+	})
+	return "http://" + address, conns
 }
 
 // get returns the status and the body of a response.
@@ -113,24 +109,17 @@
 // TestResetDuringUpload guards against a part of a response that counts as a whole one, since the
 // connection was reset while the request was still being written.
 func TestResetDuringUpload(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
+	address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart"); err != nil {
 			t.Error(err)
 		}
 		<-time.After(20 * time.Millisecond)
-		_ = conn.(*net.TCPConn).SetLinger(0) // Fails only if the connection is closed already.
-	}))
-	defer server.Close()
+		rawserver.ResetOnClose(conn)
+	})
 	for range 20 {
 		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		request.Header.SetMethod(http.MethodPost)
-		request.SetRequestURI(server.URL)
+		request.SetRequestURI("http://" + address)
 		request.SetBody(make([]byte, 16<<20)) // More than the socket buffers hold.
 		if err := New(maxBodyBytes).DoTimeout(request, response, 5*time.Second); err == nil {
 			t.Errorf("the part %q counts as complete", response.Body())
--- a/internal/outbound/upload_test.go
+++ b/internal/outbound/upload_test.go
@@ -8,38 +8,14 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 )
 
 // uploadBytes is more than the socket buffers of a connection hold, so that an upload is still being
 // written while the server reads none of it.
 const uploadBytes = 64 << 20
 
-// newEarlyServer starts a server that reads the head of each request and calls respond, while the body
-// is still being written.
-func newEarlyServer(t *testing.T, respond func(conn *net.TCPConn)) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					respond(conn.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func newUpload() *Request {
 	return &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: make([]byte, uploadBytes)}
 }
@@ -49,7 +25,7 @@
 // reader.
 func TestResetDuringUpload(t *testing.T) {
 	for name, reset := range map[string]func(conn *net.TCPConn){
-		"reset": func(conn *net.TCPConn) { _ = conn.SetLinger(0) }, // Fails only if the connection is closed already.
+		"reset": rawserver.ResetOnClose,
 		// The kernel sends a reset at once if there are unread bytes, or else when the next ones arrive.
 		"closed":                   func(*net.TCPConn) {},
 		"closed for writing first": func(conn *net.TCPConn) { _ = conn.CloseWrite() }, // Fails only if the connection is closed already.
@@ -61,7 +37,7 @@
 			t.Run(fmt.Sprintf("%s %q", name, head), func(t *testing.T) {
 				t.Parallel()
 				headRead := make(chan struct{})
-				address := newEarlyServer(t, func(conn *net.TCPConn) {
+				address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 					writeString(t, conn, head+"part")
 					<-headRead
 					reset(conn)
@@ -90,7 +66,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			ended := make(chan struct{})
-			address := newEarlyServer(t, func(conn *net.TCPConn) {
+			address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 				writeString(t, conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
 				if err := conn.CloseWrite(); err != nil {
 					t.Error(err)
@@ -118,7 +94,7 @@
 // upload on it broke off.
 func TestFramedResponseDuringUpload(t *testing.T) {
 	for _, response := range []string{okResponse, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
-		address := newEarlyServer(t, func(conn *net.TCPConn) {
+		address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
 			writeString(t, conn, response)
 			// The client must see the response before the reset.
 			<-time.After(50 * time.Millisecond)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -177,16 +177,7 @@
 func (c *Client) readResponse(h *host, cn *conn, call *Call) Result {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	var result Result
-	var reusable bool
-	err := responsehead.AwaitFinal(cn.reader)
-	switch {
-	case err != nil:
-	case call.Stream:
-		result, reusable, err = c.readStream(cn, call, response)
-	default:
-		result, reusable, err = c.readBuffered(cn, call, response)
-	}
+	result, reusable, err := c.readFinal(cn, call, response)
 	// A late Cancel must not interrupt the next call on the connection.
 	cn.cancelHandle.setConn(nil)
 	if err != nil {
@@ -209,10 +200,22 @@
 	return result
 }
 
-func (c *Client) readBuffered(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
+// readFinal reads the final response. It also reports whether the connection is reusable.
+func (c *Client) readFinal(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
+	if err := responsehead.AwaitFinal(cn.reader); err != nil {
+		return Result{}, false, err
+	}
 	if err := response.Header.Read(cn.reader); err != nil {
 		return Result{}, false, err
 	}
+	if call.Stream {
+		return c.readStream(cn, call, response)
+	}
+	return c.readBuffered(cn, call, response)
+}
+
+// readBuffered reads the body of a response whose head was read.
+func (c *Client) readBuffered(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
 	body, err := c.readBody(cn.reader, &response.Header)
 	if err != nil {
 		return Result{}, false, err
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -14,12 +14,9 @@
 // maxEventBytes limits one event of a stream.
 const maxEventBytes = 1 << 20
 
-// readStream reads a streamed response and passes its events to call.OnEvent. It also
-// reports whether the connection is reusable.
+// readStream reads the body of a streamed response whose head was read, and passes its events to
+// call.OnEvent. It also reports whether the connection is reusable.
 func (c *Client) readStream(cn *conn, call *Call, response *fasthttp.Response) (Result, bool, error) {
-	if err := response.Header.Read(cn.reader); err != nil {
-		return Result{}, false, err
-	}
 	result := classifyResponse(call, response)
 	if result.Outcome != dispatch.OutcomeSuccess {
 		return result, false, nil
