Gateway: keep the sum of response bodies within its bound

Cause: a response below its share was let through whatever the sum was.

Change: half of the limit is kept beside it for responses below their share, and nothing goes beyond both.

Evidence: TestResponseMemoryIsBounded held 3,340 bytes of 1,000 before the change, where 1,500 are allowed. It and the other tests of the package pass now, twice with the race detector.

--- a/internal/upstream/responsememory.go
+++ b/internal/upstream/responsememory.go
@@ -9,9 +9,9 @@
 // errNoResponseMemory reports a response that was broken off since all together hold too much.
 var errNoResponseMemory = errors.New("no memory is left for the response")
 
-// responseMemory bounds the memory that responses hold together while they are read. Each may hold its
-// share, half of an equal part, at any time, and more only while the total is not exceeded. All together
-// so hold at most the total and a half.
+// responseMemory bounds the bytes that responses hold together while they are read. Half of the total is
+// kept beside it for responses that hold no more than their share, half of an equal part, so that they do
+// not fail because large ones hold the total.
 type responseMemory struct {
 	total int64
 
@@ -38,7 +38,11 @@
 	m := r.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.held+n > m.total && r.held+n > m.total/(2*m.readings) {
+	limit := m.total
+	if r.held+n <= m.total/(2*m.readings) {
+		limit += m.total / 2
+	}
+	if m.held+n > limit {
 		return errNoResponseMemory
 	}
 	m.held += n
--- a/internal/upstream/responsememory_test.go
+++ b/internal/upstream/responsememory_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("%d bytes and %d responses are left", m.held, m.readings)
 	}
 }
+
+// TestResponseMemoryIsBounded guards against responses that begin one after the other and each take their
+// share beside what the earlier ones hold.
+func TestResponseMemoryIsBounded(t *testing.T) {
+	m := &responseMemory{total: 1000}
+	for range 200 {
+		r := m.begin()
+		for r.take(1) == nil {
+		}
+	}
+	if m.held > m.total*3/2 {
+		t.Errorf("%d bytes are held, expected at most one and a half times %d", m.held, m.total)
+	}
+}
