Reading of the change: wire the memory for responses in cmd, share the endless writers, plainer comments

gateway.New overwrote Options.UpstreamOptions.MaxResponseMemory whatever its caller had set; cmd/hoist-gateway now sets it from gateway.MemoryShare. Comments say "malformed" where they said that a head is none.

--- a/cmd/hoist-gateway/main.go
+++ b/cmd/hoist-gateway/main.go
@@ -67,9 +67,11 @@
 	peerServer := grpc.NewServer(transport.ServerOptions()...)
 	defer peerServer.Stop()
 	claims.Register(peerServer)
+	upstreamOptions := upstream.DefaultOptions()
+	upstreamOptions.MaxResponseMemory = gateway.MemoryShare()
 	g := gateway.New(gateway.Options{
 		VM: config.VM, Zone: config.Zone, Seed: xxhash.Sum64String(config.VM), Now: bootclock.Now, Logger: logger,
-		UpstreamOptions: upstream.DefaultOptions(), BalancerDelay: config.BalancerDelay,
+		UpstreamOptions: upstreamOptions, BalancerDelay: config.BalancerDelay,
 		Claimer: claims, Leaser: claims, OnVMList: claims.ApplyList, Registry: registry,
 	})
 	loopCtx, stopLoops := context.WithCancel(context.Background())
--- a/internal/claim/outcome_test.go
+++ b/internal/claim/outcome_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestOutcomeOfPeer guards against a result of another VM that reaches the caller although its status is
-// none: the HTTP server sends the status 0 as 200.
+// invalid: the HTTP server sends the status 0 as 200.
 func TestOutcomeOfPeer(t *testing.T) {
 	message := func(status uint32) *hoistv1.OutcomeResponse {
 		return &hoistv1.OutcomeResponse{State: hoistv1.OutcomeState_OUTCOME_STATE_RESULT, Status: status, ContentType: "text/plain", Body: []byte("b")}
--- a/internal/ctl/fetch_test.go
+++ b/internal/ctl/fetch_test.go
@@ -10,7 +10,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 )
 
-// TestMalformedHead guards against figures that are shown although the head of the response is none.
+// TestMalformedHead guards against figures that are shown although the head of the response is malformed.
 func TestMalformedHead(t *testing.T) {
 	for head, want := range map[string]string{
 		"HTTP/1.1 200 OK\r\n":                  "figures",
--- a/internal/edge/malformedhead_test.go
+++ b/internal/edge/malformedhead_test.go
@@ -14,7 +14,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
-// malformedHeads returns the heads, each made from a sound one, that are no heads of a response.
+// malformedHeads returns the heads, each made from a sound one, that are malformed.
 func malformedHeads() map[string]func(head string) string {
 	heads := map[string]func(string) string{}
 	for _, status := range []string{"000", "099", "600", "999", "+20"} {
@@ -30,7 +30,7 @@
 	return heads
 }
 
-// TestMalformedHead guards against a response that reaches the caller although its head is none, against a
+// TestMalformedHead guards against a response that reaches the caller although its head is malformed, against a
 // caller whose connection is closed in place of an answer, and against a second run of a request that may
 // have run.
 func TestMalformedHead(t *testing.T) {
@@ -72,7 +72,7 @@
 	}
 }
 
-// TestMalformedHeadInResumedStream guards against the rest of a stream from a response whose head is none.
+// TestMalformedHeadInResumedStream guards against the rest of a stream from a response whose head is malformed.
 func TestMalformedHeadInResumedStream(t *testing.T) {
 	rest := sseEvent(2) + sseEvent(3)
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(rest))
@@ -99,7 +99,7 @@
 }
 
 // TestMalformedHeadOfInternalCalls guards against using what an upstream says in a response whose head is
-// none: results of stages, reports, the remaining cold start, and the confirmation of a release.
+// malformed: results of stages, reports, the remaining cold start, and the confirmation of a release.
 func TestMalformedHeadOfInternalCalls(t *testing.T) {
 	for name, malform := range malformedHeads() {
 		t.Run(name, func(t *testing.T) {
--- a/internal/engines/client_test.go
+++ b/internal/engines/client_test.go
@@ -12,22 +12,6 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/orders"
 )
 
-// newEngine starts an engine that writes start to each request, then repeats unit until the connection is
-// closed, and counts the bytes. It closes the connection after start if unit is empty.
-func newEngine(t *testing.T, start, unit string) (address string, written *atomic.Int64) {
-	t.Helper()
-	written = &atomic.Int64{}
-	address = rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
-		_, err := io.WriteString(conn, start)
-		for err == nil && unit != "" {
-			var n int
-			n, err = io.WriteString(conn, unit)
-			written.Add(int64(n))
-		}
-	})
-	return address, written
-}
-
 const okHead = "HTTP/1.1 200 OK\r\n"
 
 // maxEndlessBytes is what an engine may write before the client has closed the connection: the limit of a
@@ -48,7 +32,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			address, written := newEngine(t, test.start, test.unit)
+			var written atomic.Int64
+			address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+				rawserver.WriteUntilClosed(conn, test.start, test.unit, &written)
+			})
 			if state, err := NewClient().State(address, 0); err == nil {
 				t.Errorf("state %+v", state)
 			}
@@ -63,10 +50,14 @@
 }
 
 // TestMalformedHead guards against a state that is used, or an order that counts as accepted, although the
-// head of the response is none.
+// head of the response is malformed.
 func TestMalformedHead(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX y: z\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n z: z\r\n"} {
-		address, _ := newEngine(t, head+"Content-Length: 17\r\n\r\n{\"in_flight\":123}", "")
+		address := rawserver.Start(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+			if _, err := io.WriteString(conn, head+"Content-Length: 17\r\n\r\n{\"in_flight\":123}"); err != nil {
+				t.Error(err)
+			}
+		})
 		if state, err := NewClient().State(address, 0); err == nil {
 			t.Errorf("%q: state %+v", head, state)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,6 @@
 
 // New returns a gateway that has no configuration yet.
 func New(options Options) *Gateway {
-	options.UpstreamOptions.MaxResponseMemory = memoryShare()
 	g := &Gateway{
 		options:         options,
 		client:          upstream.NewClient(options.UpstreamOptions),
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// memoryDivisor is the fraction of GOMEMLIMIT that callers may hold before their requests are
-	// handled, and that responses of upstreams may hold while they are read. defaultMemoryBytes applies
-	// if there is no such limit.
+	// memoryDivisor divides GOMEMLIMIT to get MemoryShare, and defaultMemoryBytes applies if there is no
+	// such limit.
 	memoryDivisor      = 4
 	defaultMemoryBytes = 1 << 30
 	// minBodyBuffer is the first size of the buffer of a body.
@@ -27,12 +26,13 @@
 // NewGuard returns the guard of the listener for callers, which bounds their connections and what they
 // hold. The time limits are those of the server.
 func NewGuard(now func() clock.Instant, maxConnections int) *guard.Guard {
-	limits := ingress.Limits{Connections: maxConnections, Bytes: memoryShare(), WholeRequests: true}
+	limits := ingress.Limits{Connections: maxConnections, Bytes: MemoryShare(), WholeRequests: true}
 	return guard.New("callers", now, func() ingress.Limits { return limits })
 }
 
-// memoryShare returns the memory for one of the purposes of memoryDivisor, in bytes.
-func memoryShare() int64 {
+// MemoryShare returns the memory that callers may hold before their requests are handled, in bytes. It is
+// also what the responses of upstreams may hold while they are read.
+func MemoryShare() int64 {
 	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
 		return limit / memoryDivisor
 	}
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -44,7 +44,7 @@
 	return response.StatusCode(), string(response.Body()), err
 }
 
-// TestMalformedHead guards against a response that counts as a success although its head is none.
+// TestMalformedHead guards against a response that counts as a success although its head is malformed.
 func TestMalformedHead(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
--- a/internal/outbound/fieldname_test.go
+++ b/internal/outbound/fieldname_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// malformedFields are lines of a head whose name of a field is none.
+// malformedFields are lines of a head whose field name is malformed.
 var malformedFields = []string{
 	"Content-Length : 2", "Content-Length\t: 2", " Content-Length: 2", "\tContent-Length: 2", "Content Length: 2", "Transfer-Encoding : chunked",
 	"Transfer-Encoding\t: chunked", " Transfer-Encoding: chunked", "X y: z", "X\x00: z", "X\x01y: z", "X\ry: z", "\rX: z", "X\x7f: z", "X\x0b: z", "X\x80: z",
--- a/internal/outbound/upload_test.go
+++ b/internal/outbound/upload_test.go
@@ -130,7 +130,7 @@
 				}
 				defer conn.Close()
 				writeString(t, conn, "HTTP/1.1 200 OK\r\n\r\npart")
-				_ = conn.(*net.TCPConn).SetLinger(0) // Fails only if the connection is closed already.
+				rawserver.ResetOnClose(conn.(*net.TCPConn))
 			}()
 			request := newUpload()
 			request.Body = request.Body[:size]
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -10,7 +10,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/rawserver"
 )
 
-// TestMalformedHead guards against a value that comes into force although the head of the response is none.
+// TestMalformedHead guards against a value that comes into force although the head of the response is malformed.
 func TestMalformedHead(t *testing.T) {
 	for _, test := range []struct {
 		head string
--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -3,9 +3,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 )
 
@@ -27,5 +29,16 @@
 	return server.Listener.Addr().String()
 }
 
+// WriteUntilClosed writes start, and then repeats unit until the other end closes the connection. It adds the
+// bytes that are accepted to written as they are.
+func WriteUntilClosed(conn net.Conn, start, unit string, written *atomic.Int64) {
+	n, err := io.WriteString(conn, start)
+	written.Add(int64(n))
+	for err == nil {
+		n, err = io.WriteString(conn, unit)
+		written.Add(int64(n))
+	}
+}
+
 // ResetOnClose lets a connection end with a reset when it is closed.
 func ResetOnClose(conn *net.TCPConn) { _ = conn.SetLinger(0) } // Fails only if the connection is closed already.
--- a/internal/responsehead/await.go
+++ b/internal/responsehead/await.go
@@ -1,6 +1,6 @@
 // Package responsehead checks the heads of HTTP/1 responses before a parser reads them. net/http and
-// fasthttp accept heads that are none, and take another status, length or end of the body from them than
-// the next receiver does.
+// fasthttp accept some malformed heads, and read another status, length or end of the body from them than
+// other receivers do.
 package responsehead
 
 import (
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,7 +24,8 @@
 	ProbeTimeout time.Duration
 	// MaxResponseBytes limits the body of a response that is not streamed.
 	MaxResponseBytes int
-	// MaxResponseMemory limits what such bodies hold together while they are read, in bytes.
+	// MaxResponseMemory limits what such bodies hold together while they are read, in bytes. Half of it
+	// is available beside it for bodies that hold little.
 	MaxResponseMemory int64
 }
 
--- a/internal/upstream/malformedhead_test.go
+++ b/internal/upstream/malformedhead_test.go
@@ -11,7 +11,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/dispatch"
 )
 
-// malformedHeads returns the heads, each made from a sound one, that are no heads of a response.
+// malformedHeads returns the heads, each made from a sound one, that are malformed.
 func malformedHeads() map[string]func(head string) string {
 	heads := map[string]func(string) string{}
 	for _, status := range []string{"000", "099", "600", "999"} {
@@ -32,7 +32,7 @@
 }
 
 // TestMalformedHead guards against a response that counts as a success, or whose body is passed on,
-// although its head is none.
+// although its head is malformed.
 func TestMalformedHead(t *testing.T) {
 	for name, malform := range malformedHeads() {
 		for _, stream := range []bool{false, true} {
