Tables: get them from the VMs that the store answers

Cause: three VMs, chosen by rank, read the store for all. If the store answers none of them, each other VM began to read when its tables were 1.6 s old, returned to the readers as soon as it had current tables, and was found by the others only through two random questions every 0.4 s. A VM without any answer spent up to 1.3 s in its own read and asked nobody.

Change: VMs state in their directory entry whether the store answers them. The others pull from those that it answers; a VM in place of a reader keeps reading; if all readers have lost the store, others begin at 0.8 s; a substitute asks for what is there, pulls meanwhile, and gives its read up when it has newer tables.

It works since the age of the tables no longer depends on chance: one step from the store to a VM that says so, and one or two to the others.

The test stores of internal/edge learn a store without answers; readStore takes the wait time of a watch.

--- a/internal/edge/directory.go
+++ b/internal/edge/directory.go
@@ -15,7 +15,7 @@
 	}
 	return &hoistv1.DirectoryEntry{
 		Name: e.Name, Zone: e.Zone, Address: e.Address, Leaving: e.Leaving, StartedMs: e.Started, Version: e.Version,
-		Capacity: e.Capacity, Claims: claims,
+		Capacity: e.Capacity, Claims: claims, StoreAccess: uint32(e.Store),
 	}
 }
 
@@ -24,6 +24,9 @@
 		Name: e.GetName(), Zone: e.GetZone(), Address: e.GetAddress(), Leaving: e.GetLeaving(), Started: e.GetStartedMs(),
 		Version: e.GetVersion(), Capacity: e.GetCapacity(),
 	}
+	if access := e.GetStoreAccess(); access <= uint32(fleet.LostStore) {
+		entry.Store = fleet.StoreAccess(access)
+	}
 	claims := e.GetClaims()
 	for _, key := range claims[:min(len(claims), maxEntryClaims)] {
 		entry.Claims = append(entry.Claims, fleet.Key(key))
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -20,11 +20,16 @@
 	// watchTimeout is how long the store holds a watch without changes. Each response proves
 	// that the tables are current, which is required to accept API keys.
 	watchTimeout = 700 * time.Millisecond
+	// substituteWatchTimeout is that for a VM that stands in for the readers: it asks for what is there.
+	substituteWatchTimeout = time.Millisecond
 	// readRetryDelay is the minimum delay after a failed read.
 	readRetryDelay = 250 * time.Millisecond
 	// staleTablesAge is the age at which the tables count as stale and are pulled from random
 	// peers. It is longer than a watch and a held pull without changes take together.
 	staleTablesAge = 1600 * time.Millisecond
+	// lostReadersAge is the age from which on other VMs read the store if all its readers say that they
+	// have lost it. It is longer than a watch.
+	lostReadersAge = 800 * time.Millisecond
 	// storeOutageAge is the age of the tables above which the store counts as unavailable to
 	// all VMs, since no peer had newer tables.
 	storeOutageAge = 2 * time.Second
@@ -79,15 +84,20 @@
 
 // readStore lists or watches the store once, and then waits before the next read if needed. It reports
 // whether the store answered. It has also answered if it dropped the changes: the next read lists all items.
-func (f *follower) readStore(ctx context.Context) bool {
+// The store holds a watch for the wait time at most.
+func (f *follower) readStore(ctx context.Context, wait time.Duration) bool {
 	var err error
 	if f.mustList || !f.isComplete() {
 		err = f.list(ctx)
 		f.mustList = err != nil
 	} else {
-		err = f.watch(ctx)
+		err = f.watch(ctx, wait)
 		f.mustList = errors.Is(err, ErrHistoryGone)
 	}
+	if err != nil && ctx.Err() != nil {
+		// The read was given up, which says nothing of the store.
+		return false
+	}
 	f.recordRead(err)
 	answered := err == nil || errors.Is(err, ErrHistoryGone)
 	if err == nil && f.hasChanges {
@@ -129,12 +139,12 @@
 	return nil
 }
 
-func (f *follower) watch(ctx context.Context) error {
+func (f *follower) watch(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
 	after := f.replica.Revision()
 	f.mu.Unlock()
 	sentAt := f.now()
-	items, revision, err := f.source.Watch(ctx, after, watchTimeout)
+	items, revision, err := f.source.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
@@ -295,6 +305,13 @@
 	}
 }
 
+// freshAt returns the latest time at which the tables are known to have been current.
+func (f *follower) freshAt() clock.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.FreshAt()
+}
+
 // age returns the time since the tables were last known to be current, and whether this VM has
 // complete tables.
 func (f *follower) age() (time.Duration, bool) {
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -140,6 +140,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *testStore) currentRevision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *testStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,14 +182,26 @@
 	return items, s.revision, nil
 }
 
-// vmStore is the store as seen by one VM, which it can reject.
+// vmStore is the store as seen by one VM, which it can reject or leave without an answer.
 type vmStore struct {
 	*testStore
 	rejected atomic.Bool
+	silent   atomic.Bool
+}
+
+// silentReadTime is how long a read without an answer takes beyond the wait time of a watch.
+const silentReadTime = 600 * time.Millisecond
+
+// awaitTimeout waits for the timeout of a read if the store does not answer.
+func (s *vmStore) awaitTimeout(ctx context.Context, wait time.Duration) {
+	if s.silent.Load() {
+		sleep(ctx, wait+silentReadTime)
+	}
 }
 
 // List implements Source.
 func (s *vmStore) List(ctx context.Context) ([]replica.Item, uint64, error) {
+	s.awaitTimeout(ctx, 0)
 	if s.rejected.Load() {
 		return nil, 0, io.ErrUnexpectedEOF
 	}
@@ -192,6 +210,7 @@
 
 // Watch implements Source.
 func (s *vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+	s.awaitTimeout(ctx, wait)
 	if s.rejected.Load() {
 		return nil, 0, io.ErrUnexpectedEOF
 	}
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -39,6 +39,8 @@
 	// tables, for each VM of the fleet: together they make no more than a few calls, each of which is
 	// charged, while the store is down. One of them finds out at once that it is back for some VMs.
 	overdueRetryPerVM = 60 * time.Millisecond
+	// substituteReadTimeout is longer than any read of the store by a substitute.
+	substituteReadTimeout = 5 * time.Second
 	// overdueCheckInterval is the time between two checks whether a peer has sent newer tables meanwhile.
 	overdueCheckInterval = 100 * time.Millisecond
 	// discoveryTimeout is how long a VM waits after its start to discover other VMs before it
@@ -61,11 +63,16 @@
 func (s *Server) followTables(ctx context.Context) {
 	for next := 0; ctx.Err() == nil; {
 		sources, role := s.tableSources()
+		if role == tableFollower {
+			s.gossip.setStoreAccess(fleet.NoStoreAccess)
+		}
 		switch {
 		case role == storeReader:
-			s.follower.readStore(ctx)
+			if !s.readStore(ctx, watchTimeout, fleet.LostStore) {
+				s.pullFromReader(ctx)
+			}
 		case role == substituteReader:
-			if !s.follower.readStore(ctx) {
+			if !s.readAsSubstitute(ctx) {
 				s.awaitPeerTables(ctx, time.Duration(s.fleetSize.Load())*overdueRetryPerVM)
 			}
 		case len(sources) == 0:
@@ -89,15 +96,67 @@
 	substituteReader
 )
 
-// awaitPeerTables waits for a time, or until a peer has sent tables that are not stale.
+// readAsSubstitute reads the store once in place of its readers, and reports whether the tables are newer then.
+// It gives the read up as soon as a peer has sent newer ones, since the store may not answer this VM.
+func (s *Server) readAsSubstitute(ctx context.Context) bool {
+	before := s.follower.freshAt()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		s.awaitPeerTables(ctx, substituteReadTimeout)
+	}()
+	return s.readStore(ctx, substituteWatchTimeout, fleet.NoStoreAccess) || s.follower.freshAt() > before
+}
+
+// readStore reads the store once, and reports whether it answered. It tells the other VMs that this VM reads
+// the store, or else the given access.
+func (s *Server) readStore(ctx context.Context, wait time.Duration, otherwise fleet.StoreAccess) bool {
+	answered := s.follower.readStore(ctx, wait)
+	if answered {
+		s.gossip.setStoreAccess(fleet.ReadsStore)
+	} else {
+		s.gossip.setStoreAccess(otherwise)
+	}
+	return answered
+}
+
+// setStoreAccess tells the other VMs whether this VM reads the store, if that has changed.
+func (g *gossip) setStoreAccess(access fleet.StoreAccess) {
+	g.mu.Lock()
+	before := g.directory.SetStoreAccess(access)
+	g.mu.Unlock()
+	if before != access {
+		g.logger.Info("access to the store", zap.Bool("reads", access == fleet.ReadsStore), zap.Bool("lost", access == fleet.LostStore))
+		g.announce()
+	}
+}
+
+// awaitPeerTables waits for a time, or until a peer has sent newer tables that are not stale.
 func (s *Server) awaitPeerTables(ctx context.Context, wait time.Duration) {
+	before := s.follower.freshAt()
 	until := s.now().Add(wait)
 	for ctx.Err() == nil && s.now() < until {
-		if age, complete := s.follower.age(); complete && age < staleTablesAge {
+		if age, complete := s.follower.age(); complete && age < staleTablesAge && s.follower.freshAt() > before {
 			return
 		}
 		sleep(ctx, overdueCheckInterval)
+		s.pullFromReader(ctx)
+	}
+}
+
+// pullFromReader pulls the tables for a VM that cannot read the store, if it knows of another one that can.
+func (s *Server) pullFromReader(ctx context.Context) {
+	ranking := s.gossip.ranking(readerRankingKey)
+	readers := slices.DeleteFunc(fleet.KnownReaders(ranking, storeReaderCount), func(e fleet.Entry) bool {
+		return e.Name == s.settings.VM
+	})
+	if len(readers) == 0 {
+		return
 	}
+	_, complete := s.follower.age()
+	sources := s.pullSources(ranking, readers, complete)
+	s.pullFrom(ctx, sources[rand.IntN(len(sources))], 0)
 }
 
 // tableSources returns how this VM gets the tables, and the VMs from which it may pull them if it does
@@ -112,23 +171,32 @@
 		}
 		return nil, tableFollower
 	}
+	readers := fleet.Readers(ranking, storeReaderCount)
 	age, complete := s.follower.age()
 	if !complete {
 		age = uptime
 	}
 	step := min(readerAgeStep, maxReaderAge/time.Duration(len(ranking)))
-	overdue := age > staleTablesAge+time.Duration(max(rank, 0))*step
+	maxAge := staleTablesAge
+	if complete && fleet.AreReadersLost(ranking, storeReaderCount) {
+		maxAge = lostReadersAge
+	}
+	overdue := age > maxAge+time.Duration(max(rank, 0))*step
 	switch {
-	case rank >= 0 && rank < storeReaderCount:
+	case (rank >= 0 && rank < storeReaderCount) || s.indexOfSelf(readers) >= 0:
 		return nil, storeReader
 	case overdue:
 		return nil, substituteReader
 	}
-	readers := ranking[:min(storeReaderCount, len(ranking))]
+	return s.pullSources(ranking, readers, complete), tableFollower
+}
+
+// pullSources returns the VMs from which this VM may pull the tables: the readers in a small fleet.
+func (s *Server) pullSources(ranking, readers []fleet.Entry, complete bool) []fleet.Entry {
 	if len(ranking) <= storeReaderCount*(s.maxDirectFollowers+1) {
-		return readers, tableFollower
+		return readers
 	}
-	return s.zoneSources(ranking, readers, complete), tableFollower
+	return s.zoneSources(ranking, readers, complete)
 }
 
 // zoneSources returns the sources of a VM in a large fleet: the readers for a relay, and otherwise
--- a/internal/edge/tables_test.go
+++ b/internal/edge/tables_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
@@ -74,3 +76,61 @@
 		})
 	}
 }
+
+// TestUnknownStoreAccess guards against a statement of a later version that counts as access to the store.
+func TestUnknownStoreAccess(t *testing.T) {
+	for stated, expected := range map[uint32]fleet.StoreAccess{1: fleet.ReadsStore, 2: fleet.LostStore, 3: fleet.NoStoreAccess, 257: fleet.NoStoreAccess} {
+		if entry := entryFromProto(&hoistv1.DirectoryEntry{Name: "a", StoreAccess: stated}); entry.Store != expected {
+			t.Errorf("access %d from %d, expected %d", entry.Store, stated, expected)
+		}
+	}
+}
+
+// TestStoreServesFewVMs lets the store reject all VMs of a large fleet but two, which are not its readers, or
+// give the others no answer. It guards against tables that reach the others by chance and much later than the
+// VMs that have them, so that requests go to upstreams that have announced that they leave.
+func TestStoreServesFewVMs(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) { testStoreServesFewVMs(t, silent) })
+	}
+}
+
+func testStoreServesFewVMs(t *testing.T, silent bool) {
+	const (
+		vms, zones     = 40, 4
+		changes        = 60
+		changeInterval = 100 * time.Millisecond
+		// maxLag is the least time that operators of fleets of this size allow for changes.
+		maxLag = 3 * time.Second
+	)
+	started := 0
+	f := startFleet(t, vms, func(s *Settings) {
+		s.Zone = fmt.Sprint("zone-", started%zones)
+		started++
+	})
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}}, catalogUpstreams("p", u)...)
+	ranking := f.servers[0].gossip.ranking(readerRankingKey)
+	for i, s := range f.servers {
+		isServed := s.settings.VM == ranking[vms/3].Name || s.settings.VM == ranking[2*vms/3].Name
+		f.sources[i].rejected.Store(!isServed)
+		f.sources[i].silent.Store(silent && !isServed)
+	}
+
+	var publishedAt []time.Time // of the changes, from first on
+	first := f.store.currentRevision() + 1
+	for range changes {
+		f.store.put("u/"+u.id, &catalog.Upstream{ID: u.id, Pool: "p", Address: u.address(), Zone: "zone-0", StartID: 1})
+		publishedAt = append(publishedAt, time.Now())
+		<-time.After(changeInterval)
+		for _, s := range f.servers {
+			missing := max(s.follower.revision()+1, first) - first
+			if missing >= uint64(len(publishedAt)) {
+				continue
+			}
+			if lag := time.Since(publishedAt[missing]); lag > maxLag {
+				t.Fatalf("%s has not applied a change after %v", s.settings.VM, lag)
+			}
+		}
+	}
+}
