Streams: go on at the software version that began them

Cause: the version in the entry of an upstream was not read. A stream that broke off went on at any other upstream of its pool, and a stream that its caller resumed was placed like a new one.

Change: the VM that forwards the first event binds the stream to pool and version, excludes all other upstreams from then on, and sends a record to three VMs of different zones. A VM at which a caller resumes a stream (the header Resumes names the request that began it) asks six VMs. Without a record the version is certain if the pool had only one for the longest time of a stream; otherwise the stream is refused as stream_origin_unknown (503, not run). An upstream that registers again with another version before the send gets nothing. A stream that cannot move is not cut early for moving. Which answer counts is decided in pkg/resume.

TestLateRequestsOfEachKindAreRefused resumed a stream that nobody had begun; it begins one now, its checks are the same.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 )
 
 const (
@@ -190,6 +191,17 @@
 	return attemptBroken, nil, err.Error()
 }
 
+// beforeSend returns the check whether the request may still be sent to the chosen upstream.
+func (t *transaction) beforeSend(entry *registry.Entry) func() error {
+	checkSignals := t.s.signals.beforeSend(entry, "request_send")
+	return func() error {
+		if err := t.checkVersion(entry); err != nil {
+			return err
+		}
+		return checkSignals()
+	}
+}
+
 // upstreamRequest builds the request to the upstream.
 func (t *transaction) upstreamRequest(upstreamLease *lease) *outbound.Request {
 	pool := t.view.Catalog.Pools[t.pool]
@@ -205,7 +217,7 @@
 	}
 	request := &outbound.Request{
 		Method: t.r.Method, Target: t.target.String(), Host: t.r.Host, Header: t.s.dialect.UpstreamHeader(t.r.Header, upstreamRequest), Body: t.body,
-		BeforeSend: t.s.signals.beforeSend(upstreamLease.entry, "request_send"),
+		BeforeSend: t.beforeSend(upstreamLease.entry),
 	}
 	if !t.isRepeatable() {
 		request.MaxConnIdle = nonRepeatableMaxIdle
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -42,10 +42,13 @@
 	Timeout time.Duration
 	APIKey  string
 	// LastEventID is the last event that the caller received before it resumed the stream.
-	LastEventID  string
-	PromptPrefix []PrefixPart
-	PromptTokens int
-	OutputTokens int
+	LastEventID string
+	// ResumedRequest is the ID of the request that brought the first event of the stream that the caller
+	// resumes; empty if not stated.
+	ResumedRequest string
+	PromptPrefix   []PrefixPart
+	PromptTokens   int
+	OutputTokens   int
 	// OutputHint is the caller's estimate of the output in tokens; 0 if not stated. OutputTokens is
 	// its limit.
 	OutputHint int
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -50,6 +50,9 @@
 	logger *zap.Logger
 	// onViewChange is called with each new view, and never concurrently.
 	onViewChange func(*View)
+	// onGap is called when the items are current again after a time in which changes may have been
+	// missed, before the changes are applied.
+	onGap func(now clock.Instant)
 	// isClaimed reports whether a VM claims a shard. A VM that has just started learns from it how
 	// the others have divided the pools.
 	isClaimed func(name string) bool
@@ -77,7 +80,7 @@
 
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
-		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange, isClaimed: isClaimed,
+		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, isClaimed: isClaimed,
 		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{}, refreshed: make(chan struct{}),
 	}
 }
@@ -165,6 +168,7 @@
 	if f.replica.Complete() && now.Sub(f.replica.FreshAt()) > storeOutageAge {
 		f.registry.SetStoreDown(now, true)
 		f.registry.SetStoreDown(now, false)
+		f.onGap(now)
 	}
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -141,7 +142,7 @@
 	}
 	for {
 		view = t.s.view.Load()
-		placementRequest.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
+		placementRequest.Restrictions = t.restrictions(view)
 		upstreamLease, status := t.s.upstreams.acquire(view, t.pool, placementRequest)
 		if upstreamLease != nil {
 			return upstreamLease, nil
@@ -152,6 +153,9 @@
 		if status == placement.NoneInService {
 			return nil, t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 		}
+		if !t.hasUsableUpstream(view) {
+			return nil, t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream of software version "+strconv.Quote(t.origin.Version)+", which began the stream")
+		}
 		if failure := t.blockedPoolError(view); failure != nil {
 			return nil, failure
 		}
@@ -182,7 +186,7 @@
 	return &placement.Request{
 		Prefix: t.sharedPrefix(), InputZone: t.inputZone(), Zone: t.s.settings.Zone, Tried: t.tried, MaxInFlight: t.s.maxInFlight(t.view, t.pool),
 		FleetWeight:  float64(t.s.fleetSize.Load()) / smallFleetSize,
-		Restrictions: t.s.signals.restrictions(t.arrived, view.InService[t.pool]),
+		Restrictions: t.restrictions(view),
 	}
 }
 
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -55,6 +55,8 @@
 	onClaimChange      func()
 	// onSizeChange is called when a divisor of limits changed.
 	onSizeChange func()
+	// onOrigins is called with the origins of streams that another VM sent.
+	onOrigins func([]*hoistv1.StreamOrigin)
 
 	mu         sync.Mutex
 	membership *membership.Machine
@@ -87,7 +89,7 @@
 		SuspicionTimeout: suspicionTimeout, PauseThreshold: pauseThreshold,
 	})
 	g := &gossip{
-		now: now, logger: logger, contain: contain, parts: parts, conn: conn, port: s.GossipPort, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange, onSizeChange: func() {},
+		now: now, logger: logger, contain: contain, parts: parts, conn: conn, port: s.GossipPort, onMembershipChange: onMembershipChange, onClaimChange: onClaimChange, onSizeChange: func() {}, onOrigins: func([]*hoistv1.StreamOrigin) {},
 		membership: machine, directory: fleet.New(now(), self), alone: true,
 		hellos: fleet.NewHelloTargets(s.PeerListen, s.Seeds), sizes: fleet.NewSizeBound(now()),
 	}
@@ -140,6 +142,7 @@
 
 func (g *gossip) handleDatagram(datagram *hoistv1.Datagram, from *net.UDPAddr) {
 	g.parts.mergeBlocks(datagram.GetBlocks())
+	g.onOrigins(datagram.GetOrigins())
 	g.sendMessages(g.applyDatagram(datagram))
 	if datagram.GetHello() {
 		g.rememberCaller(datagram)
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -39,7 +39,7 @@
 	if header.Get("Request") == panicRequest {
 		panic("request of the test")
 	}
-	info := RequestInfo{ID: header.Get("Request"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event"), ContentKey: header.Get("Content-Key")}
+	info := RequestInfo{ID: header.Get("Request"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event"), ResumedRequest: header.Get("Resumed"), ContentKey: header.Get("Content-Key")}
 	if ms, err := strconv.Atoi(header.Get("Patience")); err == nil {
 		info.Timeout = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -45,6 +45,8 @@
 	loadsInvalid prometheus.Counter
 	// crashReportsInvalid counts malformed reports of crashes by other VMs.
 	crashReportsInvalid prometheus.Counter
+	// resumedStreams counts the streams that callers resumed, by how certain their origin is.
+	resumedStreams *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -109,10 +111,13 @@
 		crashReportsInvalid: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "hoist_edge_crash_reports_invalid_total", Help: "Malformed reports of other VMs that an upstream crashed.",
 		}),
+		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_resumed_streams_total", Help: "Streams resumed by their callers, by what is known of the software version that began them.",
+		}, []string{"certainty"}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid, m.crashReportsInvalid)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid, m.crashReportsInvalid, m.resumedStreams)
 	return m
 }
 
--- a/internal/edge/placeclient.go
+++ b/internal/edge/placeclient.go
@@ -122,7 +122,7 @@
 		t.locateElsewhere(ctx, view, placed)
 		// The view and the signals of upstreams may have changed while the owner was asked.
 		view = t.s.view.Load()
-		request.Restrictions = t.s.signals.restrictions(t.arrived, view.InService[t.pool])
+		request.Restrictions = t.restrictions(view)
 		if l := t.s.upstreams.acquireNamed(view, t.pool, placed, request); l != nil {
 			t.s.metrics.recordPlacement(t.pool, &placed.Placement)
 			t.s.logger.Info("engine chosen", zap.String("request", t.requestInfo.ID), zap.String("shard", placed.shard.Name), zap.String("owner", placed.owner.Name),
--- a/internal/edge/plannedstop_test.go
+++ b/internal/edge/plannedstop_test.go
@@ -64,7 +64,7 @@
 		"/unsafe/":         {kind: catalog.NonIdempotent},
 		"/safe/":           {kind: catalog.Idempotent},
 		"/stream/":         {kind: catalog.Stream},
-		"/resumed-stream/": {kind: catalog.Stream, change: func(r *catalog.Route) { r.Resumable = true }, header: "Last-Event: 0\r\n"},
+		"/resumed-stream/": {kind: catalog.Stream, change: func(r *catalog.Route) { r.Resumable = true }, header: "Last-Event: 0\r\nResumed: begun\r\n"},
 		"/staged/":         {kind: catalog.NonIdempotent, change: func(r *catalog.Route) { r.Stages = []catalog.Stage{{Pool: "a"}} }, header: "Pieces: 1\r\n"},
 	}
 	var routes []catalog.Route
@@ -87,6 +87,9 @@
 		}
 		return response
 	}
+	if _, _, err := f.send(0, "begun", "/resumed-stream/", nil); err != nil {
+		t.Fatal(err)
+	}
 	for path := range kinds {
 		callers[path] = newRawCaller(t, f)
 		if response := send(path, "early "+path); response.StatusCode != http.StatusOK {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -108,7 +109,7 @@
 		return failure
 	}
 	t.limitWrites(t.remaining())
-	t.pool = t.route.PoolFor(float64(xxhash.Sum64String(info.ID)>>11) / (1 << 53))
+	t.pool = t.route.PoolFor(float64(xxhash.Sum64String(cmp.Or(info.ResumedRequest, info.ID))>>11) / (1 << 53))
 	if failure := t.readBody(config); failure != nil {
 		return failure
 	}
@@ -292,6 +293,9 @@
 	if blocked := t.blockedParts(); blocked != nil {
 		return t.poisonPromptError(blocked)
 	}
+	if failure := t.bindResumed(); failure != nil {
+		return failure
+	}
 	if t.route.Kind != catalog.Idempotent && len(t.view.InService[t.pool]) == 0 {
 		return t.newError(errkind.NoUpstream, "pool "+t.pool+" has no upstream in service")
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -122,6 +122,8 @@
 
 	// parts tracks the requests, and the parts of prompts, that crash upstreams.
 	parts *partGuard
+	// origins holds the software versions at which streams began.
+	origins *streamOrigins
 	// crashReports holds the crashes that are not reported to the other VMs yet.
 	crashReports crashReports
 }
@@ -131,7 +133,7 @@
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, releases: outbound.NewClient(options.Settings.IP), now: options.Now, logger: options.Logger, failures: options.Failures,
 		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, maxDecidingAlone: smallFleetSize, stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
-		startup: newStartup(), startupWait: startupWait,
+		startup: newStartup(), startupWait: startupWait, origins: newStreamOrigins(),
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
@@ -151,14 +153,16 @@
 	if err != nil {
 		return nil, err
 	}
-	s.gossip.onSizeChange = s.updateShares
+	s.gossip.onSizeChange, s.gossip.onOrigins = s.updateShares, s.recordRemoteOrigins
 	s.connectionDivisor.Store(int64(s.gossip.size().connections))
 	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView, s.gossip.isClaimed)
+	s.follower.onGap = s.origins.interrupt
 	return s, nil
 }
 
 // applyView makes a view current and updates the upstreams and pools from it.
 func (s *Server) applyView(view *View) {
+	s.origins.observe(s.now(), view.ByID)
 	s.setView(view)
 	if view.Catalog != nil {
 		s.startup.setConfigured()
@@ -299,12 +303,13 @@
 }
 
 // sweepLoop closes connections to upstreams that were idle for too long, and drops signals of
-// upstreams that have no effect any more.
+// upstreams that have no effect any more and old records of streams.
 func (s *Server) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		s.client.CloseExpired()
 		s.releases.CloseExpired()
 		s.signals.retain(s.view.Load())
+		s.origins.expire(s.now())
 	}
 }
--- a/internal/edge/size_bench_test.go
+++ b/internal/edge/size_bench_test.go
@@ -45,12 +45,12 @@
 	s := &Server{
 		settings: Settings{VM: "vm-0", Zone: "zone-0", RetryWindow: time.Second, ColdRateFactor: 1.5, ColdRateBurst: 5}, now: testNow, logger: zap.NewNop(),
 		poolRunners: map[string]*poolRunner{}, upstreams: newUpstreams(testNow, func(string) bool { return false }),
-		startup: newStartup(),
+		startup: newStartup(), origins: newStreamOrigins(),
 	}
 	s.inForce.Store(&s.settings)
 	self := fleet.Entry{Name: "vm-0", Zone: "zone-0", Address: "10.1.0.0:1"}
 	s.gossip = &gossip{
-		now: testNow, logger: zap.NewNop(), directory: fleet.New(testNow(), self), onMembershipChange: func() {}, onClaimChange: func() {}, onSizeChange: func() {},
+		now: testNow, logger: zap.NewNop(), directory: fleet.New(testNow(), self), onMembershipChange: func() {}, onClaimChange: func() {}, onSizeChange: func() {}, onOrigins: func([]*hoistv1.StreamOrigin) {},
 		hellos: fleet.NewHelloTargets(self.Address, nil), sizes: fleet.NewSizeBound(testNow()),
 		membership: membership.New(testNow(), membership.Options{Self: "vm-0", ProbeInterval: probeInterval, DirectTimeout: directTimeout, ProbeTimeout: probeTimeout, SuspicionTimeout: suspicionTimeout, PauseThreshold: pauseThreshold}),
 	}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -69,7 +69,9 @@
 }
 
 // canMove reports whether another upstream may take the request over from one that may have run it.
-func (t *transaction) canMove() bool { return t.isRepeatable() && len(t.tried) < t.route.MaxUpstreams }
+func (t *transaction) canMove() bool {
+	return t.isRepeatable() && len(t.tried) < t.route.MaxUpstreams && t.hasUntriedUpstream(t.s.view.Load())
+}
 
 func (t *transaction) recordStreamError(upstreamLease *lease, err error) (attemptOutcome, *bufferedResponse, string) {
 	if t.ctx.Err() != nil {
@@ -96,6 +98,7 @@
 	if !t.responseStarted {
 		t.writeStreamHeader(exchange)
 	}
+	t.bindOrigin(upstreamLease.entry)
 	if event.hasData {
 		t.recordEvent(upstreamLease)
 	}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/errkind"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/poison"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/resume"
 )
 
 // transaction is one HTTP request of a caller and its response.
@@ -67,6 +68,9 @@
 	// firstEvent is the time from the arrival of the request to its first event; 0 before it.
 	firstEvent  time.Duration
 	lastEventID string
+	// origin is the pool and the software version that must send the next event; nil before the first
+	// event of a stream that the caller does not resume.
+	origin *resume.Origin
 	// lastEventAt is when the last event was forwarded; 0 before the first one.
 	lastEventAt clock.Instant
 	events      int
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -65,6 +65,9 @@
 	if diff := cmp.Diff(map[string]int{"a": 900, "b": 100}, counts); diff != "" {
 		t.Error(diff)
 	}
+	if !route.UsesPool("a") || !route.UsesPool("b") || route.UsesPool("none") || route.UsesPool("other") {
+		t.Error("the pools that the route uses do not follow the split")
+	}
 }
 
 // TestLevels guards against a level that ignores the longer of two dependency chains.
--- a/pkg/catalog/route.go
+++ b/pkg/catalog/route.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RequestKind says whether a request may be retried.
 type RequestKind uint8
@@ -76,6 +79,11 @@
 	return r.Split[len(r.Split)-1].Pool
 }
 
+// UsesPool reports whether requests of the route may go to a pool.
+func (r *Route) UsesPool(pool string) bool {
+	return slices.ContainsFunc(r.Split, func(share WeightedPool) bool { return share.Pool == pool && share.Weight > 0 })
+}
+
 // Levels returns for each stage the number of stages on the longest path from it to the
 // request, including itself. Stages may only depend on stages with a lower index.
 func (r *Route) Levels() []int {
--- a/pkg/catalog/upstream.go
+++ b/pkg/catalog/upstream.go
@@ -16,4 +16,7 @@
 	ColdRemaining time.Duration
 	// StartID distinguishes restarts under the same ID; 0 if unknown.
 	StartID int64
+	// SoftwareVersion is the version of the upstream's software; empty if unknown. A stream that one
+	// version began cannot be resumed at another one.
+	SoftwareVersion string
 }
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -30,6 +30,7 @@
 	Internal
 	Unauthenticated
 	TablesOutdated
+	StreamOriginUnknown
 
 	kindCount
 )
@@ -70,6 +71,7 @@
 	Internal:            {"internal", "Internal error", 500, Unknown, 0},
 	Unauthenticated:     {"unauthenticated", "The key is missing or unknown", 401, NotRun, 0},
 	TablesOutdated:      {"tables_outdated", "It is not known whether the key is still valid", 503, NotRun, time.Second},
+	StreamOriginUnknown: {"stream_origin_unknown", "It is not known which software version began the stream", 503, NotRun, time.Second},
 }
 
 // Response returns how k is reported; an undefined kind is reported as Internal.
