Streams: learn from the caches of engines which version began them

Cause: VMs keep nothing on disk and share no store that they write; records end with the VMs.

Change: the engine that began a stream still caches the last part of its prompt. The VM that owns a shard of engines lists their caches, at most every 2 s for each engine and only for streams without a record, and answers for all VMs. One version decides, several decide nothing.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -134,6 +134,10 @@
 	DecodeFreeMemory(body []byte) (int64, error)
 	// DecodeEngineReport decodes the load of an engine; the query is that for the free memory.
 	DecodeEngineReport(body []byte) (enginepool.Report, error)
+	// EncodeCacheQuery encodes a query for the parts of prompts that an engine caches.
+	EncodeCacheQuery(address, upstream string) *outbound.Request
+	// DecodeCacheList decodes the number of cached tokens by the ID of a part.
+	DecodeCacheList(body []byte) (map[string]int, error)
 	// HandleAddress returns the IP:port of the upstream that holds a result.
 	HandleAddress(handle string) string
 	// EncodeRelease encodes the release of results.
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -110,6 +110,15 @@
 	return strconv.ParseInt(string(body), 10, 64)
 }
 
+func (testDialect) EncodeCacheQuery(address, upstream string) *outbound.Request {
+	return &outbound.Request{Method: http.MethodGet, Target: "/cache", Host: address, Header: http.Header{"Upstream": {upstream}}}
+}
+
+func (testDialect) DecodeCacheList(body []byte) (map[string]int, error) {
+	var tokens map[string]int
+	return tokens, json.Unmarshal(body, &tokens)
+}
+
 func (testDialect) EncodeRelease(address string, handles []string) (*outbound.Request, error) {
 	body, err := json.Marshal(handles)
 	return &outbound.Request{Method: http.MethodPost, Target: "/release", Host: address, Header: http.Header{}, Body: body}, err
@@ -256,16 +265,20 @@
 	memoryQueries atomic.Int64
 	memoryPause   atomic.Pointer[string]
 
-	mu          sync.Mutex
-	runs        map[string]int
-	inputs      map[string]string
-	released    []string
-	calls       []stagepool.Call
-	resultCount int
+	mu       sync.Mutex
+	runs     map[string]int
+	inputs   map[string]string
+	released []string
+	calls    []stagepool.Call
+	// cached holds the tokens of the parts of prompts that were sent, and cacheQueries counts the queries for
+	// them.
+	cached       map[string]int
+	cacheQueries int
+	resultCount  int
 }
 
 func newTestUpstream(t *testing.T, id string, handler http.HandlerFunc) *testUpstream {
-	u := &testUpstream{id: id, handler: handler, runs: map[string]int{}, inputs: map[string]string{}}
+	u := &testUpstream{id: id, handler: handler, runs: map[string]int{}, inputs: map[string]string{}, cached: map[string]int{}}
 	u.server = httptest.NewServer(u)
 	t.Cleanup(u.server.Close)
 	return u
@@ -289,6 +302,13 @@
 		}
 		_, _ = io.WriteString(w, "1000000000") // The caller reports an incomplete response.
 		return
+	case "/cache":
+		u.mu.Lock()
+		u.cacheQueries++
+		body, _ := json.Marshal(u.cached) // A map of numbers is always encoded.
+		u.mu.Unlock()
+		_, _ = w.Write(body) // The caller reports an incomplete response.
+		return
 	case "/release":
 		var handles []string
 		_ = json.Unmarshal(body, &handles) // The test detects an empty list.
@@ -300,6 +320,9 @@
 	u.mu.Lock()
 	u.runs[r.Header.Get("Request")]++
 	u.inputs[r.Header.Get("Request")] = r.Header.Get("Inputs")
+	for part := range strings.FieldsSeq(r.Header.Get("Prompt")) {
+		u.cached[part] = 1
+	}
 	u.mu.Unlock()
 	w.Header().Set("Request", r.Header.Get("Request"))
 	if u.handler != nil {
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -81,9 +81,10 @@
 }
 
 // admissionLimit returns the latest expected end with which the request is admitted. Once an upstream
-// may have run it, its caller cannot safely send it again, so only its deadline counts.
+// may have run it, its caller cannot safely send it again, so only its deadline counts. The objective of a
+// resumed stream was that of its first event.
 func (t *transaction) admissionLimit() clock.Instant {
-	if t.mayHaveRun {
+	if t.mayHaveRun || t.isResumed {
 		return t.deadline
 	}
 	return min(t.due.Add(-admissionMargin), t.deadline)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -124,6 +124,8 @@
 	parts *partGuard
 	// origins holds the software versions at which streams began.
 	origins *streamOrigins
+	// cacheLists holds what engines cache, of those whose shard this VM owns.
+	cacheLists cacheLists
 	// crashReports holds the crashes that are not reported to the other VMs yet.
 	crashReports crashReports
 }
@@ -311,5 +313,6 @@
 		s.releases.CloseExpired()
 		s.signals.retain(s.view.Load())
 		s.origins.expire(s.now())
+		s.cacheLists.expire(s.now())
 	}
 }
--- a/internal/edge/stageclient.go
+++ b/internal/edge/stageclient.go
@@ -133,7 +133,7 @@
 	followUpTime := t.timeAfterStage(level)
 	job := stagepool.Job{
 		Request: t.requestInfo.ID, Stage: stage, Pieces: t.pieces(stage), Inputs: inputs.handles, KeepInputs: !inputs.memoryShort,
-		ResultBytes: t.route.Stages[stage].ResultBytes, Zone: t.preferredZone(stage, inputs.handles), Priority: t.stagePriority(), Due: t.stageDue(level), Deadline: min(t.due.Add(maxExpectedLateness), t.deadline).Add(-followUpTime),
+		ResultBytes: t.route.Stages[stage].ResultBytes, Zone: t.preferredZone(stage, inputs.handles), Priority: t.stagePriority(), Due: t.stageDue(level), Deadline: t.latestStageEnd().Add(-followUpTime),
 	}
 	if len(inputs.handles) == 0 {
 		job.Key = t.requestInfo.ContentKey
@@ -141,6 +141,15 @@
 	return job
 }
 
+// latestStageEnd returns when the request must be expected to end at the latest for its stages to run. The
+// caller of a resumed stream waits for its next event as long as for any other.
+func (t *transaction) latestStageEnd() clock.Instant {
+	if t.isResumed {
+		return min(t.arrived.Add(streamPatience(t.route)), t.deadline)
+	}
+	return min(t.due.Add(maxExpectedLateness), t.deadline)
+}
+
 // stageDue returns when a stage of the level should be done so that the request can end on time.
 func (t *transaction) stageDue(level int) clock.Instant {
 	if level < len(t.levelDues) {
--- a/internal/edge/streamorigin.go
+++ b/internal/edge/streamorigin.go
@@ -226,6 +226,9 @@
 		key: resume.KeyOf(t.workspaceName(), t.requestInfo.ResumedRequest), pool: t.pool, within: t.longestStream(),
 	}
 	answer := t.s.askOrigin(t.ctx, question)
+	if !answer.Known() {
+		answer = answer.Merge(t.askKeepers())
+	}
 	t.s.metrics.resumedStreams.WithLabelValues(answer.Certainty.String()).Inc()
 	t.s.logger.Info("stream resumed by its caller", zap.String("request", t.requestInfo.ID), zap.String("resumes", t.requestInfo.ResumedRequest),
 		zap.String("certainty", answer.Certainty.String()), zap.String("pool", answer.Origin.Pool), zap.String("software", answer.Origin.Version))
@@ -235,7 +238,7 @@
 	if !t.route.UsesPool(answer.Origin.Pool) {
 		return t.newError(errkind.NoUpstream, "the stream began in pool "+answer.Origin.Pool+", which the route does not use any more")
 	}
-	t.pool, t.origin = answer.Origin.Pool, &answer.Origin
+	t.pool, t.origin, t.isResumed = answer.Origin.Pool, &answer.Origin, true
 	return nil
 }
 
--- a/internal/edge/streamorigin_test.go
+++ b/internal/edge/streamorigin_test.go
@@ -24,6 +24,7 @@
 	t         *testing.T
 	fleet     *testFleet
 	upstreams []catalog.Upstream
+	servers   []*testUpstream
 	// breaks is set while streams that begin break off after their second event.
 	breaks atomic.Bool
 }
@@ -33,6 +34,7 @@
 	v.breaks.Store(true)
 	for i, version := range versions {
 		u := newTestUpstream(t, fmt.Sprint("u", i), v.handler(version))
+		v.servers = append(v.servers, u)
 		v.upstreams = append(v.upstreams, catalog.Upstream{ID: u.id, Pool: "p", Address: u.address(), Zone: "zone-a", SoftwareVersion: version})
 	}
 	v.fleet.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{
@@ -264,7 +266,7 @@
 			t.Errorf("a key of %d bytes is accepted", len(stream))
 		}
 	}
-	for _, response := range []*hoistv1.FindOriginResponse{nil, {Certainty: 5, Version: "v"}, {Certainty: 1 << 31, Pool: "p"}} {
+	for _, response := range []*hoistv1.FindOriginResponse{nil, {Certainty: uint32(resume.Ambiguous) + 1, Version: "v"}, {Certainty: 1 << 31, Pool: "p"}} {
 		if answer := originAnswerFromProto(response); answer.Known() {
 			t.Errorf("the answer %v counts", response)
 		}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -71,6 +71,8 @@
 	// origin is the pool and the software version that must send the next event; nil before the first
 	// event of a stream that the caller does not resume.
 	origin *resume.Origin
+	// isResumed is set if the caller resumes a stream that an upstream has begun.
+	isResumed bool
 	// lastEventAt is when the last event was forwarded; 0 before the first one.
 	lastEventAt clock.Instant
 	events      int
@@ -102,8 +104,12 @@
 
 // stagePriority returns the rank of the request in the pools of its stages, where it competes with
 // other routes. The rank of its workspace takes precedence, and that of its route decides among
-// workspaces of the same rank.
+// workspaces of the same rank. Resumed streams come first: their callers have a part of the answer, and
+// there are no more of them than streams broke off.
 func (t *transaction) stagePriority() int {
+	if t.isResumed {
+		return 0
+	}
 	return routeRanks*t.priority() + min(max(t.route.Priority, 0), routeRanks-1)
 }
 
