Tests: refusals that come twice, and errors in place of the rest of a stream

A copy of a refusal, with or without the ID of its request, at once or when the next request arrives, tells no caller that its request has not run, and leads to no second run (requests of all kinds). A stream that broke off stays broken if the next upstream answers with 204, 409 or a refusal in place of its rest; 200, 400 and 500 were covered before.

--- a/internal/edge/brokenanswers_test.go
+++ b/internal/edge/brokenanswers_test.go
@@ -420,3 +420,70 @@
 		})
 	}
 }
+
+// TestSecondCopyOfRefusal lets an upstream refuse each second request and write the refusal once more on the
+// connection: at once, or when the next request arrives. It guards against a caller that is told that its
+// request has not run although it has, and against a second run of a request that may run once.
+func TestSecondCopyOfRefusal(t *testing.T) {
+	for _, kind := range []catalog.RequestKind{catalog.NonIdempotent, catalog.Idempotent, catalog.Stream} {
+		for _, names := range []bool{true, false} {
+			for _, atOnce := range []bool{true, false} {
+				t.Run(fmt.Sprintf("kind %d, named %v, at once %v", kind, names, atOnce), func(t *testing.T) {
+					t.Parallel()
+					testSecondCopyOfRefusal(t, kind, names, atOnce)
+				})
+			}
+		}
+	}
+}
+
+func testSecondCopyOfRefusal(t *testing.T, kind catalog.RequestKind, names, atOnce bool) {
+	refusal := func(id string) string {
+		text := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
+		if names {
+			text += "Request: " + id + "\r\n"
+		}
+		return text + "\r\n"
+	}
+	var mu sync.Mutex
+	runs, refused := map[string]int{}, map[net.Conn]string{}
+	respond := func(u *rawUpstream, conn net.Conn, request *http.Request) bool {
+		id := request.Header.Get("Request")
+		mu.Lock()
+		defer mu.Unlock()
+		if earlier := refused[conn]; earlier != "" {
+			u.write(conn, refusal(earlier))
+		}
+		if u.requests.Load()%2 == 0 {
+			refused[conn] = id
+			if atOnce {
+				u.write(conn, refusal(id))
+			}
+			return u.write(conn, refusal(id))
+		}
+		runs[id]++
+		refused[conn] = ""
+		if kind == catalog.Stream {
+			text := "id: 1\ndata: " + id + "\n\n"
+			return u.write(conn, head(request, streamHeaders+fmt.Sprintf("Content-Length: %d\r\n", len(text)))+text)
+		}
+		return u.write(conn, head(request, fmt.Sprintf("Content-Length: %d\r\n", len(id)))+id)
+	}
+	f := startWithRawUpstreams(t, kind, nil, newRawUpstream(t, respond), newRawUpstream(t, respond))
+	for i := range 30 {
+		id := fmt.Sprint("request-", i)
+		response, body, err := f.send(0, id, "/x/", nil)
+		mu.Lock()
+		ran := runs[id]
+		mu.Unlock()
+		if err == nil && response.StatusCode == http.StatusServiceUnavailable && ran > 0 && kind != catalog.Idempotent {
+			t.Errorf("%s ran, and its caller is told that it has not", id)
+		}
+		if ran > 1 && kind != catalog.Idempotent {
+			t.Errorf("%s ran %d times", id, ran)
+		}
+		if err == nil && response.StatusCode == http.StatusOK && !strings.Contains(body, id) {
+			t.Errorf("%s got the answer %q", id, body)
+		}
+	}
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -206,13 +206,18 @@
 // the upstream that should resume it sent a response that is not a stream, and that response
 // was appended.
 func TestResumeRejectsOtherResponse(t *testing.T) {
-	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusInternalServerError} {
+	for _, status := range []int{
+		http.StatusOK, http.StatusNoContent, http.StatusBadRequest, http.StatusConflict, http.StatusInternalServerError, http.StatusServiceUnavailable,
+	} {
 		t.Run(fmt.Sprint("status ", status), func(t *testing.T) {
 			f := startFleet(t, 1, nil)
 			var sends atomic.Int64
 			handler := func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Seal", "s")
 				if sends.Add(1) > 1 {
+					if status == http.StatusServiceUnavailable {
+						w.Header().Set("Not-Run", "1")
+					}
 					w.WriteHeader(status)
 					_, _ = io.WriteString(w, "other")
 					return
