Engines: copy cached prompts within a software version

Change: an engine of another version is no source of a copy, whether this VM or the owner of the shard chose it.

--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -128,7 +128,7 @@
 	state.RecordStart(now)
 	l := &lease{upstreams: u, state: state, entry: state.entry, started: now}
 	if choice.CacheSource != nil {
-		l.cacheSource = u.states[choice.CacheSource.ID].entry.Address
+		l.copyCacheFrom(u.states[choice.CacheSource.ID])
 	}
 	return l, placement.Found
 }
@@ -152,11 +152,19 @@
 	state.RecordStart(now)
 	l := &lease{upstreams: u, state: state, entry: state.entry, started: now, placed: placed}
 	if source := u.states[placed.CacheSource]; source != nil && source != state && source.entry.Pool == pool {
-		l.cacheSource = source.entry.Address
+		l.copyCacheFrom(source)
 	}
 	return l
 }
 
+// copyCacheFrom makes the leased upstream copy what another one caches of the prompt. What upstreams of
+// another software version write does not fit.
+func (l *lease) copyCacheFrom(source *upstreamState) {
+	if source.entry.SoftwareVersion == l.entry.SoftwareVersion {
+		l.cacheSource = source.entry.Address
+	}
+}
+
 // suspectZones returns which zones are probably cut off. The caller holds the lock while it uses the
 // result.
 func (u *upstreams) suspectZones(now clock.Instant) func(zone string) bool {
