--- a/internal/edge/keepers.go
+++ b/internal/edge/keepers.go
@@ -172,7 +172,11 @@
 	for _, shard := range shards {
 		if shard.engine != nil && len(shard.entries) > 0 {
 			asked++
-			go func() { answers <- t.s.askKeepersOf(ctx, shard, parts[len(parts)-1]) }()
+			go func() {
+				var versions []string
+				t.s.contain.run("question for caches", func() { versions = t.s.askKeepersOf(ctx, shard, parts[len(parts)-1]) })
+				answers <- versions
+			}()
 		}
 	}
 	var answer resume.Answer
