Streams: rank only those first that have been begun

What callers could do: get the highest rank in the stages with any Last-Event-Id, where the pool has had one software version (found by reading the change). Resumed streams keep that rank where a record or the cached prompt shows that they were begun. TestProvenAnswers guards it.

--- a/internal/edge/streambinding.go
+++ b/internal/edge/streambinding.go
@@ -53,7 +53,7 @@
 	if !t.route.UsesPool(answer.Origin.Pool) {
 		return t.newError(errkind.NoUpstream, "the stream began in pool "+answer.Origin.Pool+", which the route does not use any more")
 	}
-	t.pool, t.origin, t.isResumed = answer.Origin.Pool, &answer.Origin, true
+	t.pool, t.origin, t.isResumed = answer.Origin.Pool, &answer.Origin, answer.IsProven()
 	return nil
 }
 
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -71,7 +71,7 @@
 	// origin is the pool and the software version that must send the next event; nil before the first
 	// event of a stream that the caller does not resume.
 	origin *resume.Origin
-	// isResumed is set if the caller resumes a stream that an upstream has begun.
+	// isResumed is set if the caller resumes a stream that has been begun for certain.
 	isResumed bool
 	// lastEventAt is when the last event was forwarded; 0 before the first one.
 	lastEventAt clock.Instant
--- a/pkg/resume/answer.go
+++ b/pkg/resume/answer.go
@@ -52,6 +52,9 @@
 	return a.Certainty == Sole || a.Certainty == Kept || a.Certainty == Recorded
 }
 
+// IsProven reports whether the stream has left a trace, so that it was begun. A caller can name any request.
+func (a Answer) IsProven() bool { return a.Certainty == Kept || a.Certainty == Recorded }
+
 // Merge returns what two VMs know together. The order of the answers does not matter.
 func (a Answer) Merge(b Answer) Answer {
 	switch {
--- a/pkg/resume/resume_test.go
+++ b/pkg/resume/resume_test.go
@@ -42,6 +42,19 @@
 	})
 }
 
+// TestProvenAnswers guards against the rank of resumed streams for callers that only claim to resume one.
+func TestProvenAnswers(t *testing.T) {
+	for certainty := range certaintyCount {
+		answer := Answer{Certainty: certainty}
+		if expected := certainty == Kept || certainty == Recorded; answer.IsProven() != expected {
+			t.Errorf("%s is proven: %v, expected %v", certainty, answer.IsProven(), expected)
+		}
+		if answer.IsProven() && !answer.Known() {
+			t.Errorf("%s is proven but not known", certainty)
+		}
+	}
+}
+
 // TestHistory compares a history with a list of all observations. It guards against a version that is taken
 // for the only one although another one was there, or may have been there unseen.
 func TestHistory(t *testing.T) {
