--- a/internal/edge/storeaccess.go
+++ b/internal/edge/storeaccess.go
@@ -70,6 +70,8 @@
 		return
 	}
 	_, complete := s.follower.age()
-	sources := s.pullSources(ranking, readers, complete)
-	s.pullFrom(ctx, sources[rand.IntN(len(sources))], 0)
+	// There are no sources while this VM leaves and reaches no other one.
+	if sources := s.pullSources(ranking, readers, complete); len(sources) > 0 {
+		s.pullFrom(ctx, sources[rand.IntN(len(sources))], 0)
+	}
 }
