Reading of the change: one way to ask engines, one to ask several at once, plainer names

- The query for an engine's cache was written beside that for its load, and left out two checks of it.
Both go through queryEngine now, which records signals and refuses the response of another upstream at the address.
TestCacheOfAnotherUpstreamDecidesNothing fails without that check.
- Three places asked several targets at once with the same code (reservations, origins, caches): askAll.
- "Keeper" is a word of the glossary for something else.
The engines that cache a prompt are named by that: Cached, FindCached, askCaches; the label of hoist_edge_resumed_streams_total is "cached".
- pkg/resume takes the versions that are there as a set of origins in place of a map of maps.
- The two handlers of grpc's events share what they ignore; the reason for the pause before a retry is said plainly.

--- a/internal/edge/keepers.go
+++ b/internal/edge/cacheorigin.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 	"google.golang.org/grpc/codes"
@@ -26,9 +24,9 @@
 // lists their caches for all others.
 
 const (
-	// keepersTimeout bounds the search for the engine that began a stream, and cacheListTimeout the query to
+	// cachesTimeout bounds the search for the engine that began a stream, and cacheListTimeout the query to
 	// one engine.
-	keepersTimeout   = 500 * time.Millisecond
+	cachesTimeout    = 500 * time.Millisecond
 	cacheListTimeout = 300 * time.Millisecond
 	// cacheListInterval is the least time between two queries to an engine, since each delays its work.
 	cacheListInterval = 2 * time.Second
@@ -105,45 +103,34 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cacheListTimeout)
 	defer cancel()
-	request := s.dialect.EncodeCacheQuery(entry.Address, entry.ID)
-	// The response does not say which query it belongs to.
-	request.SingleUse = true
-	response, err := s.client.Do(ctx, entry.Address, request, maxCacheListBytes)
+	body, err := s.queryEngine(ctx, entry, s.dialect.EncodeCacheQuery(entry.Address, entry.ID), maxCacheListBytes)
 	if err != nil {
 		return nil, err
 	}
-	if response.Status != http.StatusOK {
-		return nil, errors.Newf("status %d", response.Status)
-	}
-	return s.dialect.DecodeCacheList(response.Body)
+	return s.dialect.DecodeCacheList(body)
 }
 
-// keeperVersions returns the software versions of the engines of a shard that cache all of a part of a prompt.
-func (s *Server) keeperVersions(shard *poolShard, part PrefixPart) []string {
+// cachedVersions returns the software versions of the engines of a shard that cache all of a part of a prompt.
+func (s *Server) cachedVersions(shard *poolShard, part PrefixPart) []string {
 	now := s.now()
-	var mu sync.Mutex
+	warm := slices.DeleteFunc(slices.Clone(shard.entries), func(entry *registry.Entry) bool { return entry.ColdUntil > now })
+	keeping := askAll(s.contain, "cache of an engine", warm, func(entry *registry.Entry) *registry.Entry {
+		if tokens, ok := s.cacheListOf(entry).tokens[part.ID]; ok && tokens >= part.Tokens {
+			return entry
+		}
+		return nil
+	})
 	versions := map[string]bool{}
-	var wg sync.WaitGroup
-	for _, entry := range shard.entries {
-		if entry.ColdUntil > now {
-			continue
+	for range warm {
+		if entry := <-keeping; entry != nil {
+			versions[entry.SoftwareVersion] = true
 		}
-		wg.Go(func() {
-			s.contain.run("cache of an engine", func() {
-				if tokens, ok := s.cacheListOf(entry).tokens[part.ID]; ok && tokens >= part.Tokens {
-					mu.Lock()
-					defer mu.Unlock()
-					versions[entry.SoftwareVersion] = true
-				}
-			})
-		})
 	}
-	wg.Wait()
 	return slices.Sorted(maps.Keys(versions))
 }
 
-// FindKeepers returns the software versions of the engines of a shard that cache a part of a prompt.
-func (f fleetServer) FindKeepers(_ context.Context, r *hoistv1.FindKeepersRequest) (*hoistv1.FindKeepersResponse, error) {
+// FindCached returns the software versions of the engines of a shard that cache a part of a prompt.
+func (f fleetServer) FindCached(_ context.Context, r *hoistv1.FindCachedRequest) (*hoistv1.FindCachedResponse, error) {
 	if r.GetPart() == "" || len(r.GetPart()) > maxPartID || r.GetTokens() > maxPlaceTokens {
 		return nil, errMalformedPart
 	}
@@ -152,52 +139,45 @@
 		return nil, errUnknownShard
 	}
 	part := PrefixPart{ID: r.GetPart(), Tokens: int(r.GetTokens())}
-	return &hoistv1.FindKeepersResponse{Versions: f.s.keeperVersions(view.Shards[r.GetShard()], part)}, nil
+	return &hoistv1.FindCachedResponse{Versions: f.s.cachedVersions(view.Shards[r.GetShard()], part)}, nil
 }
 
 // errMalformedPart refuses a question that no VM asks.
 var errMalformedPart = status.Error(codes.InvalidArgument, "malformed part of a prompt")
 
-// askKeepers returns what the caches of the engines say of the origin of the stream.
-func (t *transaction) askKeepers() resume.Answer {
+// askCaches returns what the caches of the engines say of the origin of the stream.
+func (t *transaction) askCaches() resume.Answer {
 	parts := t.requestInfo.PromptPrefix
 	if len(parts) == 0 || !t.route.HasPromptPrefixes || len(parts[len(parts)-1].ID) > maxPartID {
 		return resume.Answer{}
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, keepersTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, cachesTimeout)
 	defer cancel()
-	shards := t.view.ShardsOf[t.pool]
-	answers := make(chan []string, len(shards))
-	asked := 0
-	for _, shard := range shards {
-		if shard.engine != nil && len(shard.entries) > 0 {
-			asked++
-			go func() {
-				var versions []string
-				t.s.contain.run("question for caches", func() { versions = t.s.askKeepersOf(ctx, shard, parts[len(parts)-1]) })
-				answers <- versions
-			}()
-		}
-	}
+	shards := slices.DeleteFunc(slices.Clone(t.view.ShardsOf[t.pool]), func(shard *poolShard) bool {
+		return shard.engine == nil || len(shard.entries) == 0
+	})
+	answers := askAll(t.s.contain, "question for caches", shards, func(shard *poolShard) []string {
+		return t.s.askCachesOf(ctx, shard, parts[len(parts)-1])
+	})
 	var answer resume.Answer
-	for range asked {
+	for range shards {
 		for _, version := range <-answers {
-			answer = answer.Merge(resume.Answer{Certainty: resume.Kept, Origin: resume.Origin{Pool: t.pool, Version: version}})
+			answer = answer.Merge(resume.Answer{Certainty: resume.Cached, Origin: resume.Origin{Pool: t.pool, Version: version}})
 		}
 	}
 	return answer
 }
 
-// askKeepersOf asks the owner of a shard. Without an answer nothing is known.
-func (s *Server) askKeepersOf(ctx context.Context, shard *poolShard, part PrefixPart) []string {
+// askCachesOf asks the owner of a shard. Without an answer nothing is known.
+func (s *Server) askCachesOf(ctx context.Context, shard *poolShard, part PrefixPart) []string {
 	owner := s.gossip.owner(shard.resource())
 	if owner.Name == s.settings.VM {
-		return s.keeperVersions(shard, part)
+		return s.cachedVersions(shard, part)
 	}
-	request := &hoistv1.FindKeepersRequest{Shard: shard.Name, Part: part.ID, Tokens: tokensToProto(part.Tokens)}
-	var response *hoistv1.FindKeepersResponse
+	request := &hoistv1.FindCachedRequest{Shard: shard.Name, Part: part.ID, Tokens: tokensToProto(part.Tokens)}
+	var response *hoistv1.FindCachedResponse
 	err := s.peers.callBriefly(ctx, owner, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.FindKeepers(ctx, request)
+		response, err = client.FindCached(ctx, request)
 		return err
 	})
 	if err != nil {
--- a/internal/edge/keepers_test.go
+++ b/internal/edge/cacheorigin_test.go
@@ -143,11 +143,25 @@
 	}
 }
 
+// TestCacheOfAnotherUpstreamDecidesNothing guards against the list of another upstream that has the address of
+// an engine which is gone.
+func TestCacheOfAnotherUpstreamDecidesNothing(t *testing.T) {
+	v := startEngineStreams(t, 1, "old")
+	v.beginPrompt(0, "s")
+	v.servers[0].mu.Lock()
+	v.servers[0].identity = "another"
+	v.servers[0].mu.Unlock()
+	v.fleet.restart()
+	if status, versions := v.resumePrompt(0, "s"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d with events of %v", status, versions)
+	}
+}
+
 // TestMalformedPartQuestions guards against questions of other VMs that cost more than an error.
 func TestMalformedPartQuestions(t *testing.T) {
 	v := startEngineStreams(t, 1, "old")
 	server := fleetServer{s: v.fleet.servers[0]}
-	for _, request := range []*hoistv1.FindKeepersRequest{
+	for _, request := range []*hoistv1.FindCachedRequest{
 		{},
 		{Shard: "p"},
 		{Part: "x"},
@@ -155,7 +169,7 @@
 		{Shard: "p", Part: strings.Repeat("x", maxPartID+1)},
 		{Shard: "p", Part: "x", Tokens: maxPlaceTokens + 1},
 	} {
-		if response, err := server.FindKeepers(context.Background(), request); err == nil {
+		if response, err := server.FindCached(context.Background(), request); err == nil {
 			t.Errorf("%v is answered with %v", request, response)
 		}
 	}
--- a/internal/edge/enginerunner.go
+++ b/internal/edge/enginerunner.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -27,13 +25,13 @@
 type engineRunner struct {
 	pool    string
 	dialect Dialect
-	client  *outbound.Client
 	now     func() clock.Instant
 	logger  *zap.Logger
 	metrics *metrics
 	contain *containment
 	signals *upstreamSignals
-	view    func() *View
+	// query is Server.queryEngine.
+	query func(ctx context.Context, entry *registry.Entry, request *outbound.Request, limit int64) ([]byte, error)
 
 	mu      sync.Mutex
 	placer  *enginepool.Pool
@@ -44,7 +42,7 @@
 
 func newEngineRunner(pool string, s *Server) *engineRunner {
 	return &engineRunner{
-		pool: pool, dialect: s.dialect, client: s.client, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals, view: s.view.Load,
+		pool: pool, dialect: s.dialect, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, signals: s.signals, query: s.queryEngine,
 		placer: enginepool.New(), entries: map[string]*registry.Entry{},
 	}
 }
@@ -147,22 +145,9 @@
 }
 
 func (r *engineRunner) fetchReport(ctx context.Context, entry *registry.Entry) (enginepool.Report, error) {
-	request := r.dialect.EncodeMemoryQuery(entry.Address)
-	// The response does not say which query it belongs to.
-	request.SingleUse = true
-	response, err := r.client.Do(ctx, entry.Address, request, maxStageResponseBytes)
+	body, err := r.query(ctx, entry, r.dialect.EncodeMemoryQuery(entry.Address), maxStageResponseBytes)
 	if err != nil {
 		return enginepool.Report{}, err
 	}
-	info := r.dialect.DecodeResponse(response.Status, response.Header)
-	if view := r.view(); view != nil {
-		r.signals.record(view, entry, info)
-	}
-	if info.UpstreamID != "" && info.UpstreamID != entry.ID {
-		return enginepool.Report{}, errors.Newf("report of upstream %q", info.UpstreamID)
-	}
-	if response.Status != http.StatusOK {
-		return enginepool.Report{}, errors.Newf("status %d", response.Status)
-	}
-	return r.dialect.DecodeEngineReport(response.Body)
+	return r.dialect.DecodeEngineReport(body)
 }
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -272,7 +272,9 @@
 	calls    []stagepool.Call
 	// cached holds the tokens of the parts of prompts that were sent, and cacheQueries counts the queries for
 	// them.
-	cached       map[string]int
+	cached map[string]int
+	// identity is the ID that responses to these queries state; empty if they state none.
+	identity     string
 	cacheQueries int
 	resultCount  int
 }
@@ -305,6 +307,9 @@
 	case "/cache":
 		u.mu.Lock()
 		u.cacheQueries++
+		if u.identity != "" {
+			w.Header().Set("Upstream-Id", u.identity)
+		}
 		body, _ := json.Marshal(u.cached) // A map of numbers is always encoded.
 		u.mu.Unlock()
 		_, _ = w.Write(body) // The caller reports an incomplete response.
--- a/internal/edge/originmessages.go
+++ b/internal/edge/originmessages.go
@@ -26,14 +26,9 @@
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	holders := s.originHolders(question.key, originHoldersAsked)
-	answers := make(chan resume.Answer, len(holders))
-	for _, holder := range holders {
-		go func() {
-			var answer resume.Answer
-			s.contain.run("question for an origin", func() { answer = s.askOriginAt(ctx, holder, question) })
-			answers <- answer
-		}()
-	}
+	answers := askAll(s.contain, "question for an origin", holders, func(holder fleet.Entry) resume.Answer {
+		return s.askOriginAt(ctx, holder, question)
+	})
 	for range holders {
 		answer = answer.Merge(<-answers)
 		if answer.IsFinal() {
--- a/internal/edge/reserve.go
+++ b/internal/edge/reserve.go
@@ -161,18 +161,13 @@
 // reserveAtAll reserves capacity for a stage in all of the shards at the same time, and returns the
 // responses.
 func (t *transaction) reserveAtAll(shards []*poolShard, r stagepool.Reservation) []shardOffer {
-	responses := make(chan *shardOffer, len(shards))
-	for _, shard := range shards {
-		go func() {
-			var offer *shardOffer
-			defer func() { responses <- offer }()
-			t.s.contain.run("reservation", func() {
-				if made, ok := t.s.reserveAt(t.ctx, shard, r); ok {
-					offer = &made
-				}
-			})
-		}()
-	}
+	responses := askAll(t.s.contain, "reservation", shards, func(shard *poolShard) *shardOffer {
+		offer, ok := t.s.reserveAt(t.ctx, shard, r)
+		if !ok {
+			return nil
+		}
+		return &offer
+	})
 	var offers []shardOffer
 	for range shards {
 		if offer := <-responses; offer != nil {
--- a/internal/edge/streambinding.go
+++ b/internal/edge/streambinding.go
@@ -20,13 +20,14 @@
 	if t.origin != nil {
 		return
 	}
-	t.origin = &resume.Origin{Pool: t.pool, Version: entry.SoftwareVersion}
+	origin := originAt(entry)
+	t.origin = &origin
 	if !t.route.Resumable {
 		return
 	}
 	key := resume.KeyOf(t.workspaceName(), t.requestInfo.ID)
-	t.s.origins.record(t.s.now(), key, *t.origin)
-	datagram := &hoistv1.Datagram{Origins: []*hoistv1.StreamOrigin{{Stream: key[:], Pool: t.origin.Pool, Version: t.origin.Version}}}
+	t.s.origins.record(t.s.now(), key, origin)
+	datagram := &hoistv1.Datagram{Origins: []*hoistv1.StreamOrigin{{Stream: key[:], Pool: origin.Pool, Version: origin.Version}}}
 	for _, holder := range t.s.originHolders(key, originCopies) {
 		t.s.gossip.sendDatagram(datagram, t.s.gossip.gossipAddress(holder.Address))
 	}
@@ -42,7 +43,7 @@
 	}
 	answer := t.s.askOrigin(t.ctx, question)
 	if !answer.Known() {
-		answer = answer.Merge(t.askKeepers())
+		answer = answer.Merge(t.askCaches())
 	}
 	t.s.metrics.resumedStreams.WithLabelValues(answer.Certainty.String()).Inc()
 	t.s.logger.Info("stream resumed by its caller", zap.String("request", t.requestInfo.ID), zap.String("resumes", t.requestInfo.ResumedRequest),
@@ -75,7 +76,7 @@
 
 // mayUse reports whether the software version of an upstream may send the next event of the stream.
 func (t *transaction) mayUse(entry *registry.Entry) bool {
-	return t.origin == nil || (entry.Pool == t.origin.Pool && entry.SoftwareVersion == t.origin.Version)
+	return t.origin == nil || originAt(entry) == *t.origin
 }
 
 // restrictions returns the upstreams of the pool that may not be used freely for this request.
--- a/internal/edge/streamorigin.go
+++ b/internal/edge/streamorigin.go
@@ -42,18 +42,20 @@
 	o.records.Record(now, key, origin)
 }
 
+// originAt returns the origin of the streams that an upstream begins.
+func originAt(entry *registry.Entry) resume.Origin {
+	return resume.Origin{Pool: entry.Pool, Version: entry.SoftwareVersion}
+}
+
 // observe records the software versions of the registered upstreams.
 func (o *streamOrigins) observe(now clock.Instant, upstreams map[string]*registry.Entry) {
-	versions := map[string]map[string]bool{}
+	present := map[resume.Origin]bool{}
 	for _, entry := range upstreams {
-		if versions[entry.Pool] == nil {
-			versions[entry.Pool] = map[string]bool{}
-		}
-		versions[entry.Pool][entry.SoftwareVersion] = true
+		present[originAt(entry)] = true
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.history.Observe(now, versions)
+	o.history.Observe(now, present)
 }
 
 // interrupt records that the tables were out of date, so that versions may have come and gone unseen.
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -49,8 +49,20 @@
 	}
 }
 
+// noConnStats implements the part of stats.Handler that concerns connections, and does nothing.
+type noConnStats struct{}
+
+// TagConn implements stats.Handler.
+func (noConnStats) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (noConnStats) HandleConn(context.Context, stats.ConnStats) {}
+
 // statsHandler counts the payloads of RPCs at the client or the server.
-type statsHandler struct{ metrics *Metrics }
+type statsHandler struct {
+	noConnStats
+	metrics *Metrics
+}
 
 type methodKey struct{}
 
@@ -72,12 +84,6 @@
 	}
 }
 
-// TagConn implements stats.Handler.
-func (h *statsHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
-
-// HandleConn implements stats.Handler.
-func (h *statsHandler) HandleConn(context.Context, stats.ConnStats) {}
-
 // countingConn counts the bytes that are read from and written to a connection.
 type countingConn struct {
 	net.Conn
--- a/internal/peer/retrypause.go
+++ b/internal/peer/retrypause.go
@@ -7,13 +7,13 @@
 	"google.golang.org/grpc/stats"
 )
 
-// transparentRetryPause is the pause before a transparent retry. grpc-go retries a call on a connection that is
-// being closed at once and without a bound, until the goroutine that closes it has run, which a processor that is
-// busy with the retries delays.
+// transparentRetryPause is the pause before a transparent retry. While a connection is being closed, grpc-go
+// retries a call on it at once and without a bound. On one processor these retries keep the goroutine that closes
+// the connection from running.
 const transparentRetryPause = time.Millisecond
 
 // retryPauser pauses transparent retries.
-type retryPauser struct{}
+type retryPauser struct{ noConnStats }
 
 // TagRPC implements stats.Handler.
 func (retryPauser) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
@@ -24,9 +24,3 @@
 		time.Sleep(transparentRetryPause)
 	}
 }
-
-// TagConn implements stats.Handler.
-func (retryPauser) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
-
-// HandleConn implements stats.Handler.
-func (retryPauser) HandleConn(context.Context, stats.ConnStats) {}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -95,7 +95,7 @@
 		grpc.WithStatsHandler(retryPauser{}),
 	}
 	if t.Metrics != nil {
-		options = append(options, grpc.WithStatsHandler(&statsHandler{t.Metrics}))
+		options = append(options, grpc.WithStatsHandler(&statsHandler{metrics: t.Metrics}))
 	}
 	return options
 }
@@ -115,7 +115,7 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	}
 	if t.Metrics != nil {
-		options = append(options, grpc.StatsHandler(&statsHandler{t.Metrics}))
+		options = append(options, grpc.StatsHandler(&statsHandler{metrics: t.Metrics}))
 	}
 	return options
 }
--- a/pkg/resume/answer.go
+++ b/pkg/resume/answer.go
@@ -17,10 +17,10 @@
 	Sole
 	// Mixed means that the pool had several versions while the stream may have begun.
 	Mixed
-	// Kept means that only engines of this version cache the prompt of the stream.
-	Kept
-	// KeptBySeveral means that engines of several versions do.
-	KeptBySeveral
+	// Cached means that only engines of this version cache the prompt of the stream.
+	Cached
+	// CachedBySeveral means that engines of several versions do.
+	CachedBySeveral
 	// Recorded means that there is a record of the stream.
 	Recorded
 	// Ambiguous means that records of the stream contradict each other.
@@ -30,7 +30,7 @@
 )
 
 var certaintyNames = [certaintyCount]string{
-	Unknown: "unknown", Sole: "sole", Mixed: "mixed", Kept: "kept", KeptBySeveral: "kept_by_several", Recorded: "recorded", Ambiguous: "ambiguous",
+	Unknown: "unknown", Sole: "sole", Mixed: "mixed", Cached: "cached", CachedBySeveral: "cached_by_several", Recorded: "recorded", Ambiguous: "ambiguous",
 }
 
 // String returns the name of c.
@@ -49,11 +49,11 @@
 
 // Known reports whether the stream may be resumed at the origin.
 func (a Answer) Known() bool {
-	return a.Certainty == Sole || a.Certainty == Kept || a.Certainty == Recorded
+	return a.Certainty == Sole || a.Certainty == Cached || a.Certainty == Recorded
 }
 
 // IsProven reports whether the stream has left a trace, so that it was begun. A caller can name any request.
-func (a Answer) IsProven() bool { return a.Certainty == Kept || a.Certainty == Recorded }
+func (a Answer) IsProven() bool { return a.Certainty == Cached || a.Certainty == Recorded }
 
 // Merge returns what two VMs know together. The order of the answers does not matter.
 func (a Answer) Merge(b Answer) Answer {
@@ -67,8 +67,8 @@
 	case a.Certainty == Sole:
 		// One of the VMs does not know a version yet that the other one does.
 		return Answer{Certainty: Mixed}
-	case a.Certainty == Kept:
-		return Answer{Certainty: KeptBySeveral}
+	case a.Certainty == Cached:
+		return Answer{Certainty: CachedBySeveral}
 	case a.Certainty == Recorded:
 		return Answer{Certainty: Ambiguous}
 	}
--- a/pkg/resume/history.go
+++ b/pkg/resume/history.go
@@ -15,8 +15,8 @@
 	leftAt map[Origin]clock.Instant
 }
 
-// Observe records the versions of all upstreams that are registered now.
-func (h *History) Observe(now clock.Instant, versions map[string]map[string]bool) {
+// Observe records the pools and versions of all upstreams that are registered now.
+func (h *History) Observe(now clock.Instant, present map[Origin]bool) {
 	if h.leftAt == nil {
 		h.leftAt = map[Origin]clock.Instant{}
 	}
@@ -24,14 +24,12 @@
 		h.since = now
 	}
 	for known, left := range h.leftAt {
-		if left == 0 && !versions[known.Pool][known.Version] {
+		if left == 0 && !present[known] {
 			h.leftAt[known] = now
 		}
 	}
-	for pool, present := range versions {
-		for version := range present {
-			h.leftAt[Origin{Pool: pool, Version: version}] = 0
-		}
+	for origin := range present {
+		h.leftAt[origin] = 0
 	}
 }
 
--- a/pkg/resume/resume_test.go
+++ b/pkg/resume/resume_test.go
@@ -46,7 +46,7 @@
 func TestProvenAnswers(t *testing.T) {
 	for certainty := range certaintyCount {
 		answer := Answer{Certainty: certainty}
-		if expected := certainty == Kept || certainty == Recorded; answer.IsProven() != expected {
+		if expected := certainty == Cached || certainty == Recorded; answer.IsProven() != expected {
 			t.Errorf("%s is proven: %v, expected %v", certainty, answer.IsProven(), expected)
 		}
 		if answer.IsProven() && !answer.Known() {
@@ -74,11 +74,12 @@
 				seen = append(seen, observation{at: now, versions: seen[len(seen)-1].versions, gap: true})
 				continue
 			}
-			present := map[string]bool{}
+			present, origins := map[string]bool{}, map[Origin]bool{{Pool: "other", Version: "v9"}: true}
 			for range rapid.IntRange(0, 2).Draw(t, "count") {
-				present[versions.Draw(t, "version")] = true
+				version := versions.Draw(t, "version")
+				present[version], origins[Origin{Pool: "p", Version: version}] = true, true
 			}
-			h.Observe(at(now), map[string]map[string]bool{"p": present, "other": {"v9": true}})
+			h.Observe(at(now), origins)
 			seen = append(seen, observation{at: now, versions: present})
 			h.Expire(at(now - 2000))
 		}
