--- a/internal/edge/applyview_test.go
+++ b/internal/edge/applyview_test.go
@@ -9,6 +9,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
 // newSingleView returns a view with one upstream of the pool p.
@@ -16,7 +17,7 @@
 	entry := &registry.Entry{Upstream: catalog.Upstream{ID: id, Pool: "p", Address: "127.0.0.1:1", Zone: "zone-a", StartID: 1}}
 	c := &catalog.Catalog{Version: 1, Pools: singlePool()}
 	c.Index()
-	return newView(1, c, []*registry.Entry{entry}, nil, func(string) bool { return false })
+	return newView(replica.Position{Revision: 1}, c, []*registry.Entry{entry}, nil, func(string) bool { return false })
 }
 
 // TestNewViewHasItsUpstreams guards against a request that is refused because no upstream is in
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -18,14 +18,15 @@
 
 // Source reads published items from the store.
 type Source interface {
-	// List returns all items, and the revision of the store when the listing started.
-	List(ctx context.Context) ([]replica.Item, uint64, error)
-	// Watch waits for changes after a revision. It returns them, and the revision up to which
-	// they are complete.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error)
+	// List returns all items, and the position of the store when the listing started. All items are of
+	// the era of the position.
+	List(ctx context.Context) ([]replica.Item, replica.Position, error)
+	// Watch waits for changes after the revision of a position. It returns them, and the position up to
+	// which they are complete. If that is of another era, the changes do not follow the given position.
+	Watch(ctx context.Context, after replica.Position, wait time.Duration) ([]replica.Item, replica.Position, error)
 }
 
-// Decoder decodes a published item into *catalog.Catalog, *catalog.Upstream, ZoneOut or nil.
+// Decoder decodes a published item into *catalog.Catalog, *catalog.Upstream, catalog.ZoneOut or nil.
 // For a removed item, whose value is nil, only the identity is set.
 type Decoder func(key string, value []byte) (any, error)
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -347,7 +347,7 @@
 	u := newTestUpstream(t, "u", nil)
 	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.NonIdempotent, nil)}},
 		catalogUpstreams("p", u)...)
-	f.store.put("out/zone-a", ZoneOut("zone-a"))
+	f.store.put("out/zone-a", catalog.ZoneOut("zone-a"))
 	await(t, "the zone is out of service on all VMs", func() bool {
 		return f.servers[0].view.Load().ZonesOut["zone-a"] && f.servers[1].view.Load().ZonesOut["zone-a"]
 	})
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
@@ -86,21 +87,22 @@
 	return &hoistv1.PingResponse{}, nil
 }
 
-// Pull returns the published items that are newer than the requested revision. Without such
+// Pull returns the published items that are newer than the requested position. Without such
 // items it waits for them (long polling) as long as the request allows, at most for
 // pullHoldTime.
 func (f fleetServer) Pull(ctx context.Context, r *hoistv1.PullRequest) (*hoistv1.PullResponse, error) {
 	received := f.s.now()
-	changes := f.s.follower.changesAfter(ctx, r.GetRevision(), min(time.Duration(r.GetWaitMs())*time.Millisecond, pullHoldTime), r.GetAcceptsRemovals())
+	requested := replica.Position{Era: r.GetEra(), Revision: r.GetRevision()}
+	changes := f.s.follower.changesAfter(ctx, requested, min(time.Duration(r.GetWaitMs())*time.Millisecond, pullHoldTime), r.GetAcceptsRemovals())
 	response := &hoistv1.PullResponse{
-		Complete: changes.complete, Unchanged: changes.unchanged, Revision: changes.revision, AgeMs: changes.age.Milliseconds() + 1,
+		Complete: changes.complete, Unchanged: changes.unchanged, Era: changes.at.Era, Revision: changes.at.Revision, AgeMs: changes.age.Milliseconds() + 1,
 		HeldMs: f.s.now().Sub(received).Milliseconds(), Lost: changes.storeLost,
 	}
 	response.HasRemovals, response.Keys = changes.changes.IsDelta, changes.changes.Keys
 	for _, item := range changes.changes.Items {
 		response.Items = append(response.Items, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
 	}
-	if r.GetRevision() == 0 && r.GetAcceptsPacked() && len(response.GetItems()) >= minPackedItems {
+	if changes.changes.IsWhole() && r.GetAcceptsPacked() && len(response.GetItems()) >= minPackedItems {
 		if err := f.s.packedTables.pack(response, changes.version); err != nil {
 			return nil, err
 		}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -10,9 +10,8 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/published"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
@@ -30,9 +29,6 @@
 	// lostReadersAge is the age from which on other VMs read the store if all its readers say that they
 	// have lost it. It is longer than a watch.
 	lostReadersAge = 800 * time.Millisecond
-	// storeOutageAge is the age of the tables above which the store counts as unavailable to
-	// all VMs, since no peer had newer tables.
-	storeOutageAge = 2 * time.Second
 	// changeBatchDelay is the delay after a watch that returned changes, so that a series of
 	// changes takes few calls. It is far below the time within which changes must apply.
 	changeBatchDelay = 200 * time.Millisecond
@@ -45,7 +41,6 @@
 // follower keeps a copy of the published items up to date, and builds views from it.
 type follower struct {
 	source Source
-	decode Decoder
 	now    func() clock.Instant
 	logger *zap.Logger
 	// onViewChange is called with each new view, and never concurrently.
@@ -53,6 +48,8 @@
 	// onGap is called when the items are current again after a time in which changes may have been
 	// missed, before the changes are applied.
 	onGap func(now clock.Instant)
+	// onNewEra is called when the items are of a higher era.
+	onNewEra func(change *published.EraChange)
 	// isClaimed reports whether a VM claims a shard. A VM that has just started learns from it how
 	// the others have divided the pools.
 	isClaimed func(name string) bool
@@ -62,13 +59,8 @@
 	// hasChanges is set if the last watch returned changes. Only the reading goroutine uses it.
 	hasChanges bool
 
-	mu       sync.Mutex
-	replica  *replica.Replica
-	registry *registry.Registry
-	catalog  *catalog.Catalog
-	zonesOut map[string]bool
-	// version counts the changes of the items.
-	version uint64
+	mu    sync.Mutex
+	state *published.State
 	// view is the last one that was published.
 	view     *View
 	failures int
@@ -80,8 +72,8 @@
 
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
-		source: source, decode: decode, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, isClaimed: isClaimed,
-		replica: replica.New(), registry: registry.New(), zonesOut: map[string]bool{}, refreshed: make(chan struct{}),
+		source: source, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, onNewEra: func(*published.EraChange) {}, isClaimed: isClaimed,
+		state: published.New(published.Decode(decode)), refreshed: make(chan struct{}),
 	}
 }
 
@@ -125,50 +117,68 @@
 func (f *follower) isComplete() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.Complete()
+	return f.state.Complete()
 }
 
 func (f *follower) list(ctx context.Context) error {
 	sentAt := f.now()
-	items, revision, err := f.source.List(ctx)
+	items, at, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordOutage()
-	f.applyItems(f.replica.Replace(items, revision, sentAt))
+	if err := f.checkEra(at); err != nil {
+		return err
+	}
+	f.applyUpdate(f.state.List(f.now(), items, at, sentAt), fromStore)
 	f.wakeWaiters()
 	return nil
 }
 
 func (f *follower) watch(ctx context.Context, wait time.Duration) error {
-	f.mu.Lock()
-	after := f.replica.Revision()
-	f.mu.Unlock()
+	after := f.position()
 	sentAt := f.now()
-	items, revision, err := f.source.Watch(ctx, after, wait)
+	items, at, err := f.source.Watch(ctx, after, wait)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordOutage()
-	f.applyItems(f.replica.Apply(items, revision, sentAt))
+	if err := f.checkEra(at); err != nil {
+		return err
+	}
+	if at.Era > after.Era {
+		// The changes after the revision are others in another era.
+		return ErrHistoryGone
+	}
+	f.applyUpdate(f.state.Watch(f.now(), items, at, sentAt), fromStore)
 	f.wakeWaiters()
 	f.hasChanges = len(items) > 0
 	return nil
 }
 
-// recordOutage tells the registry of a store outage that has ended, before the removals of
-// entries that expired during the outage are applied. If the store rejects only this VM, the
-// tables from its peers are current and there is no outage. The caller holds the lock.
-func (f *follower) recordOutage() {
-	now := f.now()
-	if f.replica.Complete() && now.Sub(f.replica.FreshAt()) > storeOutageAge {
-		f.registry.SetStoreDown(now, true)
-		f.registry.SetStoreDown(now, false)
-		f.onGap(now)
+// checkEra returns an error for an answer of the store that is of an earlier era than the items, or states
+// none: it is late, or malformed. The caller holds the lock.
+func (f *follower) checkEra(at replica.Position) error {
+	if known := f.state.Position(); at.Era < known.Era {
+		return errors.Newf("the store answered with era %d after era %d", at.Era, known.Era)
+	}
+	return nil
+}
+
+// applyUpdate logs an update of the state and publishes a new view if there are changes. The caller holds
+// the lock.
+func (f *follower) applyUpdate(update published.Update, from updateSource) {
+	if update.HasGap {
+		f.onGap(f.now())
+	}
+	f.logUpdate(update, from)
+	if update.NewEra != nil {
+		f.onNewEra(update.NewEra)
+	}
+	if update.HasChanges {
+		f.publishView()
 	}
 }
 
@@ -178,10 +188,10 @@
 	defer f.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		if err != nil {
-			f.logger.Info("store no longer has the changes after the revision; listing all items", zap.Uint64("revision", f.replica.Revision()))
+			f.logger.Info("store no longer has the changes after the revision; listing all items", positionField(f.state.Position()))
 		}
 		if f.lossLogged {
-			f.logger.Info("store regained", zap.Uint64("revision", f.replica.Revision()))
+			f.logger.Info("store regained", positionField(f.state.Position()))
 		}
 		f.failures, f.lossLogged = 0, false
 		return
@@ -193,68 +203,7 @@
 	}
 	if !f.lossLogged {
 		f.lossLogged = true
-		f.logger.Warn("store lost", obs.ErrorField(err), zap.Duration("age", f.now().Sub(f.replica.FreshAt())))
-	}
-}
-
-// applyItems applies changed items and publishes a new view. The caller holds the lock.
-func (f *follower) applyItems(changed []replica.Item) {
-	if len(changed) == 0 {
-		return
-	}
-	now := f.now()
-	f.version++
-	for _, item := range changed {
-		f.applyItem(now, item)
-	}
-	f.publishView()
-}
-
-func (f *follower) applyItem(now clock.Instant, item replica.Item) {
-	if item.Deleted {
-		f.removeItem(now, item)
-		return
-	}
-	value, err := f.decode(item.Key, item.Value)
-	if err != nil {
-		// A malformed item names no upstream to use. The other items still apply.
-		f.logger.Warn("published item ignored", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), obs.ErrorField(err))
-		return
-	}
-	switch value := value.(type) {
-	case *catalog.Catalog:
-		if f.catalog != nil && value.Version <= f.catalog.Version {
-			f.logger.Warn("configuration ignored: its version is not newer",
-				zap.Int64("version", value.Version), zap.Int64("in_force", f.catalog.Version), zap.Uint64("revision", item.Revision))
-			return
-		}
-		f.catalog = value
-		f.logger.Info("configuration in force", zap.Int64("version", value.Version), zap.Uint64("revision", item.Revision),
-			zap.Int("routes", len(value.Routes)))
-	case *catalog.Upstream:
-		f.registry.Put(now, *value)
-		f.logger.Info("upstream registered", zap.String("upstream", value.ID), zap.String("pool", value.Pool),
-			zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining),
-			zap.Uint64("revision", item.Revision))
-	case ZoneOut:
-		f.zonesOut[string(value)] = true
-		f.logger.Info("zone out of service", zap.String("zone", string(value)), zap.Uint64("revision", item.Revision))
-	}
-}
-
-func (f *follower) removeItem(now clock.Instant, item replica.Item) {
-	value, err := f.decode(item.Key, nil)
-	if err != nil {
-		f.logger.Warn("removed item ignored", zap.String("key", item.Key), zap.Uint64("revision", item.Revision), obs.ErrorField(err))
-		return
-	}
-	switch value := value.(type) {
-	case ZoneOut:
-		delete(f.zonesOut, string(value))
-		f.logger.Info("zone back in service", zap.String("zone", string(value)), zap.Uint64("revision", item.Revision))
-	case *catalog.Upstream:
-		f.registry.Remove(now, value.ID)
-		f.logger.Info("upstream entry removed", zap.String("upstream", value.ID), zap.Uint64("revision", item.Revision))
+		f.logger.Warn("store lost", obs.ErrorField(err), zap.Duration("age", f.now().Sub(f.state.FreshAt())))
 	}
 }
 
@@ -272,12 +221,8 @@
 }
 
 func (f *follower) buildView() *View {
-	zones := make(map[string]bool, len(f.zonesOut))
-	for zone := range f.zonesOut {
-		zones[zone] = true
-	}
 	previous := f.view
-	return newView(f.replica.Revision(), f.catalog, f.registry.Entries(), zones, func(name string) bool {
+	return newView(f.state.Position(), f.state.Configuration(), f.state.Upstreams(), f.state.ZonesOut(), func(name string) bool {
 		return (previous != nil && previous.Shards[name] != nil) || f.isClaimed(name)
 	})
 }
@@ -300,20 +245,25 @@
 	}
 }
 
-// expireUpstreams removes upstreams whose entries were not published again in time.
-func (f *follower) expireUpstreams() {
+// expire ends what was kept or withheld for a time, such as upstreams whose entries were not published again.
+func (f *follower) expire() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.registry.Tick(f.now()) {
-		f.publishView()
-	}
+	f.applyUpdate(f.state.Tick(f.now()), fromClock)
+}
+
+// position returns the position up to which the items are complete.
+func (f *follower) position() replica.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Position()
 }
 
 // freshAt returns the latest time at which the tables are known to have been current.
 func (f *follower) freshAt() clock.Instant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.FreshAt()
+	return f.state.FreshAt()
 }
 
 // age returns the time since the tables were last known to be current, and whether this VM has
@@ -321,5 +271,5 @@
 func (f *follower) age() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.now().Sub(f.replica.FreshAt()), f.replica.Complete()
+	return f.now().Sub(f.state.FreshAt()), f.state.Complete()
 }
--- a/internal/edge/follow_test.go
+++ b/internal/edge/follow_test.go
@@ -16,8 +16,8 @@
 type compactedStore struct{ *testStore }
 
 // Watch implements Source.
-func (s compactedStore) Watch(context.Context, uint64, time.Duration) ([]replica.Item, uint64, error) {
-	return nil, 0, ErrHistoryGone
+func (s compactedStore) Watch(context.Context, replica.Position, time.Duration) ([]replica.Item, replica.Position, error) {
+	return nil, replica.Position{}, ErrHistoryGone
 }
 
 // TestCompactedStore reads a store that has dropped the changes after the known revision. It guards
@@ -31,7 +31,7 @@
 		if !f.readStore(context.Background(), watchTimeout) {
 			t.Error("a read of a store that answers is reported as failed")
 		}
-		return f.catalog.Version
+		return f.state.Configuration().Version
 	}
 	newCatalog := func(version int64) *catalog.Catalog {
 		c := &catalog.Catalog{Version: version, Pools: singlePool()}
--- /dev/null
+++ b/internal/edge/followlog.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/published"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
+)
+
+// updateSource says where an update of the published items comes from.
+type updateSource string
+
+const (
+	fromStore updateSource = "store"
+	fromPeer  updateSource = "peer"
+	// fromClock ends what was kept for a time.
+	fromClock updateSource = "clock"
+)
+
+// positionField has the era and the revision as fields of a log line.
+func positionField(at replica.Position) zap.Field {
+	return zap.Inline(positionFields(at))
+}
+
+type positionFields replica.Position
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p positionFields) MarshalLogObject(out zapcore.ObjectEncoder) error {
+	out.AddUint64("era", p.Era)
+	out.AddUint64("revision", p.Revision)
+	return nil
+}
+
+// logUpdate logs the decisions of an update.
+func (f *follower) logUpdate(update published.Update, from updateSource) {
+	for _, d := range update.Decisions {
+		f.logDecision(d)
+	}
+	if c := update.NewEra; c != nil {
+		f.logger.Info("store returned from a copy", positionField(c.To), zap.Uint64("era_before", c.From.Era), zap.Uint64("revision_before", c.From.Revision),
+			zap.String("source", string(from)), zap.Int64("kept_version", c.KeptConfiguration), zap.Int("upstreams_stale", c.Stale),
+			zap.Int("upstreams_withheld", c.Withheld), zap.Int("upstreams_missing", c.Missing), zap.Int("zones_kept", c.KeptZones))
+	}
+}
+
+func (f *follower) logDecision(d published.Decision) {
+	revision := zap.Uint64("revision", d.Item.Revision)
+	if d.Verdict == published.Malformed {
+		message := "published item ignored"
+		if d.Item.Deleted {
+			message = "removed item ignored"
+		}
+		f.logger.Warn(message, zap.String("key", d.Item.Key), revision, obs.ErrorField(d.Err))
+		return
+	}
+	switch value := d.Value.(type) {
+	case *catalog.Catalog:
+		f.logConfiguration(value, d.Verdict, revision)
+	case *catalog.Upstream:
+		f.logUpstream(value, d.Verdict, revision)
+	case catalog.ZoneOut:
+		f.logger.Info(zoneMessages[d.Verdict], zap.String("zone", string(value)), revision)
+	}
+}
+
+// zoneMessages holds the message for each verdict on a zone.
+var zoneMessages = map[published.Verdict]string{
+	published.Applied: "zone out of service", published.Removed: "zone back in service",
+	published.Kept: "zone stays out of service", published.Expired: "zone back in service",
+}
+
+func (f *follower) logConfiguration(value *catalog.Catalog, verdict published.Verdict, revision zap.Field) {
+	if verdict == published.NotNewer {
+		f.logger.Warn("configuration ignored: its version is not newer",
+			zap.Int64("version", value.Version), zap.Int64("in_force", f.state.Configuration().Version), revision)
+		return
+	}
+	f.logger.Info("configuration in force", zap.Int64("version", value.Version), revision, zap.Int("routes", len(value.Routes)))
+}
+
+func (f *follower) logUpstream(value *catalog.Upstream, verdict published.Verdict, revision zap.Field) {
+	if verdict == published.Removed {
+		f.logger.Info("upstream entry removed", zap.String("upstream", value.ID), revision)
+		return
+	}
+	message := "upstream registered"
+	switch verdict {
+	case published.StaleEntry:
+		message = "upstream entry ignored: it is older than the known one"
+	case published.WithheldEntry:
+		message = "upstream entry withheld: the upstream was removed"
+	}
+	f.logger.Info(message, zap.String("upstream", value.ID), zap.String("pool", value.Pool),
+		zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining), revision)
+}
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -130,19 +131,43 @@
 	items    map[string]replica.Item
 	values   map[string]any
 	revision uint64
-	down     bool
-	changed  chan struct{}
+	// era rises by one each time the store returns from a copy.
+	era     uint64
+	down    bool
+	changed chan struct{}
 }
 
 func newTestStore() *testStore {
-	return &testStore{items: map[string]replica.Item{}, values: map[string]any{}, changed: make(chan struct{})}
+	return &testStore{items: map[string]replica.Item{}, values: map[string]any{}, era: 1, changed: make(chan struct{})}
+}
+
+// storeCopy is the content of a testStore at some revision.
+type storeCopy struct {
+	items    map[string]replica.Item
+	revision uint64
+}
+
+func (s *testStore) copyContent() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// returnFrom gives the store the content of a copy, in a new era.
+func (s *testStore) returnFrom(content storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision = maps.Clone(content.items), content.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *testStore) put(key string, value any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id := fmt.Sprint(key, "@", s.revision)
+	id := fmt.Sprint(key, "@", s.era, ".", s.revision)
 	s.values[id] = value
 	s.items[key] = replica.Item{Key: key, Value: []byte(id), Revision: s.revision, Deleted: value == nil}
 	close(s.changed)
@@ -168,7 +193,7 @@
 		panic("item of the test")
 	}
 	if zone, ok := strings.CutPrefix(key, "out/"); ok {
-		return ZoneOut(zone), nil
+		return catalog.ZoneOut(zone), nil
 	}
 	if id, ok := strings.CutPrefix(key, "u/"); ok && value == nil {
 		return &catalog.Upstream{ID: id}, nil
@@ -176,11 +201,14 @@
 	return s.values[string(value)], nil
 }
 
-func (s *testStore) changesAfter(revision uint64) ([]replica.Item, uint64, error) {
+func (s *testStore) changesAfter(revision uint64) ([]replica.Item, replica.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, replica.Position{}, io.ErrUnexpectedEOF
+	}
+	if revision > s.revision {
+		return nil, replica.Position{}, ErrHistoryGone
 	}
 	var items []replica.Item
 	for _, item := range s.items {
@@ -188,7 +216,7 @@
 			items = append(items, item)
 		}
 	}
-	return items, s.revision, nil
+	return items, replica.Position{Era: s.era, Revision: s.revision}, nil
 }
 
 // vmStore is the store as seen by one VM, which it can reject or leave without an answer.
@@ -209,34 +237,36 @@
 }
 
 // List implements Source.
-func (s *vmStore) List(ctx context.Context) ([]replica.Item, uint64, error) {
+func (s *vmStore) List(ctx context.Context) ([]replica.Item, replica.Position, error) {
 	s.awaitTimeout(ctx, 0)
 	if s.rejected.Load() {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, replica.Position{}, io.ErrUnexpectedEOF
 	}
 	return s.testStore.List(ctx)
 }
 
 // Watch implements Source.
-func (s *vmStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+func (s *vmStore) Watch(ctx context.Context, after replica.Position, wait time.Duration) ([]replica.Item, replica.Position, error) {
 	s.awaitTimeout(ctx, wait)
 	if s.rejected.Load() {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, replica.Position{}, io.ErrUnexpectedEOF
 	}
-	items, revision, err := s.testStore.Watch(ctx, after, wait)
+	items, at, err := s.testStore.Watch(ctx, after, wait)
 	if s.rejected.Load() {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, replica.Position{}, io.ErrUnexpectedEOF
 	}
-	return items, revision, err
+	return items, at, err
 }
 
 // List implements Source.
-func (s *testStore) List(context.Context) ([]replica.Item, uint64, error) { return s.changesAfter(0) }
+func (s *testStore) List(context.Context) ([]replica.Item, replica.Position, error) {
+	return s.changesAfter(0)
+}
 
 // Watch implements Source.
-func (s *testStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+func (s *testStore) Watch(ctx context.Context, after replica.Position, wait time.Duration) ([]replica.Item, replica.Position, error) {
 	s.mu.Lock()
-	changed, hasChanges := s.changed, s.revision > after || s.down
+	changed, hasChanges := s.changed, s.revision > after.Revision || s.era != after.Era || s.down
 	s.mu.Unlock()
 	if !hasChanges {
 		timer := time.NewTimer(wait)
@@ -247,7 +277,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return s.changesAfter(after)
+	return s.changesAfter(after.Revision)
 }
 
 // testUpstream is an upstream that serves requests and stages.
--- a/internal/edge/peerchanges.go
+++ b/internal/edge/peerchanges.go
@@ -5,28 +5,29 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/published"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
-// peerChanges is the response to a pull of a peer whose items are complete up to a revision.
+// peerChanges is the response to a pull of a peer whose items are complete up to a position.
 type peerChanges struct {
 	complete bool
 	// storeLost is set if the last read of the store by the responding VM failed.
 	storeLost bool
 	unchanged bool
-	revision  uint64
+	at        replica.Position
 	age       time.Duration
 	changes   replica.Changes
 	// version identifies the state of the items at the responding VM.
 	version uint64
 }
 
-// changesAfter returns the changes for a peer whose items are complete up to the revision. If there
+// changesAfter returns the changes for a peer whose items are complete up to the position. If there
 // are none, it waits until the items are next known to be current, at most for the given time: a
 // peer then learns of changes at once, and that there are none as soon as this VM does.
-func (f *follower) changesAfter(ctx context.Context, revision uint64, wait time.Duration, asDelta bool) peerChanges {
+func (f *follower) changesAfter(ctx context.Context, requested replica.Position, wait time.Duration, asDelta bool) peerChanges {
 	f.mu.Lock()
-	refreshed, isNews := f.refreshed, f.replica.LastChangeRevision() > revision || !f.replica.Complete() || f.failures > 0
+	refreshed, isNews := f.refreshed, f.state.HasChangesSince(requested) || !f.state.Complete() || f.failures > 0
 	f.mu.Unlock()
 	if wait > 0 && !isNews {
 		timer := time.NewTimer(wait)
@@ -40,35 +41,37 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changes := peerChanges{
-		complete: f.replica.Complete(), revision: f.replica.Revision(), age: f.now().Sub(f.replica.FreshAt()),
-		unchanged: f.replica.LastChangeRevision() <= revision, storeLost: f.failures > 0, version: f.version,
+		complete: f.state.Complete(), at: f.state.Position(), age: f.now().Sub(f.state.FreshAt()),
+		unchanged: !f.state.HasChangesSince(requested), storeLost: f.failures > 0, version: f.state.Version(),
 	}
 	if !changes.unchanged {
-		changes.changes = f.replica.ChangesSince(revision, asDelta)
+		changes.changes = f.state.ChangesSince(requested, asDelta)
 	}
 	return changes
 }
 
 // mergeChanges applies the response to a pull that requested the changes after the given
-// revision and was current at freshAt.
-func (f *follower) mergeChanges(requested uint64, changes peerChanges, freshAt clock.Instant) {
+// position and was current at freshAt. It reports whether the response is of the era of the items.
+func (f *follower) mergeChanges(requested replica.Position, changes peerChanges, freshAt clock.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordOutage()
-	before := f.replica.FreshAt()
+	before := f.state.FreshAt()
+	var update published.Update
 	if changes.unchanged {
-		f.replica.Confirm(requested, changes.revision, freshAt)
+		update = f.state.Confirm(f.now(), requested, changes.at, freshAt)
 	} else {
-		f.applyItems(f.replica.Merge(changes.changes, changes.revision, freshAt))
+		update = f.state.Merge(f.now(), requested, changes.changes, changes.at, freshAt)
 	}
-	if f.replica.FreshAt() > before {
+	f.applyUpdate(update, fromPeer)
+	if update.NewEra != nil || f.state.FreshAt() > before {
 		f.wakeWaiters()
 	}
+	return changes.at.Era == f.state.Position().Era
 }
 
-// revision returns the revision up to which the items are complete, or 0.
-func (f *follower) revision() uint64 {
+// pullPosition returns the position after which a peer is asked for changes.
+func (f *follower) pullPosition() replica.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.Revision()
+	return f.state.PullPosition()
 }
--- a/internal/edge/shards_test.go
+++ b/internal/edge/shards_test.go
@@ -150,7 +150,7 @@
 // which find no upstream for their stages although other zones have some.
 func TestZoneWithoutUpstreams(t *testing.T) {
 	f, _, stages := startZonedFleet(t, testZones)
-	f.store.put("out/"+zoneName(1), ZoneOut(zoneName(1)))
+	f.store.put("out/"+zoneName(1), catalog.ZoneOut(zoneName(1)))
 	await(t, "the zone is out of service on all VMs", func() bool {
 		for _, s := range f.servers {
 			if !s.view.Load().ZonesOut[zoneName(1)] {
--- a/internal/edge/size_bench_test.go
+++ b/internal/edge/size_bench_test.go
@@ -94,12 +94,12 @@
 // BenchmarkTableChange is the work after one published item changed.
 func BenchmarkTableChange(b *testing.B) {
 	benchmarkSizes(b, func(b *testing.B, s *Server) {
-		revision := s.follower.revision()
+		at := s.follower.position()
 		for b.Loop() {
-			revision++
-			item := replica.Item{Key: "u/0", Value: []byte("u/0@2"), Revision: revision}
+			at.Revision++
+			item := replica.Item{Key: "u/0", Value: []byte("u/0@2"), Revision: at.Revision}
 			s.follower.mu.Lock()
-			s.follower.applyItems(s.follower.replica.Apply([]replica.Item{item}, revision, testNow()))
+			s.follower.applyUpdate(s.follower.state.Watch(testNow(), []replica.Item{item}, at, testNow()), fromStore)
 			s.follower.mu.Unlock()
 		}
 	})
@@ -108,8 +108,9 @@
 // BenchmarkPull is the response to a peer that lacks the latest change.
 func BenchmarkPull(b *testing.B) {
 	benchmarkSizes(b, func(b *testing.B, s *Server) {
-		before := s.follower.revision()
-		s.follower.replica.Apply([]replica.Item{{Key: "u/0", Value: []byte("u/0@2"), Revision: before + 1}}, before+1, testNow())
+		before := s.follower.position()
+		after := replica.Position{Era: before.Era, Revision: before.Revision + 1}
+		s.follower.state.Watch(testNow(), []replica.Item{{Key: "u/0", Value: []byte("u/0@2"), Revision: after.Revision}}, after, testNow())
 		var size int
 		for b.Loop() {
 			changes := s.follower.changesAfter(context.Background(), before, 0, true)
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -167,7 +167,7 @@
 func (s *Server) refreshStaleTables(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPullInterval)
-		s.follower.expireUpstreams()
+		s.follower.expire()
 		s.follower.adoptShards()
 		s.updatePoolClaims()
 		if age, complete := s.follower.age(); complete && age < staleTablesAge {
@@ -187,10 +187,10 @@
 func (s *Server) pullFrom(ctx context.Context, entry fleet.Entry, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+pullTimeoutMargin)
 	defer cancel()
-	sentAt, requested := s.now(), s.follower.revision()
+	sentAt, requested := s.now(), s.follower.pullPosition()
 	var response *hoistv1.PullResponse
 	err := s.peers.callWithoutPing(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Pull(ctx, &hoistv1.PullRequest{Revision: requested, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true})
+		response, err = client.Pull(ctx, newPullRequest(requested, wait))
 		return err
 	})
 	if err != nil {
@@ -205,17 +205,27 @@
 		return false
 	}
 	changes := peerChanges{
-		complete: true, unchanged: response.GetUnchanged(), revision: response.GetRevision(),
+		complete: true, unchanged: response.GetUnchanged(),
+		at:      replica.Position{Era: response.GetEra(), Revision: response.GetRevision()},
 		age:     time.Duration(response.GetAgeMs()) * time.Millisecond,
 		changes: replica.Changes{Items: itemsFromProto(response.GetItems()), IsDelta: response.GetHasRemovals(), Keys: response.GetKeys()},
 	}
 	// The peer read its items after it had held the call for the stated time, so their age
 	// counts from then.
 	freshAt := sentAt.Add(time.Duration(response.GetHeldMs())*time.Millisecond - changes.age)
-	s.follower.mergeChanges(requested, changes, freshAt)
+	if isMerged := s.follower.mergeChanges(requested, changes, freshAt); !isMerged {
+		// A peer with a higher era that sent only a part of its items is asked for all of them next.
+		return requested != replica.Position{} && s.follower.pullPosition() == replica.Position{}
+	}
 	return !response.GetLost() && changes.age < staleReaderAge
 }
 
+func newPullRequest(requested replica.Position, wait time.Duration) *hoistv1.PullRequest {
+	return &hoistv1.PullRequest{
+		Era: requested.Era, Revision: requested.Revision, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true,
+	}
+}
+
 func itemsFromProto(items []*hoistv1.PublishedItem) []replica.Item {
 	out := make([]replica.Item, 0, len(items))
 	for _, item := range items {
--- a/internal/edge/tables_test.go
+++ b/internal/edge/tables_test.go
@@ -124,7 +124,7 @@
 		publishedAt = append(publishedAt, time.Now())
 		<-time.After(changeInterval)
 		for _, s := range f.servers {
-			missing := max(s.follower.revision()+1, first) - first
+			missing := max(s.follower.position().Revision+1, first) - first
 			if missing >= uint64(len(publishedAt)) {
 				continue
 			}
--- a/internal/edge/transaction.go
+++ b/internal/edge/transaction.go
@@ -123,7 +123,7 @@
 		fields = append(fields, zap.String("workspace", t.workspace.Name))
 	}
 	if t.view != nil && t.view.Catalog != nil {
-		fields = append(fields, zap.Int64("version", t.view.Catalog.Version), zap.Uint64("revision", t.view.Revision))
+		fields = append(fields, zap.Int64("version", t.view.Catalog.Version), positionField(t.view.Position))
 	}
 	if t.stopElapsed > 0 {
 		fields = append(fields, zap.Duration("stop_elapsed", t.stopElapsed))
--- a/internal/edge/upstreams_test.go
+++ b/internal/edge/upstreams_test.go
@@ -8,6 +8,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
 // TestCacheOfAnotherVersionIsNotCopied guards against a request that goes on from what an engine of another
@@ -18,7 +19,7 @@
 	for id, version := range versions {
 		entries = append(entries, &registry.Entry{Upstream: catalog.Upstream{ID: id, Pool: "p", Address: "at-" + id, SoftwareVersion: version}})
 	}
-	view := newView(1, &catalog.Catalog{Pools: singlePool()}, entries, nil, func(string) bool { return false })
+	view := newView(replica.Position{Revision: 1}, &catalog.Catalog{Pools: singlePool()}, entries, nil, func(string) bool { return false })
 	u := newUpstreams(testNow, func(string) bool { return false })
 	u.update(view, &Settings{}, nil, 1)
 	copied := 0
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -8,13 +8,14 @@
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
 
 // View is an immutable snapshot of the published items as a request sees them.
 type View struct {
-	// Revision is the revision of the published items.
-	Revision uint64
+	// Position is the position of the published items.
+	Position replica.Position
 	// Catalog is nil until a configuration is known.
 	Catalog *catalog.Catalog
 	// InService holds the upstreams that may receive new work, by pool.
@@ -56,9 +57,9 @@
 func (p *poolShard) resource() fleet.Resource { return fleet.Resource{Name: p.Name, Zone: p.Zone} }
 
 // newView builds a view from the published items. isShard reports whether a shard exists already.
-func newView(revision uint64, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool, isShard func(name string) bool) *View {
+func newView(at replica.Position, c *catalog.Catalog, entries []*registry.Entry, zonesOut map[string]bool, isShard func(name string) bool) *View {
 	view := &View{
-		Revision: revision, Catalog: c, ZonesOut: zonesOut,
+		Position: at, Catalog: c, ZonesOut: zonesOut,
 		InService: map[string][]*registry.Entry{}, ByID: make(map[string]*registry.Entry, len(entries)), ZoneOf: make(map[string]string, len(entries)),
 		ByAddress: make(map[string]*registry.Entry, len(entries)),
 		Shards:    map[string]*poolShard{}, ShardsOf: map[string][]*poolShard{}, ShardAt: map[string]*poolShard{},
--- a/pkg/catalog/upstream.go
+++ b/pkg/catalog/upstream.go
@@ -16,6 +16,9 @@
 	ColdRemaining time.Duration
 	// StartID distinguishes restarts under the same ID; 0 if unknown.
 	StartID int64
+	// Sequence counts what the process of the upstream has done since its start. Of two states with the same
+	// StartID, the one with the lower Sequence is older.
+	Sequence int64
 	// SoftwareVersion is the version of the upstream's software; empty if unknown. A stream that one
 	// version began cannot be resumed at another one.
 	SoftwareVersion string
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -4,6 +4,9 @@
 // back. An entry that disappears during or shortly after an outage is therefore kept
 // for a short time; at any other time it is removed immediately.
 //
+// The store may also return from a copy of an earlier state. What it lists then is older than what is known
+// here until the upstreams have written again, so a state that an upstream itself made later stays in force.
+//
 // A Registry is deterministic and not safe for concurrent use.
 package registry
 
@@ -49,10 +52,16 @@
 	ids           []string
 	outageEndedAt clock.Instant
 	storeDown     bool
+	// removed holds upstreams that were removed a short time ago, and withheld those of them that a copy of
+	// the store lists.
+	removed  map[string]removal
+	withheld map[string]withheld
 }
 
 // New returns an empty registry.
-func New() *Registry { return &Registry{records: map[string]*record{}} }
+func New() *Registry {
+	return &Registry{records: map[string]*record{}, removed: map[string]removal{}, withheld: map[string]withheld{}}
+}
 
 // SetStoreDown records whether the store is unavailable.
 func (r *Registry) SetStoreDown(now clock.Instant, down bool) {
@@ -72,10 +81,13 @@
 		r.ids = slices.Insert(r.ids, at, upstream.ID)
 	}
 	r.records[upstream.ID] = &record{entry: entry}
+	delete(r.removed, upstream.ID)
+	delete(r.withheld, upstream.ID)
 }
 
 // drop deletes an entry.
-func (r *Registry) drop(id string) {
+func (r *Registry) drop(now clock.Instant, id string) {
+	r.remember(now, r.records[id].entry.Upstream)
 	delete(r.records, id)
 	if at, found := slices.BinarySearch(r.ids, id); found {
 		r.ids = slices.Delete(r.ids, at, at+1)
@@ -84,12 +96,13 @@
 
 // Remove records that an entry is missing from the store.
 func (r *Registry) Remove(now clock.Instant, id string) {
+	delete(r.withheld, id)
 	rec := r.records[id]
 	if rec == nil {
 		return
 	}
 	if rec.entry.Draining || !r.mayHaveExpired(now) {
-		r.drop(id)
+		r.drop(now, id)
 		return
 	}
 	if rec.removeAt == 0 {
@@ -102,17 +115,18 @@
 	return r.storeDown || (r.outageEndedAt != 0 && now.Sub(r.outageEndedAt) < postOutageWindow)
 }
 
-// Tick removes entries that were not registered again in time, and reports whether
-// there were any.
+// Tick removes entries that were not registered again in time, and registers those that were withheld long
+// enough. It reports whether there were any.
 func (r *Registry) Tick(now clock.Instant) bool {
-	removed := false
+	changed := r.releaseWithheld(now)
 	for id, rec := range r.records {
 		if rec.removeAt != 0 && now >= rec.removeAt {
-			r.drop(id)
-			removed = true
+			r.drop(now, id)
+			changed = true
 		}
 	}
-	return removed
+	r.forgetRemovals(now)
+	return changed
 }
 
 // Entries returns all entries, sorted by ID. The caller must not change them.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -1,8 +1,9 @@
 // Package replica keeps a copy of the items that operators and upstreams publish in a
-// store, together with the revision and the time up to which the copy is complete.
+// store, together with the position and the time up to which the copy is complete.
 //
 // A Replica is deterministic and not safe for concurrent use. Invariants:
-//   - the revision of an item and of the copy never decreases;
+//   - the position of the copy never decreases, nor does the revision of an item within an era;
+//   - the copy holds items of one era, apart from those that were carried over;
 //   - FreshAt is never later than the time of the request whose response proved that
 //     the copy was complete.
 package replica
@@ -24,9 +25,9 @@
 // Replica is a copy of the published items.
 type Replica struct {
 	items    map[string]Item
-	revision uint64
+	position Position
 	// lastChangeRevision is the revision of the copy after the last change or removal
-	// of an item.
+	// of an item, in the era of the position.
 	lastChangeRevision uint64
 	freshAt            clock.Instant
 	complete           bool
@@ -37,7 +38,7 @@
 	removalsSince uint64
 }
 
-// Changes are the differences between two revisions of a copy.
+// Changes are the differences between two positions of a copy.
 type Changes struct {
 	// Items are the items that changed, sorted by key.
 	Items []Item
@@ -55,12 +56,21 @@
 // Complete reports whether the copy has ever been complete.
 func (r *Replica) Complete() bool { return r.complete }
 
-// Revision returns the revision up to which the copy is complete.
-func (r *Replica) Revision() uint64 { return r.revision }
+// Position returns the position up to which the copy is complete.
+func (r *Replica) Position() Position { return r.position }
 
-// LastChangeRevision returns the revision up to which the copy was complete after its
-// last change.
-func (r *Replica) LastChangeRevision() uint64 { return r.lastChangeRevision }
+// HasChangesSince reports whether an item changed or was removed after the position. A copy of a higher era
+// is newer than this one. One whose era is unknown is compared by its revision: VMs of older versions know
+// nothing else, and need not get all items with each call.
+func (r *Replica) HasChangesSince(position Position) bool {
+	switch {
+	case position.Era > r.position.Era:
+		return false
+	case position.Era == r.position.Era || position.Era == 0:
+		return r.lastChangeRevision > position.Revision
+	}
+	return true
+}
 
 // FreshAt returns the latest time at which the copy is known to have been complete.
 func (r *Replica) FreshAt() clock.Instant { return r.freshAt }
@@ -85,10 +95,25 @@
 	return 0
 }
 
-// ChangesSince returns the changes after the revision, as a delta if the receiver understands it and
-// all removals after the revision are known.
-func (r *Replica) ChangesSince(revision uint64, asDelta bool) Changes {
-	changes := Changes{IsDelta: asDelta && r.complete && revision >= r.removalsSince}
+// Item returns the item with the key.
+func (r *Replica) Item(key string) (Item, bool) {
+	item, exists := r.items[key]
+	return item, exists
+}
+
+// ChangesSince returns the changes after the position, as a delta if the receiver understands it and
+// all removals after the position are known. If the position is of another era, or the zero Position, these
+// are all items. One whose era is unknown is compared by its revision.
+func (r *Replica) ChangesSince(position Position, asDelta bool) Changes {
+	revision := position.Revision
+	if position.Era != r.position.Era && position.Era != 0 {
+		revision, asDelta = 0, false
+	}
+	return r.changesAfter(revision, asDelta)
+}
+
+func (r *Replica) changesAfter(revision uint64, asDelta bool) Changes {
+	changes := Changes{IsDelta: asDelta && r.complete && revision > 0 && revision >= r.removalsSince}
 	for _, item := range r.items {
 		if item.Revision > revision {
 			changes.Items = append(changes.Items, item)
@@ -109,26 +134,33 @@
 	return changes
 }
 
-// Apply applies changes that complete the copy up to the revision, as returned for a
-// request sent at sentAt. It returns the items that changed.
-func (r *Replica) Apply(changes []Item, revision uint64, sentAt clock.Instant) []Item {
+// Apply applies changes that complete the copy up to the position, as returned for a
+// request sent at sentAt. It returns the items that changed. Changes of another era have no effect.
+func (r *Replica) Apply(changes []Item, at Position, sentAt clock.Instant) []Item {
+	if at.Era != r.position.Era {
+		return nil
+	}
 	var changed []Item
 	for _, item := range changes {
 		if r.put(item) {
 			changed = append(changed, item)
 		}
 	}
-	r.advance(revision, sentAt, changed)
+	r.advance(at.Revision, sentAt, changed)
 	return changed
 }
 
-// Replace applies a full listing that started at the revision, and returns the items
+// Replace applies a full listing that started at the position, and returns the items
 // that changed. Items that are neither listed nor newer than the listing are removed.
-func (r *Replica) Replace(listed []Item, revision uint64, sentAt clock.Instant) []Item {
-	if r.complete && revision < r.revision {
+// A listing of a higher era replaces the copy as a whole.
+func (r *Replica) Replace(listed []Item, at Position, sentAt clock.Instant) []Item {
+	if r.complete && at.Compare(r.position) < 0 {
 		// A listing of an older state must not remove newer items.
 		return nil
 	}
+	if at.Era > r.position.Era {
+		return r.adoptEra(listed, at, sentAt)
+	}
 	keys := make(map[string]bool, len(listed))
 	var changed []Item
 	for _, item := range listed {
@@ -137,39 +169,52 @@
 			changed = append(changed, item)
 		}
 	}
-	changed = append(changed, r.prune(keys, revision)...)
-	r.advance(revision, sentAt, changed)
+	changed = append(changed, r.prune(keys, at.Revision)...)
+	r.advance(at.Revision, sentAt, changed)
 	return changed
 }
 
-// Merge applies the state of a peer that is complete up to the revision: the peer's changes after
-// the revision of this copy. It returns the items that changed.
-func (r *Replica) Merge(changes Changes, revision uint64, freshAt clock.Instant) []Item {
-	if r.complete && revision < r.revision {
+// canMerge reports whether Merge of these changes has an effect. A state of a higher era must be whole: a
+// peer that does not know the era of this copy may send only what is newer than its revision.
+func (r *Replica) canMerge(changes Changes, at Position) bool {
+	if at.Era > r.position.Era {
+		return changes.IsWhole()
+	}
+	return at.Era == r.position.Era && (!r.complete || at.Revision >= r.position.Revision)
+}
+
+// Merge applies the state of a peer that is complete up to the position: the peer's changes after
+// the position of this copy. It returns the items that changed.
+func (r *Replica) Merge(changes Changes, at Position, freshAt clock.Instant) []Item {
+	if !r.canMerge(changes, at) {
 		return nil
 	}
+	if at.Era > r.position.Era {
+		return r.adoptEra(changes.Items, at, freshAt)
+	}
 	var changed []Item
 	for _, item := range changes.Items {
 		if r.put(item) {
 			changed = append(changed, item)
 		}
 	}
-	if !changes.IsDelta && (revision > r.revision || !r.complete) {
+	if !changes.IsDelta && (at.Revision > r.position.Revision || !r.complete) {
 		present := make(map[string]bool, len(changes.Keys))
 		for _, key := range changes.Keys {
 			present[key] = true
 		}
-		changed = append(changed, r.prune(present, revision)...)
+		changed = append(changed, r.prune(present, at.Revision)...)
 	}
-	r.advance(revision, freshAt, changed)
+	r.advance(at.Revision, freshAt, changed)
 	return changed
 }
 
-// Confirm applies a peer's answer that nothing changed between the requested revision
-// and the peer's. It has no effect if this copy is no longer at the requested revision.
-func (r *Replica) Confirm(requested, revision uint64, freshAt clock.Instant) {
-	if r.complete && requested == r.revision && revision >= requested {
-		r.advance(revision, freshAt, nil)
+// Confirm applies a peer's answer that nothing changed between the requested position
+// and the peer's. It has no effect if this copy is no longer at the requested position, or if the
+// peer's is of another era.
+func (r *Replica) Confirm(requested, at Position, freshAt clock.Instant) {
+	if r.complete && requested == r.position && at.Era == requested.Era && at.Revision >= requested.Revision {
+		r.advance(at.Revision, freshAt, nil)
 	}
 }
 
@@ -207,17 +252,17 @@
 	if !r.complete || freshAt.After(r.freshAt) {
 		r.freshAt = freshAt
 	}
-	r.revision = max(r.revision, revision)
+	r.position.Revision = max(r.position.Revision, revision)
 	if !r.complete {
-		r.complete, r.removalsSince = true, r.revision
+		r.complete, r.removalsSince = true, r.position.Revision
 	}
 	if len(changed) > 0 {
-		r.lastChangeRevision = r.revision
+		r.lastChangeRevision = r.position.Revision
 	}
 	if len(r.tombstones) > maxTombstones {
 		// Items deleted long ago cannot reappear in a delayed response.
 		clear(r.tombstones)
-		r.removalsSince = r.revision
+		r.removalsSince = r.position.Revision
 	}
 }
 
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -14,8 +14,11 @@
 	return Item{Key: key, Value: []byte(key), Revision: revision}
 }
 
+// rev returns the position of a store that states no era.
+func rev(revision uint64) Position { return Position{Revision: revision} }
+
 func keysOf(r *Replica) []string {
-	return r.ChangesSince(0, false).Keys
+	return r.ChangesSince(Position{}, false).Keys
 }
 
 // TestReplaceRemovesUnlistedItems guards against upstreams that stay in use although
@@ -23,13 +26,13 @@
 // reverts newer changes.
 func TestReplaceRemovesUnlistedItems(t *testing.T) {
 	r := New()
-	r.Replace([]Item{item("a", 1), item("b", 2)}, 5, 10)
-	r.Apply([]Item{item("c", 7)}, 7, 20)
-	changed := r.Replace([]Item{item("b", 2)}, 6, 30)
+	r.Replace([]Item{item("a", 1), item("b", 2)}, rev(5), 10)
+	r.Apply([]Item{item("c", 7)}, rev(7), 20)
+	changed := r.Replace([]Item{item("b", 2)}, rev(6), 30)
 	if len(changed) != 0 {
 		t.Errorf("an older listing changed the items %v", changed)
 	}
-	changed = r.Replace([]Item{item("b", 2)}, 8, 40)
+	changed = r.Replace([]Item{item("b", 2)}, rev(8), 40)
 	if len(changed) != 2 || !changed[0].Deleted || !changed[1].Deleted {
 		t.Errorf("the listing changed the items %v, expected the removal of a and c", changed)
 	}
@@ -42,9 +45,9 @@
 // a removal, arrives after it and restores the item.
 func TestDelayedResponseDoesNotRestoreDeletedItem(t *testing.T) {
 	r := New()
-	r.Replace([]Item{item("a", 1)}, 5, 10)
-	r.Apply([]Item{{Key: "a", Revision: 6, Deleted: true}}, 6, 20)
-	if changed := r.Apply([]Item{item("a", 1)}, 6, 30); len(changed) != 0 {
+	r.Replace([]Item{item("a", 1)}, rev(5), 10)
+	r.Apply([]Item{{Key: "a", Revision: 6, Deleted: true}}, rev(6), 20)
+	if changed := r.Apply([]Item{item("a", 1)}, rev(6), 30); len(changed) != 0 {
 		t.Errorf("the deleted item was restored: %v", changed)
 	}
 }
@@ -53,13 +56,13 @@
 // that is applied to another, which would keep a deleted key.
 func TestConfirmRequiresMatchingRevision(t *testing.T) {
 	r := New()
-	r.Replace([]Item{item("a", 1)}, 5, 10)
-	r.Confirm(4, 9, 100)
-	if r.FreshAt() != 10 || r.Revision() != 5 {
+	r.Replace([]Item{item("a", 1)}, rev(5), 10)
+	r.Confirm(rev(4), rev(9), 100)
+	if r.FreshAt() != 10 || r.Position() != rev(5) {
 		t.Error("a confirmation for another revision was applied")
 	}
-	r.Confirm(5, 9, 100)
-	if r.FreshAt() != 100 || r.Revision() != 9 {
+	r.Confirm(rev(5), rev(9), 100)
+	if r.FreshAt() != 100 || r.Position() != rev(9) {
 		t.Error("the confirmation was not applied")
 	}
 }
@@ -70,7 +73,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		leader, follower := New(), New()
 		revision := uint64(1)
-		leader.Replace([]Item{item("a", 1)}, 1, 1)
+		leader.Replace([]Item{item("a", 1)}, rev(1), 1)
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now := clock.Instant(step + 2)
 			switch rapid.IntRange(0, 4).Draw(t, "action") {
@@ -81,28 +84,28 @@
 				if len(listed) > 0 && rapid.Bool().Draw(t, "removed") {
 					listed = listed[1:]
 				}
-				leader.Replace(listed, revision, now)
+				leader.Replace(listed, rev(revision), now)
 			case 0:
 				revision++
-				leader.Apply([]Item{item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), revision)}, revision, now)
+				leader.Apply([]Item{item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), revision)}, rev(revision), now)
 			case 1:
 				revision++
 				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
-				leader.Apply([]Item{{Key: key, Revision: revision, Deleted: true}}, revision, now)
+				leader.Apply([]Item{{Key: key, Revision: revision, Deleted: true}}, rev(revision), now)
 			case 2:
 				revision++
-				leader.Apply(nil, revision, now)
+				leader.Apply(nil, rev(revision), now)
 			default:
-				before := follower.Revision()
-				if requested := follower.Revision(); leader.LastChangeRevision() <= requested && follower.Complete() {
-					follower.Confirm(requested, leader.Revision(), leader.FreshAt())
+				before := follower.Position()
+				if requested := follower.Position(); !leader.HasChangesSince(requested) && follower.Complete() {
+					follower.Confirm(requested, leader.Position(), leader.FreshAt())
 				} else {
-					follower.Merge(leader.ChangesSince(requested, rapid.Bool().Draw(t, "delta")), leader.Revision(), leader.FreshAt())
+					follower.Merge(leader.ChangesSince(requested, rapid.Bool().Draw(t, "delta")), leader.Position(), leader.FreshAt())
 				}
 				if diff := cmp.Diff(leader.Items(), follower.Items()); diff != "" {
 					t.Fatal(diff)
 				}
-				if follower.Revision() < before {
+				if follower.Position().Compare(before) < 0 {
 					t.Fatal("the revision decreased")
 				}
 			}
@@ -118,19 +121,19 @@
 	for i := range 3000 {
 		items = append(items, item(fmt.Sprint("u", i), 1))
 	}
-	r.Replace(items, 5, 10)
-	r.Apply([]Item{item("u7", 6), {Key: "u9", Revision: 7, Deleted: true}}, 7, 20)
-	changes := r.ChangesSince(5, true)
+	r.Replace(items, rev(5), 10)
+	r.Apply([]Item{item("u7", 6), {Key: "u9", Revision: 7, Deleted: true}}, rev(7), 20)
+	changes := r.ChangesSince(rev(5), true)
 	if len(changes.Items) != 2 || len(changes.Keys) != 0 || !changes.IsDelta {
 		t.Errorf("%d items and %d keys for two changes", len(changes.Items), len(changes.Keys))
 	}
-	if changes := r.ChangesSince(4, true); len(changes.Keys) != 2999 || changes.IsDelta {
+	if changes := r.ChangesSince(rev(4), true); len(changes.Keys) != 2999 || changes.IsDelta {
 		t.Errorf("%d keys for a peer whose state is older than all known removals, expected all 2999", len(changes.Keys))
 	}
 	for i := range uint64(maxTombstones + 1) {
-		r.Apply([]Item{{Key: fmt.Sprint("x", i), Revision: 8 + i, Deleted: true}}, 8+i, 30)
+		r.Apply([]Item{{Key: fmt.Sprint("x", i), Revision: 8 + i, Deleted: true}}, rev(8+i), 30)
 	}
-	if changes := r.ChangesSince(7, true); changes.IsDelta {
+	if changes := r.ChangesSince(rev(7), true); changes.IsDelta {
 		t.Error("removals that were forgotten are missing in the changes")
 	}
 }
