Tables: count removals as unknown before a listing

What could be seen: a VM that pulls its tables keeps an upstream or a zone out of service that the store no longer has, until the reader that it pulls from lists the items again.

Cause: a reader that lists (after the store dropped its history) does not learn of items that were written and removed since its last read. It still offered removals since before the listing as complete. A VM that had read such an item from another reader got a delta without its removal.

Change: a listing, or the keys of a peer, that advance the copy set the revision from which removals are known. A VM with an older revision gets the keys of all items instead.

TestRemovalsBeforeListing fails without it: "items [a] at {0 8}, expected none".

--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -170,6 +170,7 @@
 		}
 	}
 	changed = append(changed, r.prune(keys, at.Revision)...)
+	r.forgetRemovalsBefore(at.Revision)
 	r.advance(at.Revision, sentAt, changed)
 	return changed
 }
@@ -204,6 +205,7 @@
 			present[key] = true
 		}
 		changed = append(changed, r.prune(present, at.Revision)...)
+		r.forgetRemovalsBefore(at.Revision)
 	}
 	r.advance(at.Revision, freshAt, changed)
 	return changed
@@ -231,6 +233,14 @@
 	return removed
 }
 
+// forgetRemovalsBefore records that removals up to the revision of a state may be unknown: items that were
+// created and removed after the revision of this copy are not in it.
+func (r *Replica) forgetRemovalsBefore(revision uint64) {
+	if revision > r.position.Revision {
+		r.removalsSince = revision
+	}
+}
+
 // put applies an item if it is newer than the known state of its key, and reports
 // whether the copy changed.
 func (r *Replica) put(item Item) bool {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -137,3 +137,16 @@
 		t.Error("removals that were forgotten are missing in the changes")
 	}
 }
+
+// TestRemovalsBeforeListing guards against a follower that keeps an item for ever: it was created and removed
+// between two listings of the copy that the follower pulls from, which never had it.
+func TestRemovalsBeforeListing(t *testing.T) {
+	reader, follower := New(), New()
+	reader.Replace(nil, rev(5), 10)
+	follower.Replace([]Item{item("a", 6)}, rev(6), 20)
+	reader.Replace(nil, rev(8), 30)
+	follower.Merge(reader.ChangesSince(follower.Position(), true), reader.Position(), reader.FreshAt())
+	if keys := keysOf(follower); len(keys) != 0 || follower.Position() != rev(8) {
+		t.Errorf("items %v at %v, expected none", keys, follower.Position())
+	}
+}
