--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -40,7 +40,7 @@
 		f.logDecision(d)
 	}
 	if c := update.NewEra; c != nil {
-		f.logger.Info("store returned from a copy", positionField(c.To), zap.Uint64("era_before", c.From.Era), zap.Uint64("revision_before", c.From.Revision),
+		f.logger.Info("era of the store changed", positionField(c.To), zap.Uint64("era_before", c.From.Era), zap.Uint64("revision_before", c.From.Revision),
 			zap.String("source", string(from)), zap.Int64("kept_version", c.KeptConfiguration), zap.Int("upstreams_stale", c.Stale),
 			zap.Int("upstreams_withheld", c.Withheld), zap.Int("upstreams_missing", c.Missing), zap.Int("zones_kept", c.KeptZones))
 	}
@@ -69,7 +69,7 @@
 // zoneMessages holds the message for each verdict on a zone.
 var zoneMessages = map[published.Verdict]string{
 	published.Applied: "zone out of service", published.Removed: "zone back in service",
-	published.Kept: "zone stays out of service", published.Expired: "zone back in service",
+	published.Kept: "zone stays out of service", published.Expired: "zone back in service: the store has not listed it again",
 }
 
 func (f *follower) logConfiguration(value *catalog.Catalog, verdict published.Verdict, revision zap.Field) {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -159,6 +159,7 @@
 	s.connectionDivisor.Store(int64(s.gossip.size().connections))
 	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView, s.gossip.isClaimed)
 	s.follower.onGap = s.origins.interrupt
+	s.observeEra()
 	return s, nil
 }
 
