Tables: state the era in the lines of published items; one type for the decoder

Lines such as "configuration in force" and "upstream registered" have era beside revision, since a revision is given out again in another era. edge.Decoder is published.Decode, which stood there twice.

Evidence: go test -race ./internal/edge passes (191 s beside other load).

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/published"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -26,9 +27,8 @@
 	Watch(ctx context.Context, after replica.Position, wait time.Duration) ([]replica.Item, replica.Position, error)
 }
 
-// Decoder decodes a published item into *catalog.Catalog, *catalog.Upstream, catalog.ZoneOut or nil.
-// For a removed item, whose value is nil, only the identity is set.
-type Decoder func(key string, value []byte) (any, error)
+// Decoder decodes a published item.
+type Decoder = published.Decode
 
 // PrefixPart is a part of a prompt prefix: its ID and its number of tokens.
 type PrefixPart struct {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -73,7 +73,7 @@
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
 		source: source, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, onNewEra: func(*published.EraChange) {}, isClaimed: isClaimed,
-		state: published.New(published.Decode(decode)), refreshed: make(chan struct{}),
+		state: published.New(decode), refreshed: make(chan struct{}),
 	}
 }
 
--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -47,22 +47,22 @@
 }
 
 func (f *follower) logDecision(d published.Decision) {
-	revision := zap.Uint64("revision", d.Item.Revision)
+	at := positionField(replica.Position{Era: f.state.Position().Era, Revision: d.Item.Revision})
 	if d.Verdict == published.Malformed {
 		message := "published item ignored"
 		if d.Item.Deleted {
 			message = "removed item ignored"
 		}
-		f.logger.Warn(message, zap.String("key", d.Item.Key), revision, obs.ErrorField(d.Err))
+		f.logger.Warn(message, zap.String("key", d.Item.Key), at, obs.ErrorField(d.Err))
 		return
 	}
 	switch value := d.Value.(type) {
 	case *catalog.Catalog:
-		f.logConfiguration(value, d.Verdict, revision)
+		f.logConfiguration(value, d.Verdict, at)
 	case *catalog.Upstream:
-		f.logUpstream(value, d.Verdict, revision)
+		f.logUpstream(value, d.Verdict, at)
 	case catalog.ZoneOut:
-		f.logger.Info(zoneMessages[d.Verdict], zap.String("zone", string(value)), revision)
+		f.logger.Info(zoneMessages[d.Verdict], zap.String("zone", string(value)), at)
 	}
 }
 
@@ -72,18 +72,18 @@
 	published.Kept: "zone stays out of service", published.Expired: "zone back in service: the store has not listed it again",
 }
 
-func (f *follower) logConfiguration(value *catalog.Catalog, verdict published.Verdict, revision zap.Field) {
+func (f *follower) logConfiguration(value *catalog.Catalog, verdict published.Verdict, at zap.Field) {
 	if verdict == published.NotNewer {
 		f.logger.Warn("configuration ignored: its version is not newer",
-			zap.Int64("version", value.Version), zap.Int64("in_force", f.state.Configuration().Version), revision)
+			zap.Int64("version", value.Version), zap.Int64("in_force", f.state.Configuration().Version), at)
 		return
 	}
-	f.logger.Info("configuration in force", zap.Int64("version", value.Version), revision, zap.Int("routes", len(value.Routes)))
+	f.logger.Info("configuration in force", zap.Int64("version", value.Version), at, zap.Int("routes", len(value.Routes)))
 }
 
-func (f *follower) logUpstream(value *catalog.Upstream, verdict published.Verdict, revision zap.Field) {
+func (f *follower) logUpstream(value *catalog.Upstream, verdict published.Verdict, at zap.Field) {
 	if verdict == published.Removed {
-		f.logger.Info("upstream entry removed", zap.String("upstream", value.ID), revision)
+		f.logger.Info("upstream entry removed", zap.String("upstream", value.ID), at)
 		return
 	}
 	message := "upstream registered"
@@ -94,5 +94,5 @@
 		message = "upstream entry withheld: the upstream was removed"
 	}
 	f.logger.Info(message, zap.String("upstream", value.ID), zap.String("pool", value.Pool),
-		zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining), revision)
+		zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining), at)
 }
