Fleet: a VM partitioned from all upstreams owns nothing

A VM that has lost its links to all upstreams stayed the owner of shards of stages and engines, since the other VMs still reach it.

A VM states in its directory entry that it is partitioned. Its claims do not count then, and as a candidate it comes after all others. If no VM that responds is connected, ownership is as before. The ranking for the readers of the store and the relays of its tables does not change: these VMs still read the store.

ForgetFailures in pkg/placement and pkg/stagepool is for failures that a partition caused.

--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -88,7 +88,8 @@
 // Self returns the entry of this VM.
 func (d *Directory) Self() Entry { return d.self }
 
-// Version changes when a VM starts leaving, gets or loses access to the store, or its claims change.
+// Version changes when a VM starts leaving, gets or loses access to the store or the upstreams, or its claims
+// change.
 func (d *Directory) Version() uint64 { return d.version }
 
 // Leave marks this VM as shutting down.
--- a/pkg/fleet/ownership.go
+++ b/pkg/fleet/ownership.go
@@ -14,6 +14,9 @@
 // lacks the state of the old one. Claims are sent with the directory entries. If two VMs claim
 // the same resource, as after a partition, the one that comes later in a fixed order releases
 // its claim.
+//
+// A VM that is partitioned from all upstreams cannot act as an owner, so its claims do not count, and as
+// a candidate it comes after all others. If the reachable VMs are all partitioned, this has no effect.
 
 const (
 	// claimDelay is how long a VM must have been running before it is preferred as an
@@ -44,7 +47,8 @@
 // Owner returns the VM that owns the resource as far as this VM knows: a reachable VM that
 // claims it, or otherwise the one that should claim it. It returns false if there is none.
 func (d *Directory) Owner(now clock.Instant, resource Resource) (Entry, bool) {
-	claimant := d.claimant(now, resource)
+	hasConnected := d.hasConnected(now)
+	claimant := d.claimant(now, resource, func(e *Entry) bool { return !hasConnected || !e.Partitioned })
 	if claimant != nil && (resource.Zone == "" || claimant.Zone == resource.Zone) {
 		return *claimant, true
 	}
@@ -52,6 +56,9 @@
 	if len(candidates) == 0 {
 		return Entry{}, false
 	}
+	if hasConnected {
+		demotePartitioned(candidates)
+	}
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
 	if claimant != nil && best.tier > maxPreferredTier {
 		// No settled VM of the resource's zone could take it over.
@@ -60,21 +67,22 @@
 	return best.entry, true
 }
 
-// IsClaimed reports whether this VM or a reachable one claims the resource.
+// IsClaimed reports whether this VM or a reachable one claims the resource, including VMs that are
+// partitioned from all upstreams.
 func (d *Directory) IsClaimed(now clock.Instant, resource Resource) bool {
-	return d.claimant(now, resource) != nil
+	return d.claimant(now, resource, func(*Entry) bool { return true }) != nil
 }
 
-// claimant returns the reachable VM that claims the resource, or nil.
-func (d *Directory) claimant(now clock.Instant, resource Resource) *Entry {
+// claimant returns the reachable VM that claims the resource, or nil. Only claims of eligible VMs count.
+func (d *Directory) claimant(now clock.Instant, resource Resource, isEligible func(*Entry) bool) *Entry {
 	key := KeyOf(resource.Name)
 	var best *Entry
-	if d.self.Claimed(key) && !d.self.Leaving {
+	if d.self.Claimed(key) && !d.self.Leaving && isEligible(&d.self) {
 		best = &d.self
 	}
 	for _, vm := range d.names {
 		entry := d.entries[vm]
-		if !entry.owns(key) || !d.isReachable(now, entry) || entry.unresponsive {
+		if !entry.owns(key) || !d.isReachable(now, entry) || entry.unresponsive || !isEligible(&entry.Entry) {
 			continue
 		}
 		if best == nil || compareClaimants(resource, &entry.Entry, best) < 0 {
@@ -92,6 +100,9 @@
 	tierUnresponsive
 	// tierOtherZone is added for a VM that is not in the zone of the resource.
 	tierOtherZone
+	// tierPartitioned is added for a VM that is partitioned from all upstreams, so that it comes after all
+	// others.
+	tierPartitioned = 2 * tierOtherZone
 
 	// maxPreferredTier is the highest tier to which a claim moves while the claimant is reachable.
 	maxPreferredTier = tierSmall
@@ -116,7 +127,8 @@
 }
 
 // Ranking returns the VMs that may own a resource in order of preference. VMs with the same
-// directory return the same order; unresponsive VMs come last.
+// directory return the same order; unresponsive VMs come last. It does not depend on which VMs are
+// partitioned from all upstreams: they still read the store and relay its tables.
 func (d *Directory) Ranking(now clock.Instant, resource Resource) []Entry {
 	candidates := d.candidates(now, resource)
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.compare(&b) })
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -83,6 +83,11 @@
 	u.backoffUntil = max(u.backoffUntil, now.Add(min(initialBackoff<<min(u.consecutiveFailures-1, 8), maxBackoff)))
 }
 
+// ForgetFailures forgets failed connections and error responses that were not the fault of the upstream.
+func (u *Upstream) ForgetFailures() {
+	u.backoffUntil, u.consecutiveFailures, u.errorScore = 0, 0, 0
+}
+
 // RecordRejection records that the upstream rejected a request for lack of capacity.
 func (u *Upstream) RecordRejection(now clock.Instant) {
 	u.backoffUntil = max(u.backoffUntil, now.Add(rejectionBackoff))
--- a/pkg/stagepool/handover.go
+++ b/pkg/stagepool/handover.go
@@ -60,6 +60,14 @@
 	return states
 }
 
+// ForgetFailures forgets failed and slow calls that were not the fault of the upstreams.
+func (p *Pool) ForgetFailures(now clock.Instant) {
+	for _, u := range p.upstreams {
+		u.backoffUntil, u.failures = 0, 0
+		u.slowness, u.slownessMeasuredAt = 1, now
+	}
+}
+
 func (p *Pool) resultsToHandOver(now clock.Instant, upstreamID string) []HeldResult {
 	var out []HeldResult
 	for handle, h := range p.heldResults {
