Outbound: observe new connections, count traffic by address

To tell a partition from the failure of single upstreams, a VM needs to know whether new connections work. A Client now tells an Observer of the first byte on a connection that was opened at most 300 ms before, and of a new connection that failed before it. Requests that were cancelled or withheld, and reused connections, are no evidence and are not reported. Traffic returns the bytes received and the addresses with open exchanges, which shows connections that hang; CloseIdle closes the idle connections.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -72,17 +72,20 @@
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
-	Stats     Stats
+	Stats Stats
+	// Observer, if not nil, learns of new connections. It is set before the first request.
+	Observer  Observer
 	localAddr net.Addr
 
 	mu        sync.Mutex
 	idleConns map[string][]*conn
+	traffic   map[string]*traffic
 }
 
 // NewClient returns a client that connects from the given local IP address, or from any
 // address if ip is empty.
 func NewClient(ip string) *Client {
-	c := &Client{idleConns: map[string][]*conn{}}
+	c := &Client{idleConns: map[string][]*conn{}, traffic: map[string]*traffic{}}
 	if parsed := net.ParseIP(ip); parsed != nil {
 		c.localAddr = &net.TCPAddr{IP: parsed}
 	}
@@ -161,11 +164,14 @@
 func (c *Client) Start(ctx context.Context, address string, request *Request) (*Exchange, error) {
 	cn, err := c.connFor(ctx, address, request)
 	if err != nil {
+		c.observeFailure(ctx, address, err)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
+	cn.traffic = c.startTraffic(address)
 	x := &Exchange{client: c, conn: cn, address: address, singleUse: request.SingleUse}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := x.send(request); err != nil {
+		x.observeFailure(ctx, err)
 		x.Close()
 		if cn.bytesSent.Load() == 0 {
 			err = errors.Mark(err, ErrNotSent)
@@ -173,6 +179,7 @@
 		return nil, errors.Wrapf(err, "send to %s", address)
 	}
 	if err := x.readHead(request.Method); err != nil {
+		x.observeFailure(ctx, err)
 		x.Close()
 		return nil, errors.Wrapf(err, "answer of %s", address)
 	}
@@ -222,7 +229,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw), nil
+	cn := newConn(raw)
+	c.observeFirstByte(address, cn)
+	return cn, nil
 }
 
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -258,6 +267,7 @@
 			delete(c.idleConns, address)
 		}
 	}
+	c.forgetTraffic()
 }
 
 // conn is a connection that counts the bytes sent for its current request.
@@ -268,6 +278,10 @@
 	bytesSent  atomic.Int64
 	idleSince  time.Time
 	reuseUntil time.Time
+	// onFirstByte is called with the first byte on a new connection, and nil afterwards.
+	onFirstByte func()
+	// traffic counts the bytes of the current exchange.
+	traffic *traffic
 }
 
 func newConn(raw net.Conn) *conn {
@@ -276,7 +290,7 @@
 		// Without the raw connection, isUsable returns false and the connection is not reused.
 		cn.rawConn, _ = tcp.SyscallConn()
 	}
-	cn.reader = bufio.NewReaderSize(raw, maxHeadBytes)
+	cn.reader = bufio.NewReaderSize(cn, maxHeadBytes)
 	return cn
 }
 
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -135,6 +135,7 @@
 		return
 	}
 	x.closed = true
+	x.conn.traffic.exchanges.Add(-1)
 	notCancelled := x.stopCancelWatch()
 	if !notCancelled || !x.isReusable() {
 		_ = x.conn.Close()
