pkg/partition: detect that a VM is partitioned from all upstreams

The Detector is a state machine without clock, goroutine or socket. New connections that fail at two upstreams without a success, silence while responses are awaited, or a failed crash probe start a round of up to four probes over pools and zones; if all fail, the VM is partitioned. Failures of upstreams that failed while others were reached do not count for 10 s, so that a pool that is down neither causes rounds for ever nor delays the detection of a partition. Two upstreams that answer within 3 s end it; probes in between may fail, since with a pool down every second probe does. With fewer than three upstreams their failure cannot be told from a partition, and the VM counts as reachable. A pause of the VM is no evidence.

--- /dev/null
+++ b/pkg/partition/evidence.go
@@ -0,0 +1,147 @@
+package partition
+
+import (
+	"maps"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+// Reason is why the state changed.
+type Reason uint8
+
+// Reasons.
+const (
+	NoReason Reason = iota
+	// ConnectionsFailed means that new connections to several upstreams failed.
+	ConnectionsFailed
+	// Silence means that no byte came although several upstreams were to send some.
+	Silence
+	// CrashProbeFailed means that an upstream that seems to have crashed accepts no connection.
+	CrashProbeFailed
+	// ProbesFailed means that all probes of a round failed.
+	ProbesFailed
+	// Connected means that new connections succeeded.
+	Connected
+	// Paused means that the VM was paused during a round.
+	Paused
+	// TooFewUpstreams means that too few upstreams are known.
+	TooFewUpstreams
+)
+
+var reasonNames = [...]string{
+	NoReason: "", ConnectionsFailed: "connections failed", Silence: "silence", CrashProbeFailed: "crash probe failed", ProbesFailed: "probes failed",
+	Connected: "connected", Paused: "the VM was paused", TooFewUpstreams: "too few upstreams",
+}
+
+// String returns the reason for logs.
+func (r Reason) String() string { return reasonNames[r] }
+
+// RecordConnected records a new connection on which a byte of a response came within MaxConnectTime. While
+// partitioned only probes count: the connection may be from before.
+func (d *Detector) RecordConnected(now clock.Instant, address string) {
+	d.checkPause(now)
+	if d.state != Partitioned {
+		d.recordSuccess(now, address, now.Add(-MaxConnectTime))
+	}
+}
+
+// RecordFailed records a new connection that failed before a byte of a response came.
+func (d *Detector) RecordFailed(now clock.Instant, address string) {
+	d.checkPause(now)
+	if d.state == Partitioned || now.Before(d.settledAt) || d.isRefuted(address) || !d.isKnown(address) {
+		return
+	}
+	d.failures[address] = now
+}
+
+// RecordCrashProbe records that an upstream which broke a connection accepts no new one. The next tick starts
+// a round, which tells whether it crashed.
+func (d *Detector) RecordCrashProbe(now clock.Instant, address string) {
+	d.RecordFailed(now, address)
+	if d.state != Partitioned && d.canTell() {
+		d.crashAt = now
+	}
+}
+
+// recordSuccess records that an upstream was reached by a connection that was opened at a time, which refutes
+// a suspicion.
+func (d *Detector) recordSuccess(now clock.Instant, address string, opened clock.Instant) {
+	d.lastSuccess, d.reachedAt = now, max(d.reachedAt, opened)
+	if d.reachedAt >= d.crashAt {
+		d.crashAt = 0
+	}
+	delete(d.refuted, address)
+	if d.state != Suspect {
+		clear(d.failures)
+		return
+	}
+	for failed := range d.failures {
+		d.refuted[failed] = now
+	}
+	for _, failed := range d.probes.failed {
+		d.refuted[failed] = now
+	}
+	delete(d.refuted, address)
+	d.enter(now, Reachable, Connected)
+}
+
+// RecordProbe records the end of a probe. An answer of any kind is a success.
+func (d *Detector) RecordProbe(now clock.Instant, id uint64, answered bool) {
+	d.checkPause(now)
+	probe, ok := d.probes.end(id, answered)
+	if !ok {
+		return
+	}
+	switch {
+	case d.state != Partitioned && answered:
+		d.recordSuccess(now, probe.address, probe.started)
+	case d.state == Suspect && len(d.probes.running) == 0 && len(d.probes.failed) >= minUpstreams:
+		d.enter(now, Partitioned, ProbesFailed)
+	case d.state == Partitioned && answered:
+		d.lastSuccess, d.reachedAt = now, probe.started
+		d.recordReturn(now, probe.address)
+	}
+}
+
+// recordReturn records that an upstream answered a probe while partitioned.
+func (d *Detector) recordReturn(now clock.Instant, address string) {
+	maps.DeleteFunc(d.returned, func(_ string, at clock.Instant) bool { return now.Sub(at) > returnWindow })
+	d.returned[address] = now
+	if len(d.returned) >= returnSuccesses {
+		d.enter(now, Reachable, Connected)
+	}
+}
+
+// suspicion returns why a round is to start, or NoReason.
+func (d *Detector) suspicion(now clock.Instant, isSilent bool) Reason {
+	maps.DeleteFunc(d.failures, func(_ string, at clock.Instant) bool { return now.Sub(at) > failureWindow })
+	maps.DeleteFunc(d.refuted, func(_ string, at clock.Instant) bool { return now.Sub(at) >= refutedTime })
+	sinceRefuted := now.Sub(d.lastRefuted)
+	if sinceRefuted > 2*maxSilenceInterval {
+		d.silenceInterval = minSuspicionInterval
+	}
+	switch {
+	case d.crashAt != 0 && sinceRefuted >= minCrashInterval:
+		return CrashProbeFailed
+	case len(d.failures) >= d.failuresNeeded() && sinceRefuted >= minSuspicionInterval:
+		return ConnectionsFailed
+	case isSilent && sinceRefuted >= d.silenceInterval:
+		d.silenceInterval = min(2*d.silenceInterval, maxSilenceInterval)
+		return Silence
+	}
+	return NoReason
+}
+
+// failuresNeeded returns the number of upstreams that must fail to start a round: fewer if the failures of
+// most upstreams do not count.
+func (d *Detector) failuresNeeded() int {
+	return max(1, min(suspectFailures, len(d.upstreams)-len(d.refuted)))
+}
+
+// isSilent reports whether no byte came for silenceTime although several upstreams were to send some.
+func (d *Detector) isSilent(now clock.Instant, traffic Traffic) bool {
+	if traffic.Received != d.received || traffic.Waiting < suspectFailures || now.Before(d.settledAt) {
+		d.received, d.quietSince = traffic.Received, now
+	}
+	return now.Sub(d.quietSince) >= silenceTime
+}
