A partitioned VM owns no pool and blames no upstream

internal/edge runs the detector of pkg/partition. On a change the VM tells the others at once through its directory entry. When it becomes partitioned it hands its pools over, ends the stages that it runs for itself and others with "moved", so that they run at the new owner, and closes idle connections. Failures that it counted against upstreams and zones are forgotten then and when the partition is over.

A broken connection to an upstream that accepts no new one is recorded and reported as a crash once another upstream was reached since, and dropped if the VM turns out to be partitioned or nothing is known within a second.

--- a/internal/edge/crash.go
+++ b/internal/edge/crash.go
@@ -63,16 +63,22 @@
 	return suspect{fingerprint: t.fingerprint, parts: t.promptParts()}
 }
 
-// checkForCrash checks whether an upstream crashed while it ran the request, and reports whether it did.
-// It records a crash and reports it to the other VMs.
+// checkForCrash checks whether an upstream crashed while it ran the request, and reports whether it may have.
+// A crash is recorded, and reported to the other VMs, once it is known that this VM is not partitioned.
 func (s *Server) checkForCrash(t *transaction, entry *registry.Entry) bool {
+	if s.partition.isPartitioned() {
+		return true // A probe would say nothing about the upstream.
+	}
 	err := s.probeForCrash(t.ctx, entry)
 	if err == nil {
 		return false
 	}
-	s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
-		zap.String("route", t.route.Name), zap.Strings("prompt_parts", t.sharedParts()), obs.ErrorField(err))
-	s.recordCrash(entry, t.suspect())
+	broken, route, parts := t.suspect(), t.route.Name, t.sharedParts()
+	s.partition.suspectCrash(entry.ID, entry.Address, func() {
+		s.logger.Warn("upstream died while it ran a request", zap.String("request", t.requestInfo.ID), zap.String("upstream", entry.ID),
+			zap.String("route", route), zap.Strings("prompt_parts", parts), obs.ErrorField(err))
+		s.recordCrash(entry, broken)
+	})
 	return true
 }
 
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -24,7 +24,11 @@
 	if runner == nil || newOwner.Name == "" || newOwner.Name == s.settings.VM {
 		return
 	}
-	states := runner.handOverTo(newOwner)
+	give := runner.handOverTo
+	if s.partition.isPartitioned() {
+		give = runner.abandonTo
+	}
+	states := give(newOwner)
 	s.logger.Info("pool handed over", zap.String("pool", pool), zap.String("owner", newOwner.Name), zap.Int("upstreams", len(states)))
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -47,6 +47,11 @@
 	crashReportsInvalid prometheus.Counter
 	// resumedStreams counts the streams that callers resumed, by how certain their origin is.
 	resumedStreams *prometheus.CounterVec
+	// partitioned is 1 while this VM is partitioned from all upstreams. partitionChanges counts the changes to
+	// each state of the detector, and partitionProbes its probes by their end.
+	partitioned      prometheus.Gauge
+	partitionChanges *prometheus.CounterVec
+	partitionProbes  *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -114,13 +119,31 @@
 		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hoist_edge_resumed_streams_total", Help: "Streams resumed by their callers, by what is known of the software version that began them.",
 		}, []string{"certainty"}),
+		partitioned: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "hoist_edge_partitioned", Help: "1 while this VM is partitioned from all upstreams.",
+		}),
+		partitionChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_partition_changes_total", Help: "Changes of whether upstreams are reachable, suspect or partitioned from this VM.",
+		}, []string{"state"}),
+		partitionProbes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hoist_edge_partition_probes_total", Help: "Queries to tell whether this VM is partitioned from all upstreams, by end: answered or failed.",
+		}, []string{"end"}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
 		m.stageConnectionsClosed, m.bodiesRevoked, m.upstreamSignals, m.callsWithheld, m.healthChecks,
-		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid, m.crashReportsInvalid, m.resumedStreams)
+		m.placements, m.promptTokens, m.placementWait, m.engineReports, m.ignoredDatagrams, m.placeInvalid, m.loadsInvalid, m.crashReportsInvalid, m.resumedStreams,
+		m.partitioned, m.partitionChanges, m.partitionProbes)
 	return m
 }
 
+// setPartitioned records whether this VM is partitioned from all upstreams.
+func (m *metrics) setPartitioned(partitioned bool) {
+	m.partitioned.Set(0)
+	if partitioned {
+		m.partitioned.Set(1)
+	}
+}
+
 // recordRequest records the outcome and latency of a request. The configured routes bound
 // the number of label values.
 func (m *metrics) recordRequest(t *transaction, outcome string, elapsed time.Duration) {
--- a/internal/edge/ownership.go
+++ b/internal/edge/ownership.go
@@ -159,12 +159,12 @@
 // a pool: this VM, which then claims the pool, or the owner that it returns. An owner that the
 // caller could not reach is checked first, since the membership protocol takes longer to detect
 // its loss than the call may take. If the directory names a VM that told the caller that it does
-// not own the pool, this VM claims the pool.
+// not own the pool, this VM claims the pool, unless it is partitioned from all upstreams.
 func (s *Server) claimOrRedirect(ctx context.Context, resource fleet.Resource, unresponsive, notOwners []string) (owner fleet.Entry, isOwner bool) {
 	s.gossip.recordNotOwners(resource.Name, notOwners...)
 	for range maxOwnerChecks {
 		entry := s.gossip.owner(resource)
-		if entry.Name == s.settings.VM || slices.Contains(notOwners, entry.Name) {
+		if entry.Name == s.settings.VM || slices.Contains(notOwners, entry.Name) && !s.partition.isPartitioned() {
 			s.gossip.claim(resource.Name)
 			return fleet.Entry{}, true
 		}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -63,6 +63,8 @@
 	registry *prometheus.Registry
 	metrics  *metrics
 	contain  *containment
+	// partition tells whether this VM is partitioned from all upstreams.
+	partition *partitionMonitor
 
 	follower  *follower
 	gossip    *gossip
@@ -145,6 +147,8 @@
 	}
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
+	s.partition = newPartitionMonitor(s)
+	s.client.Observer, s.releases.Observer = s.partition, s.partition
 	s.requestMemory, s.responseMemory = newRequestMemory(s.settings.memoryBytes()), newResponseMemory(s.settings.memoryBytes())
 	s.guards = newGuards(s)
 	s.startedAt, s.readerOffset = options.Now(), rand.IntN(storeReaderCount)
@@ -244,6 +248,7 @@
 		return err
 	}
 	go s.gossip.run(background)
+	go s.partition.run(background)
 	go s.followTables(background)
 	go s.refreshStaleTables(background)
 	go s.sweepLoop(background)
--- a/internal/edge/stagecrash.go
+++ b/internal/edge/stagecrash.go
@@ -85,14 +85,16 @@
 // checkStageCrash checks whether an upstream crashed during a stage call, and records that for the requests
 // whose pieces it ran.
 func (s *Server) checkStageCrash(pool string, entry *registry.Entry, suspects []suspect) {
-	if len(suspects) == 0 {
+	if len(suspects) == 0 || s.partition.isPartitioned() {
 		return
 	}
 	err := s.probeForCrash(context.Background(), entry)
 	if err == nil {
 		return
 	}
-	s.logger.Warn("upstream died while it ran a stage call", zap.String("pool", pool), zap.String("upstream", entry.ID),
-		zap.Int("requests", len(suspects)), obs.ErrorField(err))
-	s.recordCrash(entry, suspects...)
+	s.partition.suspectCrash(entry.ID, entry.Address, func() {
+		s.logger.Warn("upstream died while it ran a stage call", zap.String("pool", pool), zap.String("upstream", entry.ID),
+			zap.Int("requests", len(suspects)), obs.ErrorField(err))
+		s.recordCrash(entry, suspects...)
+	})
 }
