--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -243,7 +243,7 @@
 	request.SingleUse = true
 	exchange, err := m.probes.Start(ctx, entry.Address, request)
 	if err != nil {
-		m.logger.Info("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
+		m.logger.Debug("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
 		return false
 	}
 	exchange.Close()
