Run returns after the socket of the membership protocol is closed

TestStreamsOutliveRestartOfAllVMs failed once on a machine with load 27: "listen udp4: bind: address already in use". Run only told the membership protocol to stop, which closed its socket some time after Run had returned, so that a server that was started again at once could not listen. With 50 ms before the socket is closed the test failed each time (1 of 1); Run now waits for it, and the test passes with and without the 50 ms.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -242,12 +242,14 @@
 // period is over.
 func (s *Server) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.Background())
+	var gossip sync.WaitGroup
+	defer gossip.Wait() // The socket of the membership protocol is closed then.
 	defer stopBackground()
 	servers, err := s.listen(background)
 	if err != nil {
 		return err
 	}
-	go s.gossip.run(background)
+	gossip.Go(func() { s.gossip.run(background) })
 	go s.partition.run(background)
 	go s.followTables(background)
 	go s.refreshStaleTables(background)
