Partition monitor: decide under one lock that a panic releases; plainer changes of state

A panic in the detector, which the callers contain, left the lock of the monitor taken, and with it all requests that open connections. The counts of probes that are logged with a suspicion are no longer those of the round before. TestProbeTargets guards against probes of upstreams that ask for no traffic.

--- a/internal/edge/partitionchange_test.go
+++ b/internal/edge/partitionchange_test.go
@@ -228,3 +228,31 @@
 		t.Error("failures are not forgotten")
 	}
 }
+
+// TestProbeTargets guards against probes of upstreams that ask for no traffic, and against a query that would run
+// as a request at an upstream without a health path.
+func TestProbeTargets(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	batch := testBatch
+	f.publish(&catalog.Catalog{Version: 1, Pools: map[string]*catalog.Pool{
+		"p": {Name: "p"}, "h": {Name: "h", HealthPath: "/health"}, "a": {Name: "a", Batch: &batch}, "e": {Name: "e", Engine: &catalog.Engine{Concurrency: 1}},
+	}}, slices.Concat(
+		catalogUpstreams("p", newTestUpstream(t, "p", nil)), catalogUpstreams("h", newTestUpstream(t, "h", nil)),
+		catalogUpstreams("a", newTestUpstream(t, "a", nil), newTestUpstream(t, "paused", nil)), catalogUpstreams("e", newTestUpstream(t, "e", nil)),
+	)...)
+	s := f.servers[0]
+	view := s.view.Load()
+	s.signals.record(view, view.ByID["paused"], ResponseInfo{Pause: time.Minute})
+	var targets []string
+	for _, target := range s.partition.probeTargets(view) {
+		id := view.ByAddress[target.Address].ID
+		targets = append(targets, id)
+		if target.HasReport != (id != "h") {
+			t.Errorf("%s has a report: %v", id, target.HasReport)
+		}
+	}
+	slices.Sort(targets)
+	if expected := []string{"a", "e", "h"}; !slices.Equal(targets, expected) {
+		t.Errorf("targets %v, expected %v", targets, expected)
+	}
+}
--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -125,35 +125,47 @@
 	m.detector.SetUpstreams(now, m.probeTargets(view))
 }
 
+// decisions are what the detector has decided.
+type decisions struct {
+	probes  []partition.Probe
+	changes []partition.Change
+	crashes []*crashSuspicion
+	// isChange is set if this VM has become partitioned, or is no more.
+	isChange bool
+}
+
 // step records something and does what the detector then decides.
 func (m *partitionMonitor) step(record func(*partition.Detector, clock.Instant)) {
-	m.mu.Lock()
-	now := m.now()
-	m.updateTargets(now)
-	record(m.detector, now)
-	probes := m.detector.Tick(now, m.lastTraffic)
-	changes := m.detector.TakeChanges()
-	partitioned := m.detector.State() == partition.Partitioned
-	isNew := m.partitioned.Swap(partitioned) != partitioned
-	crashes := m.decidedCrashes(now)
-	m.mu.Unlock()
-	for _, change := range changes {
+	decided := m.decide(record)
+	for _, change := range decided.changes {
 		m.recordChange(change)
 	}
-	if isNew {
+	if decided.isChange {
 		select {
 		case m.changed <- struct{}{}:
 		default: // applyChanges has not seen the previous change yet, and will apply the latest state.
 		}
 	}
-	for _, crash := range crashes {
+	for _, crash := range decided.crashes {
 		crash.end()
 	}
-	for _, probe := range probes {
+	for _, probe := range decided.probes {
 		go m.contain.run("partition probe", func() { m.sendProbe(probe) })
 	}
 }
 
+func (m *partitionMonitor) decide(record func(*partition.Detector, clock.Instant)) decisions {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	m.updateTargets(now)
+	record(m.detector, now)
+	decided := decisions{probes: m.detector.Tick(now, m.lastTraffic), changes: m.detector.TakeChanges(), crashes: m.decidedCrashes(now)}
+	partitioned := m.detector.State() == partition.Partitioned
+	decided.isChange = m.partitioned.Swap(partitioned) != partitioned
+	return decided
+}
+
 // recordChange logs and counts a change of the state.
 func (m *partitionMonitor) recordChange(c partition.Change) {
 	m.metrics.partitionChanges.WithLabelValues(c.To.String()).Inc()
--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -217,8 +217,12 @@
 	return nil
 }
 
-// enter changes the state and records why.
+// enter changes the state and records why. Probes of a round go on after the first answer, since they also tell
+// whether an upstream crashed.
 func (d *Detector) enter(now clock.Instant, state State, reason Reason) {
+	if state == Suspect {
+		d.probes.cancel() // A round that was refuted may have left some.
+	}
 	change := Change{From: d.state, To: state, Reason: reason, Failures: len(d.failures), Failed: len(d.probes.failed), Answered: d.probes.answered}
 	if d.lastSuccess != 0 {
 		change.SinceSuccess = now.Sub(d.lastSuccess)
@@ -230,16 +234,16 @@
 	}
 	clear(d.returned)
 	d.nextProbeAt, d.quietSince = now.Add(returnInterval), now
-	switch state {
-	case Reachable:
-		clear(d.failures)
+	if state == Suspect {
+		return
+	}
+	clear(d.failures)
+	if state == Reachable {
 		d.lastRefuted = now
-	case Suspect:
-	case Partitioned:
-		clear(d.failures)
-		clear(d.refuted)
-		d.crashAt = 0
+		return
 	}
+	clear(d.refuted)
+	d.crashAt = 0
 }
 
 // checkPause forgets what failed if the VM was paused, since its timers all fire at once afterwards.
