Outbound: a request whose time is over before it connects is no failed connection

Such a request is not sent, and tells nothing of the network; on a VM with late requests it could start rounds of probes. The case "too late" of TestObserver fails without the change.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -164,7 +164,6 @@
 func (c *Client) Start(ctx context.Context, address string, request *Request) (*Exchange, error) {
 	cn, err := c.connFor(ctx, address, request)
 	if err != nil {
-		c.observeFailure(ctx, address, err)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
 	cn.traffic = c.startTraffic(address)
@@ -227,6 +226,7 @@
 	c.Stats.Dials.Add(1)
 	raw, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		c.observeFailure(ctx, address, err)
 		return nil, err
 	}
 	cn := newConn(raw)
--- a/internal/outbound/observer_test.go
+++ b/internal/outbound/observer_test.go
@@ -53,6 +53,7 @@
 		"refused":   {address: refusing.Addr().String(), requests: 1, timeout: time.Minute, expected: []string{"failed"}},
 		"hanging":   {address: hanging.address, requests: 1, timeout: 50 * time.Millisecond, expected: []string{"failed"}},
 		"withheld":  {address: answering.address, requests: 1, timeout: time.Minute, before: func() error { return errors.New("withheld") }},
+		"too late":  {address: answering.address, requests: 1, timeout: -time.Second},
 		"cancelled": {address: hanging.address, requests: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
