Choose VMs that carry connections for a partitioned VM

A VM that is partitioned from all upstreams has no way to them for its requests (docs/incidents/partitioned-vms.md, hypothesis 1). pkg/carrier chooses the VM through which the next connection goes: by least load relative to capacity, over at most eight VMs, its own zone first; never a VM that leaves, is partitioned or failed in the last second, which doubles up to 30 s. Which eight it uses differs from one partitioned VM to the next, so that not all of them turn to the same few, and each pair of VMs costs a connection and pings.

fleet.Entry.Partitioned carries the field of the directory entry.

--- /dev/null
+++ b/pkg/carrier/selector.go
@@ -0,0 +1,170 @@
+// Package carrier chooses the VMs that carry connections to upstreams for a VM that is partitioned from
+// all upstreams. Open connections are spread by least load over a few VMs, which differ from one
+// partitioned VM to the next. A VM that could not carry a connection is passed over with exponential
+// backoff. The package does no I/O and reads no clock.
+package carrier
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/rendezvous"
+)
+
+const (
+	// maxCarriers bounds the VMs in use at a time, since each takes a connection between the VMs and
+	// regular pings.
+	maxCarriers = 8
+	// otherZoneCost is how many times the load of a VM in another zone counts, since a connection through
+	// it crosses zones.
+	otherZoneCost = 2
+	// defaultCapacity stands for the capacity of a VM that does not state it, in thousandths of a core.
+	defaultCapacity = 1000
+	// initialBackoff is how long a VM is passed over after a failure. It doubles with each further failure
+	// up to maxBackoff.
+	initialBackoff = time.Second
+	maxBackoff     = 30 * time.Second
+	// failureMemory is how long after the end of a backoff the next failure still doubles it.
+	failureMemory = 10 * time.Second
+)
+
+// vm is what a Selector knows of one VM.
+type vm struct {
+	// open is the number of open connections through the VM.
+	open int
+	// backoff is the length of the last backoff, which ends at retryAt; 0 if there was no failure.
+	backoff time.Duration
+	retryAt clock.Instant
+}
+
+// Selector chooses carriers for one VM. It must not be used concurrently.
+type Selector struct {
+	self string
+	zone string
+	vms  map[string]*vm
+}
+
+// New returns a Selector for the VM with the name and the zone.
+func New(self, zone string) *Selector {
+	return &Selector{self: self, zone: zone, vms: map[string]*vm{}}
+}
+
+// Select returns the VM that should carry the next connection. The candidates are the reachable VMs; those
+// that are leaving, partitioned, in backoff or in tried are not chosen. It returns false if none is left.
+func (s *Selector) Select(now clock.Instant, candidates []fleet.Entry, tried []string) (fleet.Entry, bool) {
+	s.forgetFailures(now)
+	eligible := s.eligible(now, candidates, tried)
+	if len(eligible) == 0 {
+		return fleet.Entry{}, false
+	}
+	s.sortByPreference(eligible)
+	// MinFunc returns the first of several minima, so preference decides between equal costs.
+	return slices.MinFunc(eligible[:min(len(eligible), maxCarriers)], func(a, b fleet.Entry) int {
+		return cmp.Compare(s.cost(&a), s.cost(&b))
+	}), true
+}
+
+func (s *Selector) eligible(now clock.Instant, candidates []fleet.Entry, tried []string) []fleet.Entry {
+	var out []fleet.Entry
+	for _, entry := range candidates {
+		if entry.Name == s.self || entry.Leaving || entry.Partitioned || slices.Contains(tried, entry.Name) {
+			continue
+		}
+		if known := s.vms[entry.Name]; known != nil && now.Before(known.retryAt) {
+			continue
+		}
+		out = append(out, entry)
+	}
+	return out
+}
+
+// sortByPreference puts the VMs of this VM's zone first, and orders the others by a hash that differs from
+// one partitioned VM to the next.
+func (s *Selector) sortByPreference(entries []fleet.Entry) {
+	slices.SortFunc(entries, func(a, b fleet.Entry) int {
+		if inZone := a.Zone == s.zone; inZone != (b.Zone == s.zone) {
+			if inZone {
+				return -1
+			}
+			return 1
+		}
+		if c := cmp.Compare(rendezvous.Weight(s.self, b.Name), rendezvous.Weight(s.self, a.Name)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// cost returns the load of the VM with one more connection, relative to its capacity.
+func (s *Selector) cost(entry *fleet.Entry) float64 {
+	open := 1
+	if known := s.vms[entry.Name]; known != nil {
+		open += known.open
+	}
+	capacity := entry.Capacity
+	if capacity == 0 {
+		capacity = defaultCapacity
+	}
+	cost := float64(open) / float64(capacity)
+	if entry.Zone != s.zone {
+		cost *= otherZoneCost
+	}
+	return cost
+}
+
+// Begin counts a connection through the VM, from the attempt to open it.
+func (s *Selector) Begin(name string) { s.vm(name).open++ }
+
+// End records the end of a connection that was counted by Begin.
+func (s *Selector) End(name string) {
+	if known := s.vm(name); known.open > 0 {
+		known.open--
+	}
+}
+
+// RecordSuccess ends the backoff of a VM that opened a connection.
+func (s *Selector) RecordSuccess(name string) {
+	known := s.vm(name)
+	known.backoff, known.retryAt = 0, 0
+}
+
+// RecordFailure begins a backoff of a VM that could not carry a connection. Failures of connections that
+// were attempted before the backoff began do not prolong it.
+func (s *Selector) RecordFailure(now clock.Instant, name string) {
+	known := s.vm(name)
+	if now.Before(known.retryAt) {
+		return
+	}
+	known.backoff = min(max(2*known.backoff, initialBackoff), maxBackoff)
+	known.retryAt = now.Add(known.backoff)
+}
+
+// RecordUnsupported begins the longest backoff of a VM whose version carries no connections.
+func (s *Selector) RecordUnsupported(now clock.Instant, name string) {
+	known := s.vm(name)
+	known.backoff, known.retryAt = maxBackoff, now.Add(maxBackoff)
+}
+
+func (s *Selector) vm(name string) *vm {
+	known := s.vms[name]
+	if known == nil {
+		known = &vm{}
+		s.vms[name] = known
+	}
+	return known
+}
+
+// forgetFailures removes what is of no use any more.
+func (s *Selector) forgetFailures(now clock.Instant) {
+	for name, known := range s.vms {
+		if now.Sub(known.retryAt) <= failureMemory {
+			continue
+		}
+		if known.backoff = 0; known.open == 0 {
+			delete(s.vms, name)
+		}
+	}
+}
--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -23,10 +23,12 @@
 	Address string
 	// Started is the start time of the VM's process in milliseconds since the Unix epoch.
 	Started uint64
-	// Version counts the changes of Leaving, Store and Claims since the process start.
+	// Version counts the changes of Leaving, Partitioned, Store and Claims since the process start.
 	Version uint64
 	// Leaving is set once the VM is shutting down.
 	Leaving bool
+	// Partitioned is set while the VM is partitioned from all upstreams.
+	Partitioned bool
 	// Store says whether the VM reads the store for others.
 	Store StoreAccess
 	// Capacity is the CPU capacity of the VM in thousandths of a core.
