Let another path than a direct one open connections to upstreams

outbound.Client.Dialer opens the connections of the addresses that it says are not direct. Without it nothing changes. An idle connection is reused only if it was opened on the path that its address has now: a direct one would time out during a partition after its request was sent, and a detour would go on after it. A connection that is not of TCP says itself whether it may be reused.

--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -72,7 +72,9 @@
 
 // Client sends requests. It is safe for concurrent use.
 type Client struct {
-	Stats     Stats
+	Stats Stats
+	// Dialer, if not nil, opens the connections that are not direct. It is set before the first request.
+	Dialer    Dialer
 	localAddr net.Addr
 
 	mu        sync.Mutex
@@ -193,13 +195,13 @@
 
 // acquireConn returns the most recently used idle connection, or dials a new one.
 func (c *Client) acquireConn(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	now := time.Now()
+	now, direct := time.Now(), c.isDirect(address)
 	c.mu.Lock()
 	for conns := c.idleConns[address]; len(conns) > 0; conns = c.idleConns[address] {
 		cn := conns[len(conns)-1]
 		c.idleConns[address] = conns[:len(conns)-1]
 		fresh := maxIdle == 0 || now.Sub(cn.idleSince) < maxIdle
-		if fresh && now.Before(cn.reuseUntil) && cn.isUsable() {
+		if fresh && now.Before(cn.reuseUntil) && cn.direct == direct && cn.isUsable() {
 			c.mu.Unlock()
 			c.Stats.Reuses.Add(1)
 			cn.bytesSent.Store(0)
@@ -212,19 +214,6 @@
 	return c.dial(ctx, address)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout, LocalAddr: c.localAddr, Control: setTCPUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	c.Stats.Dials.Add(1)
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(raw), nil
-}
-
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockoptErr error
 	err := raw.Control(func(fd uintptr) {
@@ -239,15 +228,16 @@
 	c.idleConns[address] = append(c.idleConns[address], cn)
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// CloseExpired closes the idle connections that cannot be reused: their idle timeout has passed, or
+// connections to their addresses take another path now.
 func (c *Client) CloseExpired() {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, conns := range c.idleConns {
-		kept := conns[:0]
+		kept, direct := conns[:0], c.isDirect(address)
 		for _, cn := range conns {
-			if now.Before(cn.reuseUntil) {
+			if now.Before(cn.reuseUntil) && cn.direct == direct && !cn.hasEnded() {
 				kept = append(kept, cn)
 				continue
 			}
@@ -263,19 +253,23 @@
 // conn is a connection that counts the bytes sent for its current request.
 type conn struct {
 	net.Conn
+	// direct is set if the connection was opened without the Dialer.
+	direct     bool
 	rawConn    syscall.RawConn
+	idleConn   IdleConn
 	reader     *bufio.Reader
 	bytesSent  atomic.Int64
 	idleSince  time.Time
 	reuseUntil time.Time
 }
 
-func newConn(raw net.Conn) *conn {
-	cn := &conn{Conn: raw}
+func newConn(raw net.Conn, direct bool) *conn {
+	cn := &conn{Conn: raw, direct: direct}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		// Without the raw connection, isUsable returns false and the connection is not reused.
 		cn.rawConn, _ = tcp.SyscallConn()
 	}
+	cn.idleConn, _ = raw.(IdleConn)
 	cn.reader = bufio.NewReaderSize(raw, maxHeadBytes)
 	return cn
 }
@@ -290,7 +284,13 @@
 // isUsable reports whether the connection is open and has no unread bytes. Bytes received
 // before a request is sent would be taken for its response.
 func (cn *conn) isUsable() bool {
-	if cn.reader.Buffered() > 0 || cn.rawConn == nil {
+	if cn.reader.Buffered() > 0 {
+		return false
+	}
+	if cn.idleConn != nil {
+		return cn.idleConn.IsIdle()
+	}
+	if cn.rawConn == nil {
 		return false
 	}
 	usable := false
