--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -330,13 +330,25 @@
 // InterceptCall is an interceptor of a gRPC server. A connection with a call is not closed for a limit,
 // and one that has made a call is closed after those that have made none.
 func InterceptCall(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	defer countCall(ctx)()
+	return handler(ctx, request)
+}
+
+// InterceptStream is InterceptCall for streams.
+func InterceptStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	defer countCall(stream.Context())()
+	return handler(server, stream)
+}
+
+// countCall counts a call on its connection until the function that it returns is called.
+func countCall(ctx context.Context) (end func()) {
 	if p, ok := peer.FromContext(ctx); ok {
 		if address, ok := p.Addr.(remoteAddr); ok {
 			address.conn.beginCall()
-			defer address.conn.endCall()
+			return address.conn.endCall
 		}
 	}
-	return handler(ctx, request)
+	return func() {}
 }
 
 func (c *Conn) beginCall() {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -49,6 +49,17 @@
 	// PrivateNetwork accepts peers on non-loopback addresses without a key. Set it only if
 	// the network has no machines other than the system's VMs.
 	PrivateNetwork bool
+	// StreamWindowBytes is the HTTP/2 flow control window of a stream, at least 64 KB; 0 means
+	// flowControlWindowBytes. It bounds the memory of a stream whose receiver does not read.
+	StreamWindowBytes int32
+}
+
+// streamWindow returns the flow control window of a stream.
+func (t Transport) streamWindow() int32 {
+	if t.StreamWindowBytes == 0 {
+		return flowControlWindowBytes
+	}
+	return t.StreamWindowBytes
 }
 
 // SourceIPFor returns the source address for a process that listens on an IP:port: its IP,
@@ -90,7 +101,7 @@
 		}),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithInitialWindowSize(flowControlWindowBytes),
+		grpc.WithInitialWindowSize(t.streamWindow()),
 		grpc.WithInitialConnWindowSize(flowControlWindowBytes),
 		grpc.WithStatsHandler(retryPauser{}),
 	}
@@ -110,7 +121,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
-		grpc.InitialWindowSize(flowControlWindowBytes),
+		grpc.InitialWindowSize(t.streamWindow()),
 		grpc.InitialConnWindowSize(flowControlWindowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	}
