Reach upstreams through other VMs while partitioned from all of them

Now its clients for requests, stage calls, releases and queries open their connections through other VMs (upstreampath.go); these carry them (tunnelserver.go). Decisions stay where they were: placement, shares of limits, retry budget, at most once and deadlines run on the same code. Three VMs are asked for a connection, within 0.4 s; if one fails to connect another is asked, since it may be partitioned and not know it yet. What the upstream did decides the error: refused, timed out or other. A carrying VM connects only to the addresses of registered upstreams, refuses while it is partitioned itself or stops, and bounds its tunnels by an eighth of its memory and descriptors. A planned stop waits for them until the grace period ends. Its pings break the tunnels of a VM that does not answer. The store and other addresses stay direct, and so does all without a VM that could carry.

Evidence: with all paths direct TestPartitionedVMServesThroughAnother fails: all 20 requests at the partitioned VM end with 502 or 503 and none runs. With the change all 20 are served, each runs once, and tunnels are reused. go test -race ./internal/edge failed once before this commit in TestStoreServesFewVMs/silent_true (3.008 s in place of 3 s at a load average of 12; cause not traced), passed 3 of 3 repeats of that test, and passes whole on this commit at a load average of 30.

--- a/internal/edge/contain.go
+++ b/internal/edge/contain.go
@@ -54,3 +54,11 @@
 	}
 	return response, err
 }
+
+// interceptStream is interceptCall for a stream of a peer.
+func (c *containment) interceptStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) (err error) {
+	if c.run("stream of a peer", func() { err = handler(server, stream) }) {
+		return status.Error(codes.Internal, "panic in the handler")
+	}
+	return err
+}
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -342,6 +342,13 @@
 	return g.directory.Reachable(g.now())
 }
 
+// entry returns the directory entry of a VM.
+func (g *gossip) entry(name string) (fleet.Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.directory.Entry(name)
+}
+
 // vmNames returns the names of the VMs that may be running, including this one.
 func (g *gossip) vmNames() []string {
 	g.mu.Lock()
--- a/internal/edge/plannedstop.go
+++ b/internal/edge/plannedstop.go
@@ -136,10 +136,10 @@
 	s.logger.Info("stopped", zap.Int64("in_flight", s.inFlight.Load()), zap.Duration("took", s.now().Sub(schedule.signaled)), obs.ErrorField(err))
 }
 
-// awaitRequests waits until no request, and no stage of another VM, is in progress or the context
-// ends. Other VMs would have to run such a stage again.
+// awaitRequests waits until no request, and no stage or tunnel of another VM, is in progress or the
+// context ends. Other VMs would have to run such a stage again, and lose the requests in such a tunnel.
 func (s *Server) awaitRequests(ctx context.Context) {
-	for s.inFlight.Load()+s.peerStages.Load() > 0 && ctx.Err() == nil {
+	for s.inFlight.Load()+s.peerStages.Load()+s.tunnels.open.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, requestPollInterval)
 	}
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -67,6 +67,8 @@
 	follower  *follower
 	gossip    *gossip
 	peers     *peers
+	path      *upstreamPath
+	tunnels   *tunnelServer
 	upstreams *upstreams
 	signals   *upstreamSignals
 	// requestMemory and responseMemory bound the memory for bodies.
@@ -138,6 +140,8 @@
 		startup: newStartup(), startupWait: startupWait, origins: newStreamOrigins(),
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
+	s.path, s.tunnels = newUpstreamPath(s, s.peers.transport), newTunnelServer(s)
+	s.client.Dialer, s.releases.Dialer = s.path, s.path
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.signals = newUpstreamSignals(options.Now, options.Logger, s.metrics, options.Settings.DrainTime, s.reportLeaving)
 	s.upstreams.askHealth = func(q healthQuestion) {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -12,6 +12,7 @@
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/ingress"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/tunnel"
 )
 
 // peerFlushTime is how long the last responses to other VMs may take. Long polls of other VMs may last
@@ -34,6 +35,7 @@
 	}
 	peerListener = s.guards.peers.Listener(peerListener)
 	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(ingress.InterceptCall, s.contain.interceptCall),
+		grpc.ChainStreamInterceptor(ingress.InterceptStream, s.contain.interceptStream), grpc.InitialWindowSize(tunnel.WindowBytes),
 		grpc.ConnectionTimeout(peerHandshakeTimeout), grpc.MaxHeaderListSize(maxPeerHeaderBytes), grpc.MaxConcurrentStreams(maxPeerCalls))...)
 	hoistv1.RegisterFleetServer(peerServer, fleetServer{s: s})
 	s.guards.run(ctx)
