--- a/internal/edge/upstreampath_test.go
+++ b/internal/edge/upstreampath_test.go
@@ -10,11 +10,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -297,6 +299,60 @@
 	}
 }
 
+// silentCarrier opens tunnels, and then neither sends anything nor answers pings, like a VM that hangs.
+type silentCarrier struct {
+	hoistv1.UnimplementedFleetServer
+}
+
+// Tunnel implements hoistv1.FleetServer.
+func (silentCarrier) Tunnel(stream hoistv1.Fleet_TunnelServer) error {
+	if err := stream.Send(&hoistv1.TunnelResponse{}); err != nil {
+		return err
+	}
+	<-stream.Context().Done()
+	return nil
+}
+
+// Ping implements hoistv1.FleetServer.
+func (silentCarrier) Ping(ctx context.Context, _ *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestCarrierHangs guards against requests that wait until their deadlines for a VM that hangs, and against
+// further connections through it.
+func TestCarrierHangs(t *testing.T) {
+	f := startPartitionedFleet(t, 2, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publishOne(catalog.Idempotent, nil, catalogUpstreams("p", u)...)
+	path := f.servers[0].path
+	listener, err := path.peers.transport.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(path.peers.transport.ServerOptions()...)
+	hoistv1.RegisterFleetServer(server, silentCarrier{})
+	go func() { _ = server.Serve(listener) }() // Ends with Stop.
+	t.Cleanup(server.Stop)
+
+	through, ok := path.selectCarrier(nil)
+	if !ok {
+		t.Fatal("no VM was chosen")
+	}
+	through.Address = listener.Addr().String()
+	conn, err := path.open(t.Context(), through, path.upstreamAt(u.address()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %d bytes, error %v", n, err)
+	}
+	await(t, "the VM is passed over", func() bool {
+		_, ok := path.selectCarrier(nil)
+		return !ok
+	})
+}
+
 // TestErrorsThroughTunnel guards against an upstream that counts as sound, or as silent, although it refused
 // a connection that another VM attempted; and against blaming the VM for it.
 func TestErrorsThroughTunnel(t *testing.T) {
