Pass over busy VMs for at most 4 s, and do not blame those without time

Only a VM of an older version is passed over for 30 s. Two VMs that time out at a silent upstream leave 0.1 s for the third, which was then passed over as if it had failed; an attempt that ends with the whole dial now blames no VM (TestErrorsThroughTunnel).

--- a/internal/edge/upstreampath_test.go
+++ b/internal/edge/upstreampath_test.go
@@ -370,6 +370,15 @@
 	if _, ok := f.servers[0].path.selectCarrier(nil); !ok {
 		t.Error("the VM that could not reach a dead upstream is passed over")
 	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	through, _ := f.servers[0].path.selectCarrier(nil)
+	if got := (&tunnelDial{path: f.servers[0].path}).recordError(ended, through, errors.New("no answer yet")); got != "cancelled" {
+		t.Errorf("outcome %s of a dial that has ended", got)
+	}
+	if _, ok := f.servers[0].path.selectCarrier(nil); !ok {
+		t.Error("a VM that had no time to answer is passed over")
+	}
 	for refusal, isTimeout := range map[tunnel.Refusal]bool{tunnel.TimedOut: true, tunnel.Failed: false} {
 		if err := upstreamError(refusal, fleet.Entry{}); outbound.IsTimeout(err) != isTimeout || outbound.IsRefused(err) {
 			t.Errorf("%s: error %v", refusal, err)
--- a/pkg/carrier/selector.go
+++ b/pkg/carrier/selector.go
@@ -24,9 +24,11 @@
 	// defaultCapacity stands for the capacity of a VM that does not state it, in thousandths of a core.
 	defaultCapacity = 1000
 	// initialBackoff is how long a VM is passed over after a failure. It doubles with each further failure
-	// up to maxBackoff.
+	// up to maxBackoff, which is short since a busy VM soon has room again.
 	initialBackoff = time.Second
-	maxBackoff     = 30 * time.Second
+	maxBackoff     = 4 * time.Second
+	// unsupportedBackoff is how long a VM is passed over whose version carries no connections.
+	unsupportedBackoff = 30 * time.Second
 	// failureMemory is how long after the end of a backoff the next failure still doubles it.
 	failureMemory = 10 * time.Second
 )
@@ -142,10 +144,10 @@
 	known.retryAt = now.Add(known.backoff)
 }
 
-// RecordUnsupported begins the longest backoff of a VM whose version carries no connections.
+// RecordUnsupported begins the backoff of a VM whose version carries no connections.
 func (s *Selector) RecordUnsupported(now clock.Instant, name string) {
 	known := s.vm(name)
-	known.backoff, known.retryAt = maxBackoff, now.Add(maxBackoff)
+	known.backoff, known.retryAt = initialBackoff, now.Add(unsupportedBackoff)
 }
 
 func (s *Selector) vm(name string) *vm {
--- a/pkg/carrier/selector_test.go
+++ b/pkg/carrier/selector_test.go
@@ -188,7 +188,7 @@
 			now = now.Add(100 * time.Millisecond)
 		}
 	}
-	for _, want := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+	for _, want := range []time.Duration{1, 2, 4, 4} {
 		s.RecordFailure(now, "vm-1")
 		s.RecordFailure(now, "vm-1")
 		if got := passedOver(); got != want*time.Second {
@@ -205,7 +205,7 @@
 		t.Errorf("%d VMs are remembered long after the last failure", len(s.vms))
 	}
 	s.RecordUnsupported(now, "vm-1")
-	if got := passedOver(); got != maxBackoff {
+	if got := passedOver(); got != unsupportedBackoff {
 		t.Errorf("a VM of an older version is passed over for %s", got)
 	}
 }
