--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -69,6 +69,8 @@
 	follower  *follower
 	gossip    *gossip
 	peers     *peers
+	path      *upstreamPath
+	tunnels   *tunnelServer
 	upstreams *upstreams
 	signals   *upstreamSignals
 	// requestMemory and responseMemory bound the memory for bodies.
@@ -140,6 +142,8 @@
 		startup: newStartup(), startupWait: startupWait, origins: newStreamOrigins(),
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
+	s.path, s.tunnels = newUpstreamPath(s, s.peers.transport), newTunnelServer(s)
+	s.client.Dialer, s.releases.Dialer = s.path, s.path
 	s.upstreams = newUpstreams(options.Now, s.isZoneSuspect)
 	s.signals = newUpstreamSignals(options.Now, options.Logger, s.metrics, options.Settings.DrainTime, s.reportLeaving)
 	s.upstreams.askHealth = func(q healthQuestion) {
@@ -148,6 +152,7 @@
 	s.parts = newPartGuard(options.Now, options.Logger, s.sendClears)
 	s.contain = &containment{logger: options.Logger, metrics: s.metrics}
 	s.partition = newPartitionMonitor(s)
+	s.path.partition = s.partition
 	s.client.Observer, s.releases.Observer = s.partition, s.partition
 	s.requestMemory, s.responseMemory = newRequestMemory(s.settings.memoryBytes()), newResponseMemory(s.settings.memoryBytes())
 	s.guards = newGuards(s)
