Tests: wait for the port of a VM before it starts again

Server.Run returns before the goroutine of the membership has closed its socket, so that a test that starts all VMs again at their addresses failed with "listen udp4 127.240.2.2:10004: bind: address already in use": on, beside load, 5 of 6 runs of three such tests in two processes, and 1 of 6 of TestStreamsOutliveRestartOfAllVMs alone. What the tests assert is unchanged.

--- a/internal/edge/cacheorigin_test.go
+++ b/internal/edge/cacheorigin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,8 +21,14 @@
 		settings = append(settings, s.settings)
 		f.stops[i]()
 	}
-	for _, done := range f.done {
+	for i, done := range f.done {
 		<-done
+		// The port for membership is released shortly after the VM has ended.
+		address := joinHostPort(settings[i].IP, testGossipPort)
+		await(f.t, "released port "+address, func() bool {
+			conn, err := net.ListenPacket("udp4", address)
+			return err == nil && conn.Close() == nil
+		})
 	}
 	f.servers, f.sources, f.stops, f.done = nil, nil, nil, nil
 	for _, s := range settings {
