--- a/internal/responsehead/await_test.go
+++ b/internal/responsehead/await_test.go
@@ -10,8 +10,8 @@
 )
 
 // FuzzHead guards against a panic on a malformed response head, against a head whose end is found at
-// another place than the parsers find it, since the rest would then be read as the body, and against a
-// status that a parser reads otherwise.
+// another place than the parsers find it, since the rest would then be read as the body, against a
+// status that a parser reads otherwise, and against a head that counts as complete although it is cut.
 func FuzzHead(f *testing.F) {
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\nA: b\n\nok", "\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
@@ -31,6 +31,11 @@
 				}
 			}
 		}
+		for n := range end {
+			if err := AwaitFinal(bufio.NewReader(bytes.NewReader(data[:n]))); err == nil {
+				t.Fatalf("%q counts as a head, which is cut after %d of %d bytes", data[:n], n, end)
+			}
+		}
 		source := bytes.NewReader(data)
 		reader := bufio.NewReader(source)
 		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
