--- a/internal/edge/confirmorigin.go
+++ b/internal/edge/confirmorigin.go
@@ -36,7 +36,7 @@
 func (f *follower) awaitCurrent(ctx context.Context, at clock.Instant) clock.Instant {
 	for {
 		f.mu.Lock()
-		currentAt, refreshed := f.replica.FreshAt(), f.refreshed
+		currentAt, refreshed := f.state.FreshAt(), f.refreshed
 		f.mu.Unlock()
 		if currentAt >= at {
 			return currentAt
