--- a/internal/edge/cacheorigin_test.go
+++ b/internal/edge/cacheorigin_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,8 +22,14 @@
 		settings = append(settings, s.settings)
 		f.stops[i]()
 	}
-	for _, done := range f.done {
+	for i, done := range f.done {
 		<-done
+		// The port for membership is released shortly after the VM has ended.
+		address := joinHostPort(settings[i].IP, testGossipPort)
+		await(f.t, "released port "+address, func() bool {
+			conn, err := net.ListenPacket("udp4", address)
+			return err == nil && conn.Close() == nil
+		})
 	}
 	f.servers, f.sources, f.stops, f.done = nil, nil, nil, nil
 	for _, s := range settings {
@@ -62,13 +70,18 @@
 
 func (v *versionedStreams) resumePrompt(vm int, id string) (status int, versions []string) {
 	v.t.Helper()
-	response, body, err := v.fleet.send(vm, "resumed "+id, "/once/", map[string]string{"Last-Event": "2", "Resumed": id, "Prompt": "shared own-" + id})
+	response, body, err := v.sendResumed(vm, id)
 	if err != nil {
 		v.t.Fatalf("resumed stream %s: %v", id, err)
 	}
 	return response.StatusCode, versionsOf(body)
 }
 
+// sendResumed resumes a stream that began with a prompt of its own.
+func (v *versionedStreams) sendResumed(vm int, id string) (*http.Response, string, error) {
+	return v.fleet.send(vm, "resumed "+id, "/once/", map[string]string{"Last-Event": "2", "Resumed": id, "Prompt": "shared own-" + id})
+}
+
 // TestStreamsOutliveRestartOfAllVMs guards against streams that cannot be resumed, or are joined from two
 // software versions, after all VMs have lost their records: the caches of the engines tell who began them.
 func TestStreamsOutliveRestartOfAllVMs(t *testing.T) {
@@ -84,14 +97,19 @@
 		t.Fatalf("streams by version: %v, expected both", counts)
 	}
 	v.fleet.restart()
+	var resumed sync.WaitGroup
 	i := 0
 	for id, version := range begun {
-		status, versions := v.resumePrompt(i%3, id)
-		if status != http.StatusOK || len(versions) != 2 || versions[0] != version {
-			t.Errorf("status %d with events of %v after events of %s", status, versions, version)
-		}
+		vm := i % 3
+		resumed.Go(func() {
+			response, body, err := v.sendResumed(vm, id)
+			if err != nil || response.StatusCode != http.StatusOK || len(versionsOf(body)) != 2 || versionsOf(body)[0] != version {
+				t.Errorf("events of %v after events of %s, error %v", versionsOf(body), version, err)
+			}
+		})
 		i++
 	}
+	resumed.Wait()
 	queries := 0
 	for _, u := range v.servers {
 		u.mu.Lock()
