Do not blame engines at their owner while the VM may be partitioned

Callers of all VMs waited for engines that were sound: the owner avoided them for up to 3 s of the 3 s that the test watches.

Cause: the attempt outcomes not_sent and broken went to the owner of the engine as Unreachable at once, also from a VM that was partitioned from all upstreams, and the owner backs off for all VMs.

Unreachable is now held back until the partition detector's verdict, like crashes: it goes out if the upstream is at fault, and as Aborted if this VM is or may be partitioned. The wait is bounded by verdictTimeout and maxSuspectedFailures; without a verdict and without a suspicion Unreachable is reported after 1 s.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -70,9 +70,7 @@
 func (t *transaction) attempt(upstreamLease *lease) (outcome attemptOutcome, response *bufferedResponse, detail string) {
 	defer upstreamLease.release()
 	if upstreamLease.placed != nil {
-		defer func() {
-			t.s.endPlacement(upstreamLease.placed, upstreamLease.outcome(placementResults[outcome]), upstreamLease.cold)
-		}()
+		defer func() { t.s.reportOutcome(upstreamLease, outcome) }()
 	}
 	t.upstream = upstreamLease.entry.ID
 	ctx, cancel := context.WithCancel(t.ctx)
@@ -125,7 +123,7 @@
 		return attemptBroken, "the answer belongs to request " + info.RequestID, true
 	case info.Misdirected:
 		delete(t.tried, upstreamLease.entry.ID)
-		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
+		upstreamLease.recordUnreachable()
 		return attemptNotSent, "another upstream has the address", true
 	case info.InputsMissing:
 		return attemptInputsMissing, "results of the stages are gone", true
@@ -175,7 +173,7 @@
 	if errors.Is(err, errWithheld) {
 		return attemptWithheld, nil, err.Error()
 	}
-	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
+	upstreamLease.recordUnreachable()
 	if errors.Is(err, outbound.ErrNotSent) {
 		if outbound.IsRefused(err) {
 			upstreamLease.recordLost()
--- a/internal/edge/crashsuspicion.go
+++ b/internal/edge/crashsuspicion.go
@@ -11,48 +11,38 @@
 )
 
 const (
-	// crashVerdictTimeout bounds the time until it is known whether an upstream crashed or this VM is
-	// partitioned from all. Without a verdict nothing is reported.
-	crashVerdictTimeout = time.Second
+	// verdictTimeout bounds the time until it is known whether an upstream failed or this VM is partitioned
+	// from all. Without a verdict no crash is reported.
+	verdictTimeout = time.Second
 	// crashVerdictWait is how long the request that an upstream broke off waits for the verdict, so that its
 	// next attempt is refused if it crashes upstreams. Probes are answered within some milliseconds.
 	crashVerdictWait = 50 * time.Millisecond
-	// maxCrashSuspicions bounds the suspicions without a verdict. A crash breaks all requests of an upstream.
-	maxCrashSuspicions = 1024
+	// maxSuspectedFailures bounds the failures without a verdict. A crash breaks all requests of an upstream.
+	maxSuspectedFailures = 1024
 )
 
-// crashSuspicion is an upstream that broke a connection and accepts no new one.
-type crashSuspicion struct {
+// suspectedFailure is a failure of an upstream, or of the network of this VM.
+type suspectedFailure struct {
 	failedAt clock.Instant
-	upstream string
-	// record records the crash.
-	record  func()
-	verdict partition.Verdict
-	logger  *zap.Logger
-	done    chan struct{}
+	verdict  partition.Verdict
+	// end is called once with the verdict, without the lock of the monitor.
+	end func(partition.Verdict)
 }
 
-// end records the crash if the upstream itself has failed.
-func (c *crashSuspicion) end() {
-	defer close(c.done)
-	if c.verdict == partition.AtUpstream {
-		c.record()
-		return
-	}
-	c.logger.Info("broken connection not taken for a crash", zap.String("upstream", c.upstream), zap.Bool("partitioned", c.verdict == partition.AtNetwork))
-}
-
-// suspectCrash records a crash once it is known that the upstream itself has failed, not the network of this VM.
-// It waits for that for a short time.
+// suspectCrash records a crash of an upstream that broke a connection and accepts no new one, once it is known
+// that the upstream itself has failed, not the network of this VM. It waits for that for a short time.
 func (m *partitionMonitor) suspectCrash(upstream, address string, record func()) {
-	crash := &crashSuspicion{upstream: upstream, record: record, logger: m.logger, done: make(chan struct{})}
-	accepted := false
-	m.step(func(d *partition.Detector, now clock.Instant) {
-		d.RecordCrashProbe(now, address)
-		if accepted = len(m.crashes) < maxCrashSuspicions; accepted {
-			crash.failedAt = now
-			m.crashes = append(m.crashes, crash)
+	done := make(chan struct{})
+	end := func(verdict partition.Verdict) {
+		defer close(done)
+		if verdict == partition.AtUpstream {
+			record()
+			return
 		}
+		m.logger.Info("broken connection not taken for a crash", zap.String("upstream", upstream), zap.Bool("partitioned", verdict == partition.AtNetwork))
+	}
+	accepted := m.awaitVerdict(&suspectedFailure{failedAt: m.now(), end: end}, func(d *partition.Detector, now clock.Instant) {
+		d.RecordCrashProbe(now, address)
 	})
 	if !accepted {
 		return
@@ -60,20 +50,33 @@
 	timer := time.NewTimer(crashVerdictWait)
 	defer timer.Stop()
 	select {
-	case <-crash.done:
+	case <-done:
 	case <-timer.C:
 	}
 }
 
-// decidedCrashes removes and returns the suspicions with a verdict, and those that are too old for one. The
+// awaitVerdict records something, and calls the end of the failure once there is a verdict or after a timeout. It
+// returns false, and does not call it, if too many failures are without a verdict.
+func (m *partitionMonitor) awaitVerdict(failure *suspectedFailure, record func(*partition.Detector, clock.Instant)) bool {
+	accepted := false
+	m.step(func(d *partition.Detector, now clock.Instant) {
+		record(d, now)
+		if accepted = len(m.suspected) < maxSuspectedFailures; accepted {
+			m.suspected = append(m.suspected, failure)
+		}
+	})
+	return accepted
+}
+
+// decidedFailures removes and returns the failures with a verdict, and those that are too old for one. The
 // caller holds the lock.
-func (m *partitionMonitor) decidedCrashes(now clock.Instant) []*crashSuspicion {
-	var decided []*crashSuspicion
-	m.crashes = slices.DeleteFunc(m.crashes, func(c *crashSuspicion) bool {
-		c.verdict = m.detector.Verdict(c.failedAt)
-		isDecided := c.verdict != partition.Unknown || now.Sub(c.failedAt) >= crashVerdictTimeout
+func (m *partitionMonitor) decidedFailures(now clock.Instant) []*suspectedFailure {
+	var decided []*suspectedFailure
+	m.suspected = slices.DeleteFunc(m.suspected, func(f *suspectedFailure) bool {
+		f.verdict = m.detector.Verdict(f.failedAt)
+		isDecided := f.verdict != partition.Unknown || now.Sub(f.failedAt) >= verdictTimeout
 		if isDecided {
-			decided = append(decided, c)
+			decided = append(decided, f)
 		}
 		return isDecided
 	})
--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -48,7 +48,7 @@
 	lastTraffic partition.Traffic
 	targetsView *View
 	targetsAt   clock.Instant
-	crashes     []*crashSuspicion
+	suspected   []*suspectedFailure
 }
 
 func newPartitionMonitor(s *Server) *partitionMonitor {
@@ -129,7 +129,7 @@
 type decisions struct {
 	probes  []partition.Probe
 	changes []partition.Change
-	crashes []*crashSuspicion
+	failures []*suspectedFailure
 	// isChange is set if this VM has become partitioned, or is no more.
 	isChange bool
 }
@@ -146,8 +146,8 @@
 		default: // applyChanges has not seen the previous change yet, and will apply the latest state.
 		}
 	}
-	for _, crash := range decided.crashes {
-		crash.end()
+	for _, failure := range decided.failures {
+		failure.end(failure.verdict)
 	}
 	for _, probe := range decided.probes {
 		go m.contain.run("partition probe", func() { m.sendProbe(probe) })
@@ -160,7 +160,7 @@
 	now := m.now()
 	m.updateTargets(now)
 	record(m.detector, now)
-	decided := decisions{probes: m.detector.Tick(now, m.lastTraffic), changes: m.detector.TakeChanges(), crashes: m.decidedCrashes(now)}
+	decided := decisions{probes: m.detector.Tick(now, m.lastTraffic), changes: m.detector.TakeChanges(), failures: m.decidedFailures(now)}
 	partitioned := m.detector.State() == partition.Partitioned
 	decided.isChange = m.partitioned.Swap(partitioned) != partitioned
 	return decided
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -77,7 +77,7 @@
 	if t.ctx.Err() != nil {
 		return attemptAborted, nil, err.Error()
 	}
-	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
+	upstreamLease.recordUnreachable()
 	t.s.checkForCrash(t, upstreamLease.entry)
 	return attemptBroken, nil, err.Error()
 }
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -109,6 +109,10 @@
 	events     int
 	// cold is the remaining cold start that the upstream stated.
 	cold time.Duration
+	// failedAt is when the connection to the upstream failed; 0 if it did not.
+	failedAt clock.Instant
+	// hasResponded is set if a response came from the address of the upstream.
+	hasResponded bool
 }
 
 // acquire chooses an upstream in service for a request, and counts the request as in flight.
@@ -250,6 +254,14 @@
 	return o
 }
 
+// recordUnreachable records that a connection to the leased upstream failed.
+func (l *lease) recordUnreachable() {
+	l.update(func(now clock.Instant, u *placement.Upstream) {
+		l.failedAt = now
+		u.RecordUnreachable(now)
+	})
+}
+
 // recordTimeout records that a connection to the leased upstream timed out.
 func (l *lease) recordTimeout() {
 	l.update(func(now clock.Instant, u *placement.Upstream) { l.upstreams.zones.RecordTimeout(now, u.Zone, u.ID) })
@@ -257,6 +269,7 @@
 
 // recordResponse records that the leased upstream responded.
 func (l *lease) recordResponse() {
+	l.hasResponded = true
 	l.update(func(_ clock.Instant, u *placement.Upstream) { l.upstreams.zones.RecordResponse(u.Zone) })
 }
 
