Do not blame upstreams for broken tunnels

A partitioned VM avoided sound upstreams, or all of them, after the VM that carried its connections was busy, did not answer in time or was lost.

Cause: an attempt recorded each failed or broken connection as a failure of the upstream, with a check for a crash.

Errors of a connection that are not those of the server are marked with outbound.ErrPathFailed: those of carriers when a connection is opened, and those of tunnels whose stream did not end with the status that the carrier gives to a broken upstream. Such an error records no backoff, no crash, no timeout of the zone and no unreachable engine. Whether a request may have run, and whether it may be sent again, does not change. A write to a tunnel that has ended waits for the status of the stream, which tells the two apart.

Calls of stages still count such errors as failures of their upstreams. Their owner hands its pools over when it is partitioned.

TestBrokenTunnelBlamesNoUpstream failed before (the upstream was in backoff) and passes.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -173,22 +173,25 @@
 	if errors.Is(err, errWithheld) {
 		return attemptWithheld, nil, err.Error()
 	}
-	upstreamLease.recordUnreachable()
 	if errors.Is(err, outbound.ErrNotSent) {
-		if outbound.IsRefused(err) {
-			upstreamLease.recordLost()
-		}
-		if outbound.IsTimeout(err) {
-			upstreamLease.recordTimeout()
-		}
+		upstreamLease.recordUnsent(err)
 		return attemptNotSent, nil, err.Error()
 	}
 	t.tried[upstreamLease.entry.ID] = true
 	t.mayHaveRun = true
-	t.s.checkForCrash(t, upstreamLease.entry)
+	t.recordBroken(upstreamLease, err)
 	return attemptBroken, nil, err.Error()
 }
 
+// recordBroken records that the connection to the upstream broke while it may have run the request.
+func (t *transaction) recordBroken(upstreamLease *lease, err error) {
+	if upstreamLease.recordPathFailure(err) {
+		return
+	}
+	upstreamLease.recordUnreachable()
+	t.s.checkForCrash(t, upstreamLease.entry)
+}
+
 // beforeSend returns the check whether the request may still be sent to the chosen upstream.
 func (t *transaction) beforeSend(entry *registry.Entry) func() error {
 	checkSignals := t.s.signals.beforeSend(entry, "request_send")
--- a/internal/edge/engineoutcome.go
+++ b/internal/edge/engineoutcome.go
@@ -10,6 +10,9 @@
 // reported once it is known that this VM is not partitioned, since the owner avoids the engine for all VMs.
 func (s *Server) reportOutcome(l *lease, end attemptOutcome) {
 	placed, outcome, cold := l.placed, l.outcome(placementResults[end]), l.cold
+	if l.pathFailed {
+		outcome.Result = enginepool.Aborted
+	}
 	if outcome.Result != enginepool.Unreachable {
 		s.endPlacement(placed, outcome, cold)
 		return
--- a/internal/edge/response.go
+++ b/internal/edge/response.go
@@ -37,6 +37,9 @@
 			t.s.metrics.bodiesRevoked.Inc()
 			return attemptBroken, nil, err.Error()
 		}
+		if upstreamLease.recordPathFailure(err) {
+			return attemptBroken, nil, err.Error()
+		}
 		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordError(now) })
 		t.s.checkForCrash(t, upstreamLease.entry)
 		return attemptBroken, nil, err.Error()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -77,8 +77,7 @@
 	if t.ctx.Err() != nil {
 		return attemptAborted, nil, err.Error()
 	}
-	upstreamLease.recordUnreachable()
-	t.s.checkForCrash(t, upstreamLease.entry)
+	t.recordBroken(upstreamLease, err)
 	return attemptBroken, nil, err.Error()
 }
 
--- a/internal/edge/tunneldial.go
+++ b/internal/edge/tunneldial.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/tunnel"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/carrier"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
@@ -30,12 +31,13 @@
 	carrierErr  error
 }
 
-// err returns the error of the dial. It is that of the upstream if a VM tried to connect to it.
+// err returns the error of the dial. It is that of the upstream if a VM tried to connect to it, and says nothing
+// about the upstream otherwise.
 func (d *tunnelDial) err() error {
 	if d.upstreamErr != nil {
 		return d.upstreamErr
 	}
-	return d.carrierErr
+	return errors.Mark(d.carrierErr, outbound.ErrPathFailed)
 }
 
 // attempt opens the connection through one VM. It returns nil if that failed.
--- a/internal/edge/upstreampath.go
+++ b/internal/edge/upstreampath.go
@@ -8,8 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -99,7 +97,7 @@
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, err
+		return nil, errors.Mark(err, outbound.ErrPathFailed)
 	}
 	if len(d.tried) == 0 {
 		p.metrics.opened.WithLabelValues("no_carrier").Inc()
@@ -172,8 +170,7 @@
 	if err == nil {
 		return
 	}
-	if status.Code(err) != codes.Aborted {
-		// The VM did not end the stream itself.
+	if !tunnel.IsUpstreamEnd(err) {
 		p.recordFailure(through.Name)
 	}
 	p.s.logger.Warn("tunnel broke", zap.String("upstream", entry.ID), zap.String("carrier", through.Name), obs.ErrorField(err))
--- a/internal/edge/upstreams.go
+++ b/internal/edge/upstreams.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/enginepool"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/placement"
@@ -113,6 +116,8 @@
 	failedAt clock.Instant
 	// hasResponded is set if a response came from the address of the upstream.
 	hasResponded bool
+	// pathFailed is set if the connection failed on its way, which is no failure of the upstream.
+	pathFailed bool
 }
 
 // acquire chooses an upstream in service for a request, and counts the request as in flight.
@@ -254,6 +259,27 @@
 	return o
 }
 
+// recordPathFailure reports whether the error is that of the path to the upstream, and records that for the owner
+// of the engine.
+func (l *lease) recordPathFailure(err error) bool {
+	l.pathFailed = errors.Is(err, outbound.ErrPathFailed)
+	return l.pathFailed
+}
+
+// recordUnsent records an error because of which nothing was sent to the leased upstream.
+func (l *lease) recordUnsent(err error) {
+	if l.recordPathFailure(err) {
+		return
+	}
+	l.recordUnreachable()
+	if outbound.IsRefused(err) {
+		l.recordLost()
+	}
+	if outbound.IsTimeout(err) {
+		l.recordTimeout()
+	}
+}
+
 // recordUnreachable records that a connection to the leased upstream failed.
 func (l *lease) recordUnreachable() {
 	l.update(func(now clock.Instant, u *placement.Upstream) {
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -54,6 +54,10 @@
 // ErrNotSent marks the error of a request of which no byte was sent.
 var ErrNotSent = errors.New("the request was not sent")
 
+// ErrPathFailed marks the error of a connection that failed on its way, which says nothing about the server at its
+// end. Only a Dialer opens such connections.
+var ErrPathFailed = errors.New("the path to the server failed")
+
 // IsTimeout reports whether the error is a timeout of the network, such as an address that does not
 // respond at all.
 func IsTimeout(err error) bool {
--- a/internal/outbound/dialer.go
+++ b/internal/outbound/dialer.go
@@ -11,7 +11,8 @@
 	// that were opened in the other way are not reused. It must not call the Client.
 	IsDirect(address string) bool
 	// Dial opens a connection to an address that is not direct. A connection that is neither a TCP
-	// connection nor an IdleConn is not reused.
+	// connection nor an IdleConn is not reused. Errors of Dial and of the connection that are not those of the
+	// server are marked with ErrPathFailed.
 	Dial(ctx context.Context, address string) (net.Conn, error)
 }
 
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -10,15 +10,19 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 )
 
 // Conn is a connection to an upstream through another VM. Reads and writes may run concurrently with each
 // other and with Close.
 //
 // Read returns io.EOF only after an orderly end of the connection to the upstream. All other ends are
-// reported as syscall.ECONNRESET.
+// reported as syscall.ECONNRESET. Errors of Read and Write are marked with outbound.ErrPathFailed if the connection
+// to the carrying VM was lost, not that to the upstream.
 type Conn struct {
 	stream  hoistv1.Fleet_TunnelClient
 	cancel  context.CancelFunc
@@ -132,9 +136,17 @@
 	if errors.Is(err, io.EOF) {
 		return io.EOF
 	}
-	return errors.Wrapf(syscall.ECONNRESET, "tunnel: %v", err)
+	reset := errors.Wrapf(syscall.ECONNRESET, "tunnel: %v", err)
+	if !IsUpstreamEnd(err) {
+		return errors.Mark(reset, outbound.ErrPathFailed)
+	}
+	return reset
 }
 
+// IsUpstreamEnd reports whether an error of Receive says that the connection to the upstream broke. Otherwise the
+// carrying VM, or the connection to it, was lost.
+func IsUpstreamEnd(err error) bool { return status.Code(err) == codes.Aborted }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -181,6 +193,9 @@
 	err := c.stream.Send(&hoistv1.TunnelRequest{Data: chunk})
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, io.EOF) {
+		c.awaitEnd()
+	}
 	c.writing = false
 	switch {
 	case err == nil:
@@ -190,7 +205,24 @@
 	case c.closed:
 		return net.ErrClosed
 	}
-	return errors.Wrapf(syscall.EPIPE, "tunnel: %v", err)
+	return c.writeErr(err)
+}
+
+// awaitEnd waits after a failed send until Receive has the status of the stream, which Send does not return. It
+// does not wait for data that was not read yet. The caller holds the lock.
+func (c *Conn) awaitEnd() {
+	for c.endErr == nil && !c.closed && len(c.unread) == 0 {
+		c.changed.Wait()
+	}
+}
+
+// writeErr returns the error of a write to a connection that has ended. The caller holds the lock.
+func (c *Conn) writeErr(err error) error {
+	broken := errors.Wrapf(syscall.EPIPE, "tunnel: %v", err)
+	if errors.Is(c.endErr, outbound.ErrPathFailed) {
+		return errors.Mark(broken, outbound.ErrPathFailed)
+	}
+	return broken
 }
 
 // beginSend returns an error if nothing can be sent any more.
@@ -203,7 +235,7 @@
 	case c.write.passed:
 		return os.ErrDeadlineExceeded
 	case c.endErr != nil:
-		return errors.Wrap(syscall.EPIPE, "tunnel: the connection has ended")
+		return c.writeErr(c.endErr)
 	}
 	c.writing = true
 	return nil
