Open connections directly only if no VM carries them

A request at a partitioned VM hung until its connection timed out, and its sound upstream was then avoided, if all VMs that could carry its connection had been busy or failed a short time before.

Cause: Selector.Select returns none while all VMs are in backoff, and the connection was then opened directly, which a VM that knows that it is cut off should not try.

The connection now fails at once in that case, as one that failed on its way: the request was not sent. It is opened directly only if all VMs in reach are partitioned, leaving or of a version that carries no connections. Attempts of this kind are counted as in_backoff.

--- a/internal/edge/pathfailure_test.go
+++ b/internal/edge/pathfailure_test.go
@@ -39,3 +39,22 @@
 		t.Error("the upstream is in backoff since the connection to the carrier broke")
 	}
 }
+
+// TestBusyCarriersBlameNoUpstream guards against sound upstreams that are avoided since no VM could carry a
+// connection to them.
+func TestBusyCarriersBlameNoUpstream(t *testing.T) {
+	f := startPartitionedFleet(t, 2, nil)
+	f.servers[1].tunnels.limit = -1
+	u := f.newUpstream("u", nil)
+	f.publishOne(catalog.Idempotent, nil, catalogUpstreams("p", u)...)
+	response, body, err := f.send(0, "r", "/x/", nil)
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v %q %v; expected status 503", response, body, err)
+	}
+	s := f.servers[0]
+	s.upstreams.mu.Lock()
+	defer s.upstreams.mu.Unlock()
+	if state := s.upstreams.states["u"]; state != nil && state.InBackoff(s.now()) {
+		t.Error("the upstream is in backoff since the other VM was busy")
+	}
+}
--- a/internal/edge/upstreampath.go
+++ b/internal/edge/upstreampath.go
@@ -31,6 +31,9 @@
 	maxCarrierAttempts = 3
 )
 
+// errCarriersInBackoff reports a connection that no VM was asked for, since all have failed a short time before.
+var errCarriersInBackoff = errors.Mark(errors.New("all VMs that carry connections are in backoff"), outbound.ErrPathFailed)
+
 // partitionState says whether this VM is partitioned from all upstreams.
 type partitionState interface{ isPartitioned() bool }
 
@@ -77,8 +80,8 @@
 	return view.ByAddress[address]
 }
 
-// Dial implements outbound.Dialer. It opens a connection through another VM, or a direct one if there is no
-// VM that could carry it.
+// Dial implements outbound.Dialer. It opens a connection through another VM, or a direct one if no VM in reach
+// carries connections. It fails at once while all those that do are in backoff.
 func (p *upstreamPath) Dial(ctx context.Context, address string) (net.Conn, error) {
 	entry := p.upstreamAt(address)
 	if entry == nil {
@@ -99,11 +102,23 @@
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Mark(err, outbound.ErrPathFailed)
 	}
-	if len(d.tried) == 0 {
-		p.metrics.opened.WithLabelValues("no_carrier").Inc()
-		return p.s.client.DialDirect(ctx, address)
+	if len(d.tried) > 0 {
+		return nil, d.err()
 	}
-	return nil, d.err()
+	if p.hasCarrier() {
+		p.metrics.opened.WithLabelValues("in_backoff").Inc()
+		return nil, errCarriersInBackoff
+	}
+	p.metrics.opened.WithLabelValues("no_carrier").Inc()
+	return p.s.client.DialDirect(ctx, address)
+}
+
+// hasCarrier reports whether some VM carries connections, at present or after its backoff.
+func (p *upstreamPath) hasCarrier() bool {
+	candidates := p.s.gossip.reachable()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.HasCarrier(p.s.now(), candidates)
 }
 
 // selectCarrier selects a VM and counts a connection through it, which open ends.
--- a/pkg/carrier/selector.go
+++ b/pkg/carrier/selector.go
@@ -40,6 +40,8 @@
 	// backoff is the length of the last backoff, which ends at retryAt; 0 if there was no failure.
 	backoff time.Duration
 	retryAt clock.Instant
+	// unsupported is set if the backoff is that of a VM whose version carries no connections.
+	unsupported bool
 }
 
 // Selector chooses carriers for one VM. It must not be used concurrently.
@@ -69,20 +71,34 @@
 	}), true
 }
 
+// HasCarrier reports whether some candidate may carry connections, at present or after its backoff. VMs whose
+// versions carry no connections do not count.
+func (s *Selector) HasCarrier(now clock.Instant, candidates []fleet.Entry) bool {
+	return slices.ContainsFunc(candidates, func(entry fleet.Entry) bool {
+		return s.isUsable(&entry) && !(s.isInBackoff(now, entry.Name) && s.vms[entry.Name].unsupported)
+	})
+}
+
 func (s *Selector) eligible(now clock.Instant, candidates []fleet.Entry, tried []string) []fleet.Entry {
 	var out []fleet.Entry
 	for _, entry := range candidates {
-		if entry.Name == s.self || entry.Leaving || entry.Partitioned || slices.Contains(tried, entry.Name) {
-			continue
-		}
-		if known := s.vms[entry.Name]; known != nil && now.Before(known.retryAt) {
-			continue
+		if s.isUsable(&entry) && !s.isInBackoff(now, entry.Name) && !slices.Contains(tried, entry.Name) {
+			out = append(out, entry)
 		}
-		out = append(out, entry)
 	}
 	return out
 }
 
+// isUsable reports whether a reachable VM may carry connections, apart from its backoff.
+func (s *Selector) isUsable(entry *fleet.Entry) bool {
+	return entry.Name != s.self && !entry.Leaving && !entry.Partitioned
+}
+
+func (s *Selector) isInBackoff(now clock.Instant, name string) bool {
+	known := s.vms[name]
+	return known != nil && now.Before(known.retryAt)
+}
+
 // sortByPreference puts the VMs of this VM's zone first, and orders the others by a hash that differs from
 // one partitioned VM to the next.
 func (s *Selector) sortByPreference(entries []fleet.Entry) {
@@ -130,7 +146,7 @@
 // RecordSuccess ends the backoff of a VM that opened a connection.
 func (s *Selector) RecordSuccess(name string) {
 	known := s.vm(name)
-	known.backoff, known.retryAt = 0, 0
+	known.backoff, known.retryAt, known.unsupported = 0, 0, false
 }
 
 // RecordFailure begins a backoff of a VM that could not carry a connection. Failures of connections that
@@ -141,13 +157,13 @@
 		return
 	}
 	known.backoff = min(max(2*known.backoff, initialBackoff), maxBackoff)
-	known.retryAt = now.Add(known.backoff)
+	known.retryAt, known.unsupported = now.Add(known.backoff), false
 }
 
 // RecordUnsupported begins the backoff of a VM whose version carries no connections.
 func (s *Selector) RecordUnsupported(now clock.Instant, name string) {
 	known := s.vm(name)
-	known.backoff, known.retryAt = initialBackoff, now.Add(unsupportedBackoff)
+	known.backoff, known.retryAt, known.unsupported = initialBackoff, now.Add(unsupportedBackoff), true
 }
 
 func (s *Selector) vm(name string) *vm {
--- a/pkg/carrier/selector_test.go
+++ b/pkg/carrier/selector_test.go
@@ -209,3 +209,24 @@
 		t.Errorf("a VM of an older version is passed over for %s", got)
 	}
 }
+
+// TestHasCarrier guards against a VM that opens connections directly, which hang, only since those that carry its
+// connections are in backoff; and against one that never does so although no VM carries any.
+func TestHasCarrier(t *testing.T) {
+	vms := append(newVMs(2, 1), fleet.Entry{Name: "leaving", Leaving: true}, fleet.Entry{Name: "cut", Partitioned: true})
+	s := New("vm-0", "zone-0")
+	if s.HasCarrier(testNow, slices.Delete(slices.Clone(vms), 1, 2)) {
+		t.Error("this VM, or one that is leaving or partitioned, counts as a carrier")
+	}
+	s.RecordFailure(testNow, "vm-1")
+	if _, ok := s.Select(testNow, vms, nil); ok || !s.HasCarrier(testNow, vms) {
+		t.Error("a VM in backoff is chosen, or does not count as a carrier")
+	}
+	s.RecordUnsupported(testNow, "vm-1")
+	if s.HasCarrier(testNow, vms) {
+		t.Error("a VM of an older version counts as a carrier")
+	}
+	if !s.HasCarrier(testNow.Add(unsupportedBackoff), vms) {
+		t.Error("a VM of an older version is never asked again")
+	}
+}
