Do not count a closed tunnel as a failure of its carrier

A VM that carried connections without a fault was passed over for 1 to 4 s now and then.

Cause: Conn.Close ended the stream before it marked the connection as closed, so that Receive could take the end for one by the carrier. It is marked first now.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -243,10 +243,10 @@
 
 // Close implements net.Conn. The VM that carries the connection closes that to the upstream at once.
 func (c *Conn) Close() error {
-	c.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.closed = true // Before the stream ends, so that its end does not count as a failure of the VM.
+	c.cancel()
 	c.read.stop()
 	c.write.stop()
 	c.changed.Broadcast()
