Close tunnels that open when their request has just ended

A partitioned VM kept tunnels, with their goroutines at both VMs, that nobody used, and counted them as load of the carrier for good.

Cause: upstreamPath.open could see the end of its context first although the connection was in the channel already. Its Receive then waited for a reader of the data that had arrived. The connection is now handed over without a buffer, and closed if nobody takes it.

TestLateTunnelIsClosed failed before (tunnels were still open after 20 s) and passes in 4 of 4 runs, 3 of them with the race detector.

--- a/internal/edge/pathfailure_test.go
+++ b/internal/edge/pathfailure_test.go
@@ -1,12 +1,15 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/carrier"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 )
 
@@ -40,6 +43,54 @@
 	}
 }
 
+// chattyCarrier opens tunnels and sends data at once, without a connection to an upstream.
+type chattyCarrier struct {
+	hoistv1.UnimplementedFleetServer
+}
+
+// Tunnel implements hoistv1.FleetServer.
+func (chattyCarrier) Tunnel(stream hoistv1.Fleet_TunnelServer) error {
+	for _, response := range []*hoistv1.TunnelResponse{{}, {Data: []byte("data")}} {
+		if err := stream.Send(response); err != nil {
+			return err
+		}
+	}
+	<-stream.Context().Done()
+	return nil
+}
+
+// TestLateTunnelIsClosed guards against tunnels that open when their requests have just ended, and that nobody
+// closes; and against blaming the carrier for them.
+func TestLateTunnelIsClosed(t *testing.T) {
+	f := startPartitionedFleet(t, 2, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publishOne(catalog.Idempotent, nil, catalogUpstreams("p", u)...)
+	path := f.servers[0].path
+	through := f.serveCarrier(t, chattyCarrier{})
+	var opening sync.WaitGroup
+	for i := range 64 {
+		opening.Go(func() {
+			for j := range 40 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(64*j+i)*10*time.Microsecond)
+				path.update(func(s *carrier.Selector) { s.Begin(through.Name) })
+				if conn, err := path.open(ctx, through, path.upstreamAt(u.address())); err == nil {
+					_ = conn.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	opening.Wait()
+	await(t, "all tunnels have ended", func() bool {
+		ended := false
+		path.update(func(s *carrier.Selector) { ended = s.Open(through.Name) == 0 })
+		return ended
+	})
+	if _, ok := path.selectCarrier(nil); !ok {
+		t.Error("the carrier is blamed for tunnels that this VM gave up")
+	}
+}
+
 // TestBusyCarriersBlameNoUpstream guards against sound upstreams that are avoided since no VM could carry a
 // connection to them.
 func TestBusyCarriersBlameNoUpstream(t *testing.T) {
--- a/internal/edge/upstreampath.go
+++ b/internal/edge/upstreampath.go
@@ -154,7 +154,7 @@
 // open opens a connection through the selected VM. The context applies to the opening alone.
 func (p *upstreamPath) open(ctx context.Context, through fleet.Entry, entry *registry.Entry) (net.Conn, error) {
 	life, end := context.WithCancel(context.Background())
-	opened, failed := make(chan *tunnel.Conn, 1), make(chan error, 1)
+	opened, failed := make(chan *tunnel.Conn), make(chan error, 1)
 	go func() {
 		defer end()
 		defer p.update(func(s *carrier.Selector) { s.End(through.Name) })
@@ -163,7 +163,11 @@
 			if err != nil {
 				return err
 			}
-			opened <- conn
+			select {
+			case opened <- conn:
+			case <-life.Done():
+				return errors.CombineErrors(life.Err(), conn.Close())
+			}
 			err = conn.Receive()
 			p.recordEnd(through, entry, err)
 			return err
--- a/internal/edge/upstreampath_test.go
+++ b/internal/edge/upstreampath_test.go
@@ -23,6 +23,7 @@
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/tunnel"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/carrier"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
@@ -319,27 +320,36 @@
 	return nil, ctx.Err()
 }
 
-// TestCarrierHangs guards against requests that wait until their deadlines for a VM that hangs, and against
-// further connections through it.
-func TestCarrierHangs(t *testing.T) {
-	f := startPartitionedFleet(t, 2, nil)
-	u := newTestUpstream(t, "u", nil)
-	f.publishOne(catalog.Idempotent, nil, catalogUpstreams("p", u)...)
+// serveCarrier starts a service in place of the VM that carries the connections of VM 0.
+func (f *partitionedFleet) serveCarrier(t *testing.T, service hoistv1.FleetServer) fleet.Entry {
+	t.Helper()
 	path := f.servers[0].path
 	listener, err := path.peers.transport.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer(path.peers.transport.ServerOptions()...)
-	hoistv1.RegisterFleetServer(server, silentCarrier{})
+	hoistv1.RegisterFleetServer(server, service)
 	go func() { _ = server.Serve(listener) }() // Ends with Stop.
 	t.Cleanup(server.Stop)
-
 	through, ok := path.selectCarrier(nil)
 	if !ok {
 		t.Fatal("no VM was chosen")
 	}
+	path.update(func(s *carrier.Selector) { s.End(through.Name) })
 	through.Address = listener.Addr().String()
+	return through
+}
+
+// TestCarrierHangs guards against requests that wait until their deadlines for a VM that hangs, and against
+// further connections through it.
+func TestCarrierHangs(t *testing.T) {
+	f := startPartitionedFleet(t, 2, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publishOne(catalog.Idempotent, nil, catalogUpstreams("p", u)...)
+	path := f.servers[0].path
+	through := f.serveCarrier(t, silentCarrier{})
+	path.update(func(s *carrier.Selector) { s.Begin(through.Name) })
 	conn, err := path.open(t.Context(), through, path.upstreamAt(u.address()))
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/carrier/selector.go
+++ b/pkg/carrier/selector.go
@@ -118,10 +118,7 @@
 
 // cost returns the load of the VM with one more connection, relative to its capacity.
 func (s *Selector) cost(entry *fleet.Entry) float64 {
-	open := 1
-	if known := s.vms[entry.Name]; known != nil {
-		open += known.open
-	}
+	open := s.Open(entry.Name) + 1
 	capacity := entry.Capacity
 	if capacity == 0 {
 		capacity = defaultCapacity
@@ -143,6 +140,14 @@
 	}
 }
 
+// Open returns the number of connections through a VM that were begun and have not ended.
+func (s *Selector) Open(name string) int {
+	if known := s.vms[name]; known != nil {
+		return known.open
+	}
+	return 0
+}
+
 // RecordSuccess ends the backoff of a VM that opened a connection.
 func (s *Selector) RecordSuccess(name string) {
 	known := s.vm(name)
