Forget failures of a partition before pools move

The new owner of a pool could take over that its upstreams are slow or busy, although the network of the VM that is partitioned was at fault, and its callers then waited or were refused.

Cause: the other VMs learned of the partition, and pools were handed over, before the failures were forgotten. The order is the other way round now.

TestFailuresAreForgottenBeforePoolsMove failed before (the failure was still known after 20 s, while the change waited to tell the other VMs) and passes in 2 of 2 runs with the race detector.

--- a/internal/edge/partitionchange.go
+++ b/internal/edge/partitionchange.go
@@ -10,18 +10,19 @@
 
 // onPartitionChange tells the other VMs whether this VM is partitioned from all upstreams. A partitioned VM
 // hands its pools over and ends their stages, which may run again at the new owner. Failures because of the
-// partition are forgotten when it is detected, and again when it is over.
+// partition are forgotten when it is detected, and again when it is over. This comes first, since the next owner of a
+// pool takes over what is known of its upstreams.
 func (s *Server) onPartitionChange(partitioned bool) {
-	s.gossip.setPartitioned(partitioned)
-	if partitioned {
-		s.client.CloseIdle()
-		s.releases.CloseIdle()
-	}
 	s.upstreams.forgetFailures()
 	runners := s.currentPoolRunners()
 	for _, runner := range runners {
 		runner.forgetFailures()
 	}
+	s.gossip.setPartitioned(partitioned)
+	if partitioned {
+		s.client.CloseIdle()
+		s.releases.CloseIdle()
+	}
 	s.updatePoolClaims()
 	if partitioned {
 		s.abandonStages(runners)
--- a/internal/edge/partitionchange_test.go
+++ b/internal/edge/partitionchange_test.go
@@ -229,6 +229,34 @@
 	}
 }
 
+// TestFailuresAreForgottenBeforePoolsMove guards against a new owner that takes over failures which were due to the
+// partition.
+func TestFailuresAreForgottenBeforePoolsMove(t *testing.T) {
+	f, _ := startPartitionableFleet(t, 2)
+	s := f.servers[0]
+	failedAt := s.now()
+	s.upstreams.mu.Lock()
+	state := s.upstreams.states["m0"]
+	state.RecordUnreachable(failedAt)
+	s.upstreams.mu.Unlock()
+	// The lock of the directory stops the change where the other VMs would learn of it.
+	s.gossip.mu.Lock()
+	changed := make(chan struct{})
+	defer func() {
+		s.gossip.mu.Unlock()
+		<-changed
+	}()
+	go func() {
+		defer close(changed)
+		s.onPartitionChange(true)
+	}()
+	await(t, "the failure is forgotten", func() bool {
+		s.upstreams.mu.Lock()
+		defer s.upstreams.mu.Unlock()
+		return !state.InBackoff(failedAt)
+	})
+}
+
 // TestProbeTargets guards against probes of upstreams that ask for no traffic, and against a query that would run
 // as a request at an upstream without a health path.
 func TestProbeTargets(t *testing.T) {
