--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -127,8 +127,8 @@
 
 // decisions are what the detector has decided.
 type decisions struct {
-	probes  []partition.Probe
-	changes []partition.Change
+	probes   []partition.Probe
+	changes  []partition.Change
 	failures []*suspectedFailure
 	// isChange is set if this VM has become partitioned, or is no more.
 	isChange bool
