Do not reuse tunnels with bytes after the response

A request on a reused tunnel could get bytes that belong to the response before it.

Cause: Conn received the next message only after the previous one was read, so that IsIdle did not know of bytes that had arrived after a response. Receive now goes on while at most maxChunkBytes are unread. Flow control still bounds the memory (TestMemoryIsBounded). Bytes that arrive while IsIdle runs can still be missed, also the tail of a response of more than maxChunkBytes that was read just before.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -31,7 +31,7 @@
 	mu sync.Mutex
 	// changed is signaled when a field below changes.
 	changed *sync.Cond
-	// unread is received data that was not read yet. The next message is received after it.
+	// unread is received data that was not read yet. While it is full no further message is received.
 	unread []byte
 	// endErr is why nothing more is received; nil while the stream is open.
 	endErr error
@@ -113,8 +113,9 @@
 	return err
 }
 
-// deliver hands data to Read and waits until it was read, so that flow control slows down the sender. It
-// returns false if nothing more is to be received.
+// deliver hands data to Read and waits while too much is unread, so that flow control slows down the sender. It
+// does not wait for the rest, so that IsIdle learns of bytes after a response. It returns false if nothing more
+// is to be received.
 func (c *Conn) deliver(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -123,14 +124,17 @@
 		c.endErr = connErr(err)
 		return false
 	}
-	c.unread = data
+	c.unread = append(c.unread, data...)
 	c.changed.Broadcast()
-	for len(c.unread) > 0 && !c.closed {
+	for c.isFull() && !c.closed {
 		c.changed.Wait()
 	}
 	return !c.closed
 }
 
+// isFull reports whether nothing is received until more was read. The caller holds the lock.
+func (c *Conn) isFull() bool { return len(c.unread) > maxChunkBytes }
+
 // connErr returns the error of the connection for the end of its stream.
 func connErr(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -165,8 +169,8 @@
 	n := copy(p, c.unread)
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
 		c.unread = nil
-		c.changed.Broadcast()
 	}
+	c.changed.Broadcast()
 	return n, nil
 }
 
@@ -209,9 +213,9 @@
 }
 
 // awaitEnd waits after a failed send until Receive has the status of the stream, which Send does not return. It
-// does not wait for data that was not read yet. The caller holds the lock.
+// does not wait for data to be read. The caller holds the lock.
 func (c *Conn) awaitEnd() {
-	for c.endErr == nil && !c.closed && len(c.unread) == 0 {
+	for c.endErr == nil && !c.closed && !c.isFull() {
 		c.changed.Wait()
 	}
 }
@@ -253,7 +257,7 @@
 	return nil
 }
 
-// IsIdle reports whether the connection is open and has no unread data.
+// IsIdle reports whether the connection is open and has no unread data. It may miss data that arrives at that moment.
 func (c *Conn) IsIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
