--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -70,9 +70,7 @@
 func (t *transaction) attempt(upstreamLease *lease) (outcome attemptOutcome, response *bufferedResponse, detail string) {
 	defer upstreamLease.release()
 	if upstreamLease.placed != nil {
-		defer func() {
-			t.s.endPlacement(upstreamLease.placed, upstreamLease.outcome(placementResults[outcome]), upstreamLease.cold)
-		}()
+		defer func() { t.s.reportOutcome(upstreamLease, outcome) }()
 	}
 	t.upstream = upstreamLease.entry.ID
 	ctx, cancel := context.WithCancel(t.ctx)
@@ -125,7 +123,7 @@
 		return attemptBroken, "the answer belongs to request " + info.RequestID, true
 	case info.Misdirected:
 		delete(t.tried, upstreamLease.entry.ID)
-		upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
+		upstreamLease.recordUnreachable()
 		return attemptNotSent, "another upstream has the address", true
 	case info.InputsMissing:
 		return attemptInputsMissing, "results of the stages are gone", true
@@ -175,22 +173,25 @@
 	if errors.Is(err, errWithheld) {
 		return attemptWithheld, nil, err.Error()
 	}
-	upstreamLease.update(func(now clock.Instant, u *placement.Upstream) { u.RecordUnreachable(now) })
 	if errors.Is(err, outbound.ErrNotSent) {
-		if outbound.IsRefused(err) {
-			upstreamLease.recordLost()
-		}
-		if outbound.IsTimeout(err) {
-			upstreamLease.recordTimeout()
-		}
+		upstreamLease.recordUnsent(err)
 		return attemptNotSent, nil, err.Error()
 	}
 	t.tried[upstreamLease.entry.ID] = true
 	t.mayHaveRun = true
-	t.s.checkForCrash(t, upstreamLease.entry)
+	t.recordBroken(upstreamLease, err)
 	return attemptBroken, nil, err.Error()
 }
 
+// recordBroken records that the connection to the upstream broke while it may have run the request.
+func (t *transaction) recordBroken(upstreamLease *lease, err error) {
+	if upstreamLease.recordPathFailure(err) {
+		return
+	}
+	upstreamLease.recordUnreachable()
+	t.s.checkForCrash(t, upstreamLease.entry)
+}
+
 // beforeSend returns the check whether the request may still be sent to the chosen upstream.
 func (t *transaction) beforeSend(entry *registry.Entry) func() error {
 	checkSignals := t.s.signals.beforeSend(entry, "request_send")
--- a/internal/edge/upstreampath.go
+++ b/internal/edge/upstreampath.go
@@ -8,8 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -33,6 +31,9 @@
 	maxCarrierAttempts = 3
 )
 
+// errCarriersInBackoff reports a connection that no VM was asked for, since all have failed a short time before.
+var errCarriersInBackoff = errors.Mark(errors.New("all VMs that carry connections are in backoff"), outbound.ErrPathFailed)
+
 // partitionState says whether this VM is partitioned from all upstreams.
 type partitionState interface{ isPartitioned() bool }
 
@@ -79,8 +80,8 @@
 	return view.ByAddress[address]
 }
 
-// Dial implements outbound.Dialer. It opens a connection through another VM, or a direct one if there is no
-// VM that could carry it.
+// Dial implements outbound.Dialer. It opens a connection through another VM, or a direct one if no VM in reach
+// carries connections. It fails at once while all those that do are in backoff.
 func (p *upstreamPath) Dial(ctx context.Context, address string) (net.Conn, error) {
 	entry := p.upstreamAt(address)
 	if entry == nil {
@@ -99,13 +100,25 @@
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, err
+		return nil, errors.Mark(err, outbound.ErrPathFailed)
 	}
-	if len(d.tried) == 0 {
-		p.metrics.opened.WithLabelValues("no_carrier").Inc()
-		return p.s.client.DialDirect(ctx, address)
+	if len(d.tried) > 0 {
+		return nil, d.err()
 	}
-	return nil, d.err()
+	if p.hasCarrier() {
+		p.metrics.opened.WithLabelValues("in_backoff").Inc()
+		return nil, errCarriersInBackoff
+	}
+	p.metrics.opened.WithLabelValues("no_carrier").Inc()
+	return p.s.client.DialDirect(ctx, address)
+}
+
+// hasCarrier reports whether some VM carries connections, at present or after its backoff.
+func (p *upstreamPath) hasCarrier() bool {
+	candidates := p.s.gossip.reachable()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.selector.HasCarrier(p.s.now(), candidates)
 }
 
 // selectCarrier selects a VM and counts a connection through it, which open ends.
@@ -141,7 +154,7 @@
 // open opens a connection through the selected VM. The context applies to the opening alone.
 func (p *upstreamPath) open(ctx context.Context, through fleet.Entry, entry *registry.Entry) (net.Conn, error) {
 	life, end := context.WithCancel(context.Background())
-	opened, failed := make(chan *tunnel.Conn, 1), make(chan error, 1)
+	opened, failed := make(chan *tunnel.Conn), make(chan error, 1)
 	go func() {
 		defer end()
 		defer p.update(func(s *carrier.Selector) { s.End(through.Name) })
@@ -150,7 +163,11 @@
 			if err != nil {
 				return err
 			}
-			opened <- conn
+			select {
+			case opened <- conn:
+			case <-life.Done():
+				return errors.CombineErrors(life.Err(), conn.Close())
+			}
 			err = conn.Receive()
 			p.recordEnd(through, entry, err)
 			return err
@@ -172,8 +189,7 @@
 	if err == nil {
 		return
 	}
-	if status.Code(err) != codes.Aborted {
-		// The VM did not end the stream itself.
+	if !tunnel.IsUpstreamEnd(err) {
 		p.recordFailure(through.Name)
 	}
 	p.s.logger.Warn("tunnel broke", zap.String("upstream", entry.ID), zap.String("carrier", through.Name), obs.ErrorField(err))
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -10,15 +10,19 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 )
 
 // Conn is a connection to an upstream through another VM. Reads and writes may run concurrently with each
 // other and with Close.
 //
 // Read returns io.EOF only after an orderly end of the connection to the upstream. All other ends are
-// reported as syscall.ECONNRESET.
+// reported as syscall.ECONNRESET. Errors of Read and Write are marked with outbound.ErrPathFailed if the connection
+// to the carrying VM was lost, not that to the upstream.
 type Conn struct {
 	stream  hoistv1.Fleet_TunnelClient
 	cancel  context.CancelFunc
@@ -27,7 +31,7 @@
 	mu sync.Mutex
 	// changed is signaled when a field below changes.
 	changed *sync.Cond
-	// unread is received data that was not read yet. The next message is received after it.
+	// unread is received data that was not read yet. While it is full no further message is received.
 	unread []byte
 	// endErr is why nothing more is received; nil while the stream is open.
 	endErr error
@@ -109,8 +113,9 @@
 	return err
 }
 
-// deliver hands data to Read and waits until it was read, so that flow control slows down the sender. It
-// returns false if nothing more is to be received.
+// deliver hands data to Read and waits while too much is unread, so that flow control slows down the sender. It
+// does not wait for the rest, so that IsIdle learns of bytes after a response. It returns false if nothing more
+// is to be received.
 func (c *Conn) deliver(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -119,22 +124,33 @@
 		c.endErr = connErr(err)
 		return false
 	}
-	c.unread = data
+	c.unread = append(c.unread, data...)
 	c.changed.Broadcast()
-	for len(c.unread) > 0 && !c.closed {
+	for c.isFull() && !c.closed {
 		c.changed.Wait()
 	}
 	return !c.closed
 }
 
+// isFull reports whether nothing is received until more was read. The caller holds the lock.
+func (c *Conn) isFull() bool { return len(c.unread) > maxChunkBytes }
+
 // connErr returns the error of the connection for the end of its stream.
 func connErr(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.EOF
 	}
-	return errors.Wrapf(syscall.ECONNRESET, "tunnel: %v", err)
+	reset := errors.Wrapf(syscall.ECONNRESET, "tunnel: %v", err)
+	if !IsUpstreamEnd(err) {
+		return errors.Mark(reset, outbound.ErrPathFailed)
+	}
+	return reset
 }
 
+// IsUpstreamEnd reports whether an error of Receive says that the connection to the upstream broke. Otherwise the
+// carrying VM, or the connection to it, was lost.
+func IsUpstreamEnd(err error) bool { return status.Code(err) == codes.Aborted }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
@@ -153,8 +169,8 @@
 	n := copy(p, c.unread)
 	if c.unread = c.unread[n:]; len(c.unread) == 0 {
 		c.unread = nil
-		c.changed.Broadcast()
 	}
+	c.changed.Broadcast()
 	return n, nil
 }
 
@@ -181,6 +197,9 @@
 	err := c.stream.Send(&hoistv1.TunnelRequest{Data: chunk})
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if errors.Is(err, io.EOF) {
+		c.awaitEnd()
+	}
 	c.writing = false
 	switch {
 	case err == nil:
@@ -190,7 +209,24 @@
 	case c.closed:
 		return net.ErrClosed
 	}
-	return errors.Wrapf(syscall.EPIPE, "tunnel: %v", err)
+	return c.writeErr(err)
+}
+
+// awaitEnd waits after a failed send until Receive has the status of the stream, which Send does not return. It
+// does not wait for data to be read. The caller holds the lock.
+func (c *Conn) awaitEnd() {
+	for c.endErr == nil && !c.closed && !c.isFull() {
+		c.changed.Wait()
+	}
+}
+
+// writeErr returns the error of a write to a connection that has ended. The caller holds the lock.
+func (c *Conn) writeErr(err error) error {
+	broken := errors.Wrapf(syscall.EPIPE, "tunnel: %v", err)
+	if errors.Is(c.endErr, outbound.ErrPathFailed) {
+		return errors.Mark(broken, outbound.ErrPathFailed)
+	}
+	return broken
 }
 
 // beginSend returns an error if nothing can be sent any more.
@@ -203,7 +239,7 @@
 	case c.write.passed:
 		return os.ErrDeadlineExceeded
 	case c.endErr != nil:
-		return errors.Wrap(syscall.EPIPE, "tunnel: the connection has ended")
+		return c.writeErr(c.endErr)
 	}
 	c.writing = true
 	return nil
@@ -211,17 +247,17 @@
 
 // Close implements net.Conn. The VM that carries the connection closes that to the upstream at once.
 func (c *Conn) Close() error {
-	c.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.closed = true // Before the stream ends, so that its end does not count as a failure of the VM.
+	c.cancel()
 	c.read.stop()
 	c.write.stop()
 	c.changed.Broadcast()
 	return nil
 }
 
-// IsIdle reports whether the connection is open and has no unread data.
+// IsIdle reports whether the connection is open and has no unread data. It may miss data that arrives at that moment.
 func (c *Conn) IsIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
