partition: plain names for what failures no longer count

Cause: readers had to guess what "refuted" and "settledAt" mean.

Change: failedAlone, lastSuspicionEnd, ignoreFailuresUntil and pauseGracePeriod. No change of behaviour.

--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -39,16 +39,16 @@
 	suspectFailures = 2
 	// failureWindow is how long a failure counts.
 	failureWindow = 5 * time.Second
-	// refutedTime is how long failures of an upstream do not count after others were reached while it failed.
-	refutedTime = 10 * time.Second
+	// failedAloneWindow is how long failures of an upstream do not count after others were reached while it failed.
+	failedAloneWindow = 10 * time.Second
 	// silenceTime is how long no byte may come while responses of suspectFailures upstreams are awaited.
 	silenceTime = 400 * time.Millisecond
-	// minSuspicionInterval is the time from a refuted suspicion to the next round because of failures. For
-	// rounds because of silence it doubles with each refuted one up to maxSilenceInterval, since long requests
+	// minSuspicionInterval is the time from a suspicion that was wrong to the next round because of failures. For
+	// rounds because of silence it doubles with each wrong one up to maxSilenceInterval, since long requests
 	// are silent too.
 	minSuspicionInterval = time.Second
 	maxSilenceInterval   = 4 * time.Second
-	// minCrashInterval is the time from a refuted suspicion to the next round because of a failed crash probe.
+	// minCrashInterval is the time from a suspicion that was wrong to the next round because of a failed crash probe.
 	minCrashInterval = 250 * time.Millisecond
 	// returnInterval is the time between two probes while the VM is partitioned.
 	returnInterval = 500 * time.Millisecond
@@ -57,9 +57,9 @@
 	returnSuccesses = 2
 	returnWindow    = 3 * time.Second
 	// pauseThreshold is the time between two ticks from which on the VM counts as having been paused, and
-	// settleTime how long failures after it are ignored, since timeouts that ran out during it end then.
-	pauseThreshold = 400 * time.Millisecond
-	settleTime     = 400 * time.Millisecond
+	// pauseGracePeriod how long failures after it are ignored, since timeouts that ran out during it end then.
+	pauseThreshold   = 400 * time.Millisecond
+	pauseGracePeriod = 400 * time.Millisecond
 )
 
 // State is what a Detector has decided.
@@ -119,8 +119,8 @@
 
 	// failures holds the upstreams to which new connections failed since the last success, with the time.
 	failures map[string]clock.Instant
-	// refuted holds the upstreams that failed while others were reached, with the time.
-	refuted map[string]clock.Instant
+	// failedAlone holds the upstreams that failed while others were reached, with the time.
+	failedAlone map[string]clock.Instant
 	// crashAt is when a crash probe failed last; 0 if none did, or if it was decided since what it means.
 	crashAt clock.Instant
 
@@ -128,15 +128,16 @@
 	// connection or a later one may have been opened; 0 if none did.
 	lastSuccess clock.Instant
 	reachedAt   clock.Instant
-	// lastRefuted is when a suspicion was refuted last, and silenceInterval the time from then to the next
-	// round because of silence.
-	lastRefuted     clock.Instant
-	silenceInterval time.Duration
-	received        uint64
-	quietSince      clock.Instant
+	// lastSuspicionEnd is when the last suspicion ended without a partition, and silenceInterval the time from
+	// then to the next round because of silence.
+	lastSuspicionEnd clock.Instant
+	silenceInterval  time.Duration
+	received         uint64
+	quietSince       clock.Instant
 
-	lastTick  clock.Instant
-	settledAt clock.Instant
+	lastTick clock.Instant
+	// ignoreFailuresUntil is when failures count again after a pause.
+	ignoreFailuresUntil clock.Instant
 
 	probes      probes
 	nextProbeAt clock.Instant
@@ -147,8 +148,8 @@
 // New returns a Detector that knows of no upstream. The seed spreads the probes of the VMs.
 func New(now clock.Instant, seed uint64) *Detector {
 	return &Detector{
-		seed: seed, failures: map[string]clock.Instant{}, refuted: map[string]clock.Instant{}, returned: map[string]clock.Instant{}, silenceInterval: minSuspicionInterval,
-		quietSince: now, lastTick: now, lastRefuted: now.Add(-maxSilenceInterval), probes: newProbes(),
+		seed: seed, failures: map[string]clock.Instant{}, failedAlone: map[string]clock.Instant{}, returned: map[string]clock.Instant{}, silenceInterval: minSuspicionInterval,
+		quietSince: now, lastTick: now, lastSuspicionEnd: now.Add(-maxSilenceInterval), probes: newProbes(),
 	}
 }
 
@@ -164,7 +165,7 @@
 	}
 	isGone := func(address string, _ clock.Instant) bool { return !known[address] }
 	maps.DeleteFunc(d.failures, isGone)
-	maps.DeleteFunc(d.refuted, isGone)
+	maps.DeleteFunc(d.failedAlone, isGone)
 	if !d.canTell() && d.state != Reachable {
 		d.enter(now, Reachable, TooFewUpstreams)
 	}
@@ -202,7 +203,7 @@
 	for _, id := range d.probes.expired(now) {
 		d.RecordProbe(now, id, false)
 	}
-	if d.state == Reachable && d.canTell() && !now.Before(d.settledAt) {
+	if d.state == Reachable && d.canTell() && !now.Before(d.ignoreFailuresUntil) {
 		if reason := d.suspicion(now, isSilent); reason != NoReason {
 			d.enter(now, Suspect, reason)
 		}
@@ -221,7 +222,7 @@
 // whether an upstream crashed.
 func (d *Detector) enter(now clock.Instant, state State, reason Reason) {
 	if state == Suspect {
-		d.probes.cancel() // A round that was refuted may have left some.
+		d.probes.cancel() // A round that ended early may have left some.
 	}
 	change := Change{From: d.state, To: state, Reason: reason, Failures: len(d.failures), Failed: len(d.probes.failed), Answered: d.probes.answered}
 	if d.lastSuccess != 0 {
@@ -239,10 +240,10 @@
 	}
 	clear(d.failures)
 	if state == Reachable {
-		d.lastRefuted = now
+		d.lastSuspicionEnd = now
 		return
 	}
-	clear(d.refuted)
+	clear(d.failedAlone)
 	d.crashAt = 0
 }
 
@@ -251,7 +252,7 @@
 	if now.Sub(d.lastTick) <= pauseThreshold {
 		return
 	}
-	d.lastTick, d.quietSince, d.settledAt = now, now, now.Add(settleTime)
+	d.lastTick, d.quietSince, d.ignoreFailuresUntil = now, now, now.Add(pauseGracePeriod)
 	clear(d.failures)
 	clear(d.returned)
 	d.probes.cancel()
@@ -260,9 +261,9 @@
 	}
 }
 
-// isRefuted reports whether failures of an upstream do not count.
-func (d *Detector) isRefuted(address string) bool {
-	_, ok := d.refuted[address]
+// hasFailedAlone reports whether failures of an upstream do not count, since others were reached.
+func (d *Detector) hasFailedAlone(address string) bool {
+	_, ok := d.failedAlone[address]
 	return ok
 }
 
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -48,7 +48,7 @@
 // RecordFailed records a new connection that failed before a byte of a response came.
 func (d *Detector) RecordFailed(now clock.Instant, address string) {
 	d.checkPause(now)
-	if d.state == Partitioned || now.Before(d.settledAt) || d.isRefuted(address) || !d.isKnown(address) {
+	if d.state == Partitioned || now.Before(d.ignoreFailuresUntil) || d.hasFailedAlone(address) || !d.isKnown(address) {
 		return
 	}
 	d.failures[address] = now
@@ -63,25 +63,25 @@
 	}
 }
 
-// recordSuccess records that an upstream was reached by a connection that was opened at a time, which refutes
+// recordSuccess records that an upstream was reached by a connection that was opened at a time, which ends
 // a suspicion.
 func (d *Detector) recordSuccess(now clock.Instant, address string, opened clock.Instant) {
 	d.lastSuccess, d.reachedAt = now, max(d.reachedAt, opened)
 	if d.reachedAt >= d.crashAt {
 		d.crashAt = 0
 	}
-	delete(d.refuted, address)
+	delete(d.failedAlone, address)
 	if d.state != Suspect {
 		clear(d.failures)
 		return
 	}
 	for failed := range d.failures {
-		d.refuted[failed] = now
+		d.failedAlone[failed] = now
 	}
 	for _, failed := range d.probes.failed {
-		d.refuted[failed] = now
+		d.failedAlone[failed] = now
 	}
-	delete(d.refuted, address)
+	delete(d.failedAlone, address)
 	d.enter(now, Reachable, Connected)
 }
 
@@ -115,17 +115,17 @@
 // suspicion returns why a round is to start, or NoReason.
 func (d *Detector) suspicion(now clock.Instant, isSilent bool) Reason {
 	maps.DeleteFunc(d.failures, func(_ string, at clock.Instant) bool { return now.Sub(at) > failureWindow })
-	maps.DeleteFunc(d.refuted, func(_ string, at clock.Instant) bool { return now.Sub(at) >= refutedTime })
-	sinceRefuted := now.Sub(d.lastRefuted)
-	if sinceRefuted > 2*maxSilenceInterval {
+	maps.DeleteFunc(d.failedAlone, func(_ string, at clock.Instant) bool { return now.Sub(at) >= failedAloneWindow })
+	sinceSuspicion := now.Sub(d.lastSuspicionEnd)
+	if sinceSuspicion > 2*maxSilenceInterval {
 		d.silenceInterval = minSuspicionInterval
 	}
 	switch {
-	case d.crashAt != 0 && sinceRefuted >= minCrashInterval:
+	case d.crashAt != 0 && sinceSuspicion >= minCrashInterval:
 		return CrashProbeFailed
-	case len(d.failures) >= d.failuresNeeded() && sinceRefuted >= minSuspicionInterval:
+	case len(d.failures) >= d.failuresNeeded() && sinceSuspicion >= minSuspicionInterval:
 		return ConnectionsFailed
-	case isSilent && sinceRefuted >= d.silenceInterval:
+	case isSilent && sinceSuspicion >= d.silenceInterval:
 		d.silenceInterval = min(2*d.silenceInterval, maxSilenceInterval)
 		return Silence
 	}
@@ -135,12 +135,12 @@
 // failuresNeeded returns the number of upstreams that must fail to start a round: fewer if the failures of
 // most upstreams do not count.
 func (d *Detector) failuresNeeded() int {
-	return max(1, min(suspectFailures, len(d.upstreams)-len(d.refuted)))
+	return max(1, min(suspectFailures, len(d.upstreams)-len(d.failedAlone)))
 }
 
 // isSilent reports whether no byte came for silenceTime although several upstreams were to send some.
 func (d *Detector) isSilent(now clock.Instant, traffic Traffic) bool {
-	if traffic.Received != d.received || traffic.Waiting < suspectFailures || now.Before(d.settledAt) {
+	if traffic.Received != d.received || traffic.Waiting < suspectFailures || now.Before(d.ignoreFailuresUntil) {
 		d.received, d.quietSince = traffic.Received, now
 	}
 	return now.Sub(d.quietSince) >= silenceTime
--- a/pkg/partition/model_test.go
+++ b/pkg/partition/model_test.go
@@ -25,7 +25,7 @@
 const (
 	modelDialTimeout = 250 * time.Millisecond
 	// detectionTime bounds the time from a total cut with traffic until it is detected, and returnTime that
-	// from its end until it is over. A suspicion may have been refuted just before the cut.
+	// from its end until it is over. A suspicion may have ended just before the cut.
 	detectionTime = minSuspicionInterval + modelDialTimeout + ProbeTimeout + 4*testTick
 	returnTime    = 2*returnInterval + 3*testTick
 )
@@ -192,7 +192,7 @@
 	case 7:
 		m.now = m.now.Add(2 * time.Second)
 		// What was to be detected or over by now may take as long again.
-		m.cutAt, m.healedAt = m.now.Add(settleTime), m.now.Add(settleTime)
+		m.cutAt, m.healedAt = m.now.Add(pauseGracePeriod), m.now.Add(pauseGracePeriod)
 	}
 	if len(m.down) == len(m.d.upstreams) {
 		clear(m.down) // This could not be told from a partition.
--- a/pkg/partition/probes.go
+++ b/pkg/partition/probes.go
@@ -113,8 +113,8 @@
 	order.isLast = func(address string) bool { _, ok := d.returned[address]; return ok }
 	order.isAvoided = func(address string) bool {
 		_, failed := d.failures[address]
-		_, refuted := d.refuted[address]
-		return failed || refuted
+		_, failedAlone := d.failedAlone[address]
+		return failed || failedAlone
 	}
 	if d.state == Partitioned {
 		order.recent = d.probes.recent
