Full upstreams are no partition

What callers saw: nothing yet; a VM whose upstreams were full would have taken itself for partitioned, handed its pools over and opened all connections through other VMs.

Cause: a health query waits for a slot, so that full upstreams answer none within 300 ms. Each such probe counted as failed.

Change: a probe at a health path that opened its connection and was not answered is inconclusive. It counts only after three rounds during which no byte came from any upstream; a byte meanwhile ends the suspicion. Probes that are refused, reset, hang while they connect, or ask for a report decide in one round as before. A crash probe is followed up for 5 s at most.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -126,7 +126,7 @@
 			Name: "hoist_edge_partition_changes_total", Help: "Changes of whether upstreams are reachable, suspect or partitioned from this VM.",
 		}, []string{"state"}),
 		partitionProbes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "hoist_edge_partition_probes_total", Help: "Queries to tell whether this VM is partitioned from all upstreams, by end: answered or failed.",
+			Name: "hoist_edge_partition_probes_total", Help: "Queries to tell whether this VM is partitioned from all upstreams, by end: answered, unanswered or failed.",
 		}, []string{"end"}),
 	}
 	registry.MustRegister(m.requests, m.latency, m.firstEvent, m.stageCalls, m.stagePieces, m.stageRefused, m.panics,
--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -218,18 +219,36 @@
 	return out
 }
 
-// sendProbe sends a probe and records whether it was answered.
+// probeEnd is how a probe ended.
+type probeEnd uint8
+
+const (
+	// probeFailed means that the upstream could not be reached.
+	probeFailed probeEnd = iota
+	// probeUnanswered means that the connection opened, and that the upstream did not answer in time, maybe since
+	// the query waits for a slot.
+	probeUnanswered
+	// probeAnswered means that a response of any status came back.
+	probeAnswered
+)
+
+// String returns the name of the end for metrics.
+func (e probeEnd) String() string { return [...]string{"failed", "unanswered", "answered"}[e] }
+
+// sendProbe sends a probe and records how it ended.
 func (m *partitionMonitor) sendProbe(probe partition.Probe) {
-	answered := false
+	end := probeFailed
 	if entry := m.targetOf(probe); entry != nil {
-		answered = m.query(entry)
+		end = m.query(entry)
 	}
-	end := "failed"
-	if answered {
-		end = "answered"
-	}
-	m.metrics.partitionProbes.WithLabelValues(end).Inc()
-	m.step(func(d *partition.Detector, now clock.Instant) { d.RecordProbe(now, probe.ID, answered) })
+	m.metrics.partitionProbes.WithLabelValues(end.String()).Inc()
+	m.step(func(d *partition.Detector, now clock.Instant) {
+		if end == probeUnanswered {
+			d.RecordUnanswered(now, probe.ID)
+			return
+		}
+		d.RecordProbe(now, probe.ID, end == probeAnswered)
+	})
 }
 
 // targetOf returns the upstream to probe, or nil if it is gone or asks for no traffic.
@@ -241,23 +260,32 @@
 	return entry
 }
 
-// query sends a query that takes no slot of the upstream, and reports whether a response of any status came back.
-func (m *partitionMonitor) query(entry *registry.Entry) bool {
+// query sends a query and returns how it ended. A report of the load takes no slot of the upstream; a health query
+// may wait for one.
+func (m *partitionMonitor) query(entry *registry.Entry) probeEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), partition.ProbeTimeout)
 	defer cancel()
-	request := m.dialect.EncodeMemoryQuery(entry.Address)
-	if view := m.view(); view.Catalog != nil {
-		if pool := view.Catalog.Pools[entry.Pool]; pool != nil && pool.Engine == nil && pool.Batch == nil {
-			request = m.dialect.EncodeHealthQuery(entry.Address, entry.ID, pool.HealthPath)
-		}
-	}
+	request, mayWait := m.probeRequest(entry)
 	// The response does not say which query it belongs to.
 	request.SingleUse = true
 	exchange, err := m.probes.Start(ctx, entry.Address, request)
-	if err != nil {
-		m.logger.Debug("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
-		return false
+	if err == nil {
+		exchange.Close()
+		return probeAnswered
+	}
+	m.logger.Debug("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
+	if mayWait && ctx.Err() != nil && !errors.Is(err, outbound.ErrNotSent) {
+		return probeUnanswered
+	}
+	return probeFailed
+}
+
+// probeRequest returns the query of a probe, and whether it may wait for a slot of the upstream.
+func (m *partitionMonitor) probeRequest(entry *registry.Entry) (request *outbound.Request, mayWait bool) {
+	if view := m.view(); view.Catalog != nil {
+		if pool := view.Catalog.Pools[entry.Pool]; pool != nil && pool.Engine == nil && pool.Batch == nil {
+			return m.dialect.EncodeHealthQuery(entry.Address, entry.ID, pool.HealthPath), true
+		}
 	}
-	exchange.Close()
-	return true
+	return m.dialect.EncodeMemoryQuery(entry.Address), false
 }
--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -6,14 +6,17 @@
 // round of probes, which decides.
 //
 // A Detector is deterministic and not safe for concurrent use. Invariants:
-//   - it becomes Partitioned only at the end of a round of which all probes failed, at upstreams of different
-//     pools and zones as far as there are any, and during which no new connection succeeded;
+//   - it becomes Partitioned only after a round of which all probes failed, at upstreams of different pools and
+//     zones as far as there are any, and during which no new connection succeeded;
+//   - a probe that may wait for a slot and was not answered proves nothing by itself, since its upstream may be
+//     full. It counts as failed only after unansweredRounds rounds during which no byte came from any upstream:
+//     in a cut in which connections open and stay silent none comes, while full upstreams end requests;
 //   - it leaves Partitioned only after two upstreams answered probes within returnWindow, or if there are too
 //     few upstreams to tell;
 //   - a pause of the VM is no evidence: what failed before or shortly after it is forgotten;
-//   - the number of probes is bounded: roundProbes per minCrashInterval if crashes of upstreams must be told
-//     from a partition, roundProbes per minSuspicionInterval otherwise, and one per returnInterval while
-//     Partitioned.
+//   - the number of probes is bounded: up to unansweredRounds rounds of roundProbes per minCrashInterval if
+//     crashes of upstreams must be told from a partition, per minSuspicionInterval otherwise, and one probe per
+//     returnInterval while Partitioned.
 package partition
 
 import (
@@ -34,6 +37,9 @@
 	minUpstreams = 3
 	// roundProbes bounds the probes of a round.
 	roundProbes = 4
+	// unansweredRounds is the number of rounds that lead to a partition if some of their probes were not answered
+	// by upstreams that may be full. Together they last longer than most requests need to send a byte.
+	unansweredRounds = 3
 	// suspectFailures is the number of upstreams to which new connections failed, without a success since the
 	// first of them, that starts a round.
 	suspectFailures = 2
@@ -93,7 +99,7 @@
 
 // Traffic describes the connections to upstreams, old and new ones.
 type Traffic struct {
-	// Received changes with the bytes received.
+	// Received grows with the bytes received. It may fall when upstreams are forgotten.
 	Received uint64
 	// Waiting is the number of upstreams whose responses are awaited.
 	Waiting int
@@ -133,12 +139,20 @@
 	lastSuspicionEnd clock.Instant
 	silenceInterval  time.Duration
 	received         uint64
-	quietSince       clock.Instant
+	// receivedAt is the tick that saw the latest byte from an upstream.
+	receivedAt clock.Instant
+	quietSince clock.Instant
 
 	lastTick clock.Instant
 	// ignoreFailuresUntil is when failures count again after a pause.
 	ignoreFailuresUntil clock.Instant
 
+	// suspectSince is when the running suspicion began, and rounds the number of its rounds that ended.
+	suspectSince clock.Instant
+	rounds       int
+	// isUnanswered is set if a probe of these rounds was not answered by an upstream that may be full.
+	isUnanswered bool
+
 	probes      probes
 	nextProbeAt clock.Instant
 	// returned holds the upstreams that answered while partitioned, with the time.
@@ -199,7 +213,8 @@
 func (d *Detector) Tick(now clock.Instant, traffic Traffic) []Probe {
 	d.checkPause(now)
 	d.lastTick = now
-	isSilent := d.isSilent(now, traffic)
+	d.recordTraffic(now, traffic)
+	isSilent := now.Sub(d.quietSince) >= silenceTime
 	for _, id := range d.probes.expired(now) {
 		d.RecordProbe(now, id, false)
 	}
@@ -223,6 +238,7 @@
 func (d *Detector) enter(now clock.Instant, state State, reason Reason) {
 	if state == Suspect {
 		d.probes.cancel() // A round that ended early may have left some.
+		d.suspectSince, d.rounds, d.isUnanswered = now, 0, false
 	}
 	change := Change{From: d.state, To: state, Reason: reason, Failures: len(d.failures), Failed: len(d.probes.failed), Answered: d.probes.answered}
 	if d.lastSuccess != 0 {
--- a/pkg/partition/detector_test.go
+++ b/pkg/partition/detector_test.go
@@ -225,3 +225,36 @@
 		t.Errorf("verdict %v although probes were answered", got)
 	}
 }
+
+// TestUnansweredProbes guards against full upstreams, which answer no health query in time, that are taken for a
+// partition, and against a partition that is taken for full upstreams.
+func TestUnansweredProbes(t *testing.T) {
+	for _, areFull := range []bool{false, true} {
+		d, now := newTestDetector(12)
+		since := now
+		received := uint64(0)
+		for i := 0; d.State() != Partitioned && now.Sub(since) < 3*time.Second; i++ {
+			now = now.Add(testTick)
+			if areFull && i%12 == 11 {
+				received++
+			}
+			probes := d.Tick(now, Traffic{Received: received, Waiting: 4})
+			if len(probes) == 0 {
+				continue
+			}
+			for range ProbeTimeout / testTick {
+				now = now.Add(testTick)
+				if areFull {
+					received++
+				}
+				d.Tick(now, Traffic{Received: received, Waiting: 4})
+			}
+			for _, probe := range probes {
+				d.RecordUnanswered(now, probe.ID)
+			}
+		}
+		if isPartitioned := d.State() == Partitioned; isPartitioned == areFull {
+			t.Errorf("partitioned: %v although the upstreams are full: %v", isPartitioned, areFull)
+		}
+	}
+}
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -20,6 +20,8 @@
 	CrashProbeFailed
 	// ProbesFailed means that all probes of a round failed.
 	ProbesFailed
+	// BytesReceived means that bytes came from upstreams although no probe was answered: they are full.
+	BytesReceived
 	// Connected means that new connections succeeded.
 	Connected
 	// Paused means that the VM was paused during a round.
@@ -30,7 +32,7 @@
 
 var reasonNames = [...]string{
 	NoReason: "", ConnectionsFailed: "connections failed", Silence: "silence", CrashProbeFailed: "crash probe failed", ProbesFailed: "probes failed",
-	Connected: "connected", Paused: "the VM was paused", TooFewUpstreams: "too few upstreams",
+	BytesReceived: "bytes received", Connected: "connected", Paused: "the VM was paused", TooFewUpstreams: "too few upstreams",
 }
 
 // String returns the reason for logs.
@@ -85,6 +87,15 @@
 	d.enter(now, Reachable, Connected)
 }
 
+// RecordUnanswered records the end of a probe whose connection opened, and which was not answered in time by an
+// upstream where it may wait for a slot.
+func (d *Detector) RecordUnanswered(now clock.Instant, id uint64) {
+	if d.probes.isRunning(id) {
+		d.isUnanswered = true
+	}
+	d.RecordProbe(now, id, false)
+}
+
 // RecordProbe records the end of a probe. An answer of any kind is a success.
 func (d *Detector) RecordProbe(now clock.Instant, id uint64, answered bool) {
 	d.checkPause(now)
@@ -96,13 +107,24 @@
 	case d.state != Partitioned && answered:
 		d.recordSuccess(now, probe.address, probe.started)
 	case d.state == Suspect && len(d.probes.running) == 0 && len(d.probes.failed) >= minUpstreams:
-		d.enter(now, Partitioned, ProbesFailed)
+		d.endRound(now)
 	case d.state == Partitioned && answered:
 		d.lastSuccess, d.reachedAt = now, probe.started
 		d.recordReturn(now, probe.address)
 	}
 }
 
+// endRound decides after a round of which all probes failed. Without a decision the next tick starts another one.
+func (d *Detector) endRound(now clock.Instant) {
+	d.rounds++
+	switch {
+	case d.isUnanswered && d.receivedAt.After(d.suspectSince):
+		d.enter(now, Reachable, BytesReceived)
+	case !d.isUnanswered || d.rounds >= unansweredRounds:
+		d.enter(now, Partitioned, ProbesFailed)
+	}
+}
+
 // recordReturn records that an upstream answered a probe while partitioned.
 func (d *Detector) recordReturn(now clock.Instant, address string) {
 	maps.DeleteFunc(d.returned, func(_ string, at clock.Instant) bool { return now.Sub(at) > returnWindow })
@@ -121,7 +143,7 @@
 		d.silenceInterval = minSuspicionInterval
 	}
 	switch {
-	case d.crashAt != 0 && sinceSuspicion >= minCrashInterval:
+	case d.crashAt != 0 && now.Sub(d.crashAt) <= failureWindow && sinceSuspicion >= minCrashInterval:
 		return CrashProbeFailed
 	case len(d.failures) >= d.failuresNeeded() && sinceSuspicion >= minSuspicionInterval:
 		return ConnectionsFailed
@@ -138,10 +160,14 @@
 	return max(1, min(suspectFailures, len(d.upstreams)-len(d.failedAlone)))
 }
 
-// isSilent reports whether no byte came for silenceTime although several upstreams were to send some.
-func (d *Detector) isSilent(now clock.Instant, traffic Traffic) bool {
-	if traffic.Received != d.received || traffic.Waiting < suspectFailures || now.Before(d.ignoreFailuresUntil) {
-		d.received, d.quietSince = traffic.Received, now
+// recordTraffic records the bytes received, and since when none came although several upstreams were to send some.
+func (d *Detector) recordTraffic(now clock.Instant, traffic Traffic) {
+	isNew := traffic.Received > d.received
+	d.received = traffic.Received
+	if isNew {
+		d.receivedAt = now
+	}
+	if isNew || traffic.Waiting < suspectFailures || now.Before(d.ignoreFailuresUntil) {
+		d.quietSince = now
 	}
-	return now.Sub(d.quietSince) >= silenceTime
 }
--- a/pkg/partition/probes.go
+++ b/pkg/partition/probes.go
@@ -63,6 +63,12 @@
 	return out
 }
 
+// isRunning reports whether the end of a probe is awaited.
+func (p *probes) isRunning(id uint64) bool {
+	_, ok := p.running[id]
+	return ok
+}
+
 // end ends a probe and returns it. It returns false if the probe was cancelled.
 func (p *probes) end(id uint64, answered bool) (probe runningProbe, ok bool) {
 	probe, ok = p.running[id]
