Confirm a partition with a second round of probes

What callers saw: while many upstreams were down but still registered, VMs took themselves for partitioned, gave up their pools and opened all connections through other VMs.

Cause: refused probes end within a millisecond, so that a single round of four dead upstreams decided right after a success.

Change: two rounds at least 200 ms apart, the second at other upstreams if there are any, with no success in between.

--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -6,8 +6,9 @@
 // round of probes, which decides.
 //
 // A Detector is deterministic and not safe for concurrent use. Invariants:
-//   - it becomes Partitioned only after a round of which all probes failed, at upstreams of different pools and
-//     zones as far as there are any, and during which no new connection succeeded;
+//   - it becomes Partitioned only after failedRounds rounds of which all probes failed, at upstreams of different
+//     pools and zones as far as there are any, and during which no new connection succeeded. Rounds are at least
+//     roundInterval apart, since refused probes end at once, and many upstreams may be down;
 //   - a probe that may wait for a slot and was not answered proves nothing by itself, since its upstream may be
 //     full. It counts as failed only after unansweredRounds rounds during which no byte came from any upstream:
 //     in a cut in which connections open and stay silent none comes, while full upstreams end requests;
@@ -37,6 +38,10 @@
 	minUpstreams = 3
 	// roundProbes bounds the probes of a round.
 	roundProbes = 4
+	// failedRounds is the number of rounds that lead to a partition, and roundInterval the time between their
+	// starts.
+	failedRounds  = 2
+	roundInterval = 200 * time.Millisecond
 	// unansweredRounds is the number of rounds that lead to a partition if some of their probes were not answered
 	// by upstreams that may be full. Together they last longer than most requests need to send a byte.
 	unansweredRounds = 3
@@ -147,9 +152,11 @@
 	// ignoreFailuresUntil is when failures count again after a pause.
 	ignoreFailuresUntil clock.Instant
 
-	// suspectSince is when the running suspicion began, and rounds the number of its rounds that ended.
+	// suspectSince is when the running suspicion began, rounds the number of its rounds that ended, and nextRoundAt
+	// when the next one may begin.
 	suspectSince clock.Instant
 	rounds       int
+	nextRoundAt  clock.Instant
 	// isUnanswered is set if a probe of these rounds was not answered by an upstream that may be full.
 	isUnanswered bool
 
@@ -224,7 +231,8 @@
 		}
 	}
 	switch {
-	case d.state == Suspect && len(d.probes.running) == 0:
+	case d.state == Suspect && len(d.probes.running) == 0 && !now.Before(d.nextRoundAt):
+		d.nextRoundAt = now.Add(roundInterval)
 		return d.probes.start(now, chooseSpread(d.upstreams, roundProbes, d.order()))
 	case d.state == Partitioned && len(d.probes.running) == 0 && !now.Before(d.nextProbeAt):
 		d.nextProbeAt = now.Add(returnInterval)
@@ -238,7 +246,7 @@
 func (d *Detector) enter(now clock.Instant, state State, reason Reason) {
 	if state == Suspect {
 		d.probes.cancel() // A round that ended early may have left some.
-		d.suspectSince, d.rounds, d.isUnanswered = now, 0, false
+		d.suspectSince, d.rounds, d.nextRoundAt, d.isUnanswered = now, 0, now, false
 	}
 	change := Change{From: d.state, To: state, Reason: reason, Failures: len(d.failures), Failed: len(d.probes.failed), Answered: d.probes.answered}
 	if d.lastSuccess != 0 {
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -114,17 +114,29 @@
 	}
 }
 
-// endRound decides after a round of which all probes failed. Without a decision the next tick starts another one.
+// endRound decides after a round of which all probes failed. Without a decision another one follows, at other
+// upstreams if there are any.
 func (d *Detector) endRound(now clock.Instant) {
 	d.rounds++
+	for _, failed := range d.probes.failed {
+		d.failures[failed] = now
+	}
 	switch {
 	case d.isUnanswered && d.receivedAt.After(d.suspectSince):
 		d.enter(now, Reachable, BytesReceived)
-	case !d.isUnanswered || d.rounds >= unansweredRounds:
+	case d.rounds >= d.roundsNeeded():
 		d.enter(now, Partitioned, ProbesFailed)
 	}
 }
 
+// roundsNeeded returns the number of failed rounds that lead to a partition.
+func (d *Detector) roundsNeeded() int {
+	if d.isUnanswered {
+		return unansweredRounds
+	}
+	return failedRounds
+}
+
 // recordReturn records that an upstream answered a probe while partitioned.
 func (d *Detector) recordReturn(now clock.Instant, address string) {
 	maps.DeleteFunc(d.returned, func(_ string, at clock.Instant) bool { return now.Sub(at) > returnWindow })
