Detect a partition when connections to one upstream fail and none succeeds

What callers saw: when new connections were refused and old ones lived on, requests of a partitioned VM that needed new ones failed for up to 4 s.

Cause: failures at two upstreams were needed for a suspicion. With old connections to the others, all new ones may go to one upstream, and bytes come, so that there is no silence either.

Change: a failure at one upstream is a suspicion as well if no new connection succeeds within 500 ms. In the model, a change during a cut between old connections that live on and silent ones counts as a new cut, since it looks like full upstreams.

--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -48,6 +48,9 @@
 	// suspectFailures is the number of upstreams to which new connections failed, without a success since the
 	// first of them, that starts a round.
 	suspectFailures = 2
+	// successTimeout is how long no new connection may succeed after a failure to one upstream alone. With few new
+	// connections, or with one to the same upstream again and again, no second one fails.
+	successTimeout = 500 * time.Millisecond
 	// failureWindow is how long a failure counts.
 	failureWindow = 5 * time.Second
 	// failedAloneWindow is how long failures of an upstream do not count after others were reached while it failed.
@@ -130,6 +133,8 @@
 
 	// failures holds the upstreams to which new connections failed since the last success, with the time.
 	failures map[string]clock.Instant
+	// failingSince is the time of the first of these failures.
+	failingSince clock.Instant
 	// failedAlone holds the upstreams that failed while others were reached, with the time.
 	failedAlone map[string]clock.Instant
 	// crashAt is when a crash probe failed last; 0 if none did, or if it was decided since what it means.
--- a/pkg/partition/detector_test.go
+++ b/pkg/partition/detector_test.go
@@ -279,3 +279,26 @@
 		}
 	}
 }
+
+// TestOneFailingUpstream guards against a partition that is detected late since old connections live on and all
+// new ones go to one upstream, and against endless rounds of probes since one upstream is down.
+func TestOneFailingUpstream(t *testing.T) {
+	for _, isCut := range []bool{false, true} {
+		d, now := newTestDetector(12)
+		d.RecordConnected(now, d.upstreams[1].Address)
+		since, sent := now, 0
+		for d.State() != Partitioned && now.Sub(since) < 9*time.Second {
+			now = now.Add(testTick)
+			d.RecordFailed(now, d.upstreams[0].Address)
+			probes := d.Tick(now, Traffic{Received: uint64(now), Waiting: 4})
+			sent += len(probes)
+			endProbes(d, now, probes, !isCut)
+		}
+		if took := now.Sub(since); isCut && took > successTimeout+roundInterval+3*testTick {
+			t.Errorf("the partition was detected after %v", took)
+		}
+		if !isCut && (d.State() == Partitioned || sent > roundProbes) {
+			t.Errorf("state %v after %d probes although only one upstream is down", d.State(), sent)
+		}
+	}
+}
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -12,7 +12,7 @@
 // Reasons.
 const (
 	NoReason Reason = iota
-	// ConnectionsFailed means that new connections to several upstreams failed.
+	// ConnectionsFailed means that new connections to several upstreams failed, or to one while none succeeded.
 	ConnectionsFailed
 	// Silence means that no byte came although several upstreams were to send some.
 	Silence
@@ -53,6 +53,9 @@
 	if d.state == Partitioned || now.Before(d.ignoreFailuresUntil) || d.hasFailedAlone(address) || !d.isKnown(address) {
 		return
 	}
+	if len(d.failures) == 0 {
+		d.failingSince = now
+	}
 	d.failures[address] = now
 }
 
@@ -157,7 +160,7 @@
 	switch {
 	case d.crashAt != 0 && now.Sub(d.crashAt) <= failureWindow && sinceSuspicion >= minCrashInterval:
 		return CrashProbeFailed
-	case len(d.failures) >= d.failuresNeeded() && sinceSuspicion >= minSuspicionInterval:
+	case d.areConnectionsFailing(now) && sinceSuspicion >= minSuspicionInterval:
 		return ConnectionsFailed
 	case isSilent && sinceSuspicion >= d.silenceInterval:
 		d.silenceInterval = min(2*d.silenceInterval, maxSilenceInterval)
@@ -166,6 +169,15 @@
 	return NoReason
 }
 
+// areConnectionsFailing reports whether new connections to several upstreams failed, or to one without a success
+// for successTimeout.
+func (d *Detector) areConnectionsFailing(now clock.Instant) bool {
+	if len(d.failures) >= d.failuresNeeded() {
+		return true
+	}
+	return len(d.failures) > 0 && now.Sub(d.failingSince) >= successTimeout
+}
+
 // failuresNeeded returns the number of upstreams that must fail to start a round: fewer if the failures of
 // most upstreams do not count.
 func (d *Detector) failuresNeeded() int {
--- a/pkg/partition/model_test.go
+++ b/pkg/partition/model_test.go
@@ -157,15 +157,15 @@
 // setCut changes the network. Connections on their way are lost if it is cut, but for those that were
 // answered already.
 func (m *model) setCut(kind cutKind) {
-	if m.cut == noCut && kind != noCut {
+	if kind != noCut {
+		m.cutKinds[kind] = true
+	}
+	// A change between connections on which bytes come and silent ones looks like upstreams that are full.
+	if kind != noCut && kind != m.cut && (m.cut == noCut || m.cutKinds[staysSilent] && m.cutKinds[refusesNew]) {
 		m.cutAt = m.now
 	}
 	if m.cut != noCut && kind == noCut {
 		m.healedAt = m.now
-	}
-	if kind != noCut {
-		m.cutKinds[kind] = true
-	} else {
 		clear(m.cutKinds)
 	}
 	m.cut = kind
