End hung requests at a partitioned VM

What callers saw: a VM whose connections hung refused requests as overloaded, or let them wait, for up to 20 s after the partition was detected, although other VMs could carry them.

Cause: only idle connections were closed. Requests on connections that were cut held their places at the upstreams' limits until they timed out.

Change: when a partition is detected whose probes hung, direct exchanges without a byte since the suspicion began are ended. If the probes opened connections and were not answered, upstreams may be full instead, so that this waits 2 s more without a byte or an answered probe. If any probe was refused or reset, or bytes come, nothing is ended, since old connections may live on. Idempotent requests go on through other VMs; the others end without a known result. Only direct connections count as traffic for the detector.

--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -39,6 +39,8 @@
 	probes *outbound.Client
 	// onChange is called after the VM was partitioned or is no more.
 	onChange func(partitioned bool)
+	// onSilence is called once in each partition if no byte has come from any upstream for the given time.
+	onSilence func(silent time.Duration)
 
 	partitioned atomic.Bool
 	// changed wakes applyChanges.
@@ -50,12 +52,14 @@
 	targetsView *View
 	targetsAt   clock.Instant
 	crashes     []*crashSuspicion
+	// silenceReported is set if onSilence was called in this partition.
+	silenceReported bool
 }
 
 func newPartitionMonitor(s *Server) *partitionMonitor {
 	return &partitionMonitor{
 		now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, dialect: s.dialect, view: s.view.Load, signals: s.signals,
-		traffic: s.client.Traffic, probes: outbound.NewClient(s.settings.IP), onChange: s.onPartitionChange,
+		traffic: s.client.Traffic, probes: outbound.NewClient(s.settings.IP), onChange: s.onPartitionChange, onSilence: s.endSilentExchanges,
 		changed: make(chan struct{}, 1), detector: partition.New(s.now(), rand.Uint64()),
 	}
 }
@@ -133,6 +137,8 @@
 	crashes []*crashSuspicion
 	// isChange is set if this VM has become partitioned, or is no more.
 	isChange bool
+	// silent is how long no byte has come from any upstream, if onSilence is to be called; 0 otherwise.
+	silent time.Duration
 }
 
 // step records something and does what the detector then decides.
@@ -147,6 +153,9 @@
 		default: // applyChanges has not seen the previous change yet, and will apply the latest state.
 		}
 	}
+	if decided.silent > 0 {
+		go m.contain.run("end of silent exchanges", func() { m.onSilence(decided.silent) })
+	}
 	for _, crash := range decided.crashes {
 		crash.end()
 	}
@@ -164,9 +173,25 @@
 	decided := decisions{probes: m.detector.Tick(now, m.lastTraffic), changes: m.detector.TakeChanges(), crashes: m.decidedCrashes(now)}
 	partitioned := m.detector.State() == partition.Partitioned
 	decided.isChange = m.partitioned.Swap(partitioned) != partitioned
+	decided.silent = m.newSilence(now)
 	return decided
 }
 
+// newSilence returns how long no byte has come from any upstream, if that is to be reported; 0 otherwise. The caller
+// holds the lock.
+func (m *partitionMonitor) newSilence(now clock.Instant) time.Duration {
+	since, ok := m.detector.SilentSince(now)
+	if !ok {
+		m.silenceReported = m.silenceReported && m.isPartitioned()
+		return 0
+	}
+	if m.silenceReported {
+		return 0
+	}
+	m.silenceReported = true
+	return now.Sub(since)
+}
+
 // recordChange logs and counts a change of the state.
 func (m *partitionMonitor) recordChange(c partition.Change) {
 	m.metrics.partitionChanges.WithLabelValues(c.To.String()).Inc()
--- a/internal/outbound/client.go
+++ b/internal/outbound/client.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
 	}
-	cn.traffic = c.startTraffic(address)
+	c.startTraffic(address, cn)
 	x := &Exchange{client: c, conn: cn, address: address, singleUse: request.SingleUse}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if err := x.send(request); err != nil {
@@ -270,8 +270,10 @@
 	reuseUntil time.Time
 	// onFirstByte is called with the first byte on a new connection, and nil afterwards.
 	onFirstByte func()
-	// traffic counts the bytes of the current exchange.
-	traffic *traffic
+	// traffic counts the bytes of the current exchange, and receivedAt is the Unix time in nanoseconds at which it
+	// received its latest byte; 0 if it received none.
+	traffic    *traffic
+	receivedAt atomic.Int64
 }
 
 func newConn(raw net.Conn, direct bool) *conn {
--- a/internal/outbound/exchange.go
+++ b/internal/outbound/exchange.go
@@ -135,7 +135,7 @@
 		return
 	}
 	x.closed = true
-	x.conn.traffic.exchanges.Add(-1)
+	x.client.endTraffic(x.conn)
 	notCancelled := x.stopCancelWatch()
 	if !notCancelled || !x.isReusable() {
 		_ = x.conn.Close()
--- a/internal/outbound/observer.go
+++ b/internal/outbound/observer.go
@@ -52,7 +52,7 @@
 func (cn *conn) Read(p []byte) (int, error) {
 	n, err := cn.Conn.Read(p)
 	if n > 0 {
-		cn.traffic.received.Add(uint64(n))
+		cn.record(n)
 		if cn.onFirstByte != nil {
 			cn.onFirstByte()
 			cn.onFirstByte = nil
--- a/internal/outbound/observer_test.go
+++ b/internal/outbound/observer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -112,3 +113,33 @@
 		t.Errorf("%d bytes of an address without connections", received)
 	}
 }
+
+// TestCloseSilent guards against hung exchanges that are not ended, and against ones that are ended although bytes
+// come.
+func TestCloseSilent(t *testing.T) {
+	hang := make(chan struct{})
+	defer close(hang)
+	s := newServer(t, func(conn net.Conn, _ *bufio.Reader) {
+		writeString(t, conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+		<-hang
+	})
+	c := NewClient("")
+	all := func(string) bool { return true }
+	exchange, err := c.Start(t.Context(), s.address, newGetRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer exchange.Close()
+	if n := c.CloseSilent(time.Minute, all); n != 0 {
+		t.Errorf("%d exchanges ended although a byte came", n)
+	}
+	if n := c.CloseSilent(0, func(string) bool { return false }); n != 0 {
+		t.Errorf("%d exchanges ended with addresses that do not count", n)
+	}
+	if n := c.CloseSilent(0, all); n != 1 {
+		t.Errorf("%d exchanges ended, expected 1", n)
+	}
+	if _, err := io.ReadAll(exchange.Body); err == nil {
+		t.Error("the body has no error")
+	}
+}
--- a/internal/outbound/traffic.go
+++ b/internal/outbound/traffic.go
@@ -1,29 +1,52 @@
 package outbound
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
-// traffic counts what a client exchanges with one address.
+// traffic is what a client exchanges with one address on direct connections.
 type traffic struct {
-	// received is the number of bytes received, and exchanges that of the exchanges that are not closed.
-	received  atomic.Uint64
-	exchanges atomic.Int64
+	// received is the number of bytes received.
+	received atomic.Uint64
+	// conns are those of the exchanges that are not closed.
+	conns map[*conn]struct{}
 }
 
-// startTraffic counts the start of an exchange with an address.
-func (c *Client) startTraffic(address string) *traffic {
+// startTraffic records the start of an exchange with an address.
+func (c *Client) startTraffic(address string, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.traffic[address]
 	if t == nil {
-		t = &traffic{}
+		t = &traffic{conns: map[*conn]struct{}{}}
 		c.traffic[address] = t
 	}
-	t.exchanges.Add(1)
-	return t
+	cn.traffic = t
+	cn.receivedAt.Store(0)
+	if cn.direct {
+		t.conns[cn] = struct{}{}
+	}
+}
+
+// endTraffic records the end of an exchange.
+func (c *Client) endTraffic(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(cn.traffic.conns, cn)
 }
 
-// Traffic returns the number of bytes received from the addresses that count, which may fall when addresses are
-// forgotten, and the number of these addresses with requests whose responses are not complete.
+// record records bytes that were received.
+func (cn *conn) record(n int) {
+	cn.receivedAt.Store(time.Now().UnixNano())
+	if cn.direct {
+		cn.traffic.received.Add(uint64(n))
+	}
+}
+
+// Traffic returns the number of bytes received on direct connections from the addresses that count, which may fall
+// when addresses are forgotten, and the number of these addresses with requests on direct connections whose
+// responses are not complete.
 func (c *Client) Traffic(counts func(address string) bool) (received uint64, awaited int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -32,7 +55,7 @@
 			continue
 		}
 		received += t.received.Load()
-		if t.exchanges.Load() > 0 {
+		if len(t.conns) > 0 {
 			awaited++
 		}
 	}
@@ -42,12 +65,33 @@
 // forgetTraffic forgets the addresses without exchanges or idle connections. The caller holds the lock.
 func (c *Client) forgetTraffic() {
 	for address, t := range c.traffic {
-		if t.exchanges.Load() == 0 && len(c.idleConns[address]) == 0 {
+		if len(t.conns) == 0 && len(c.idleConns[address]) == 0 {
 			delete(c.traffic, address)
 		}
 	}
 }
 
+// CloseSilent closes the direct connections to the addresses that count whose exchanges received no byte within the
+// given time, also if they began later. It returns their number.
+func (c *Client) CloseSilent(within time.Duration, counts func(address string) bool) int {
+	since := time.Now().Add(-within).UnixNano()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	closed := 0
+	for address, t := range c.traffic {
+		if !counts(address) {
+			continue
+		}
+		for cn := range t.conns {
+			if cn.receivedAt.Load() < since {
+				_ = cn.Close()
+				closed++
+			}
+		}
+	}
+	return closed
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -45,6 +45,11 @@
 	// unansweredRounds is the number of rounds that lead to a partition if some of their probes were not answered
 	// by upstreams that may be full. Together they last longer than most requests need to send a byte.
 	unansweredRounds = 3
+	// minHangTime is the time from which on a probe that failed was not refused or reset.
+	minHangTime = 200 * time.Millisecond
+	// silenceConfirmTime is how long no byte may come after a partition was detected until it counts as certain that
+	// upstreams which did not answer are not full.
+	silenceConfirmTime = 2 * time.Second
 	// suspectFailures is the number of upstreams to which new connections failed, without a success since the
 	// first of them, that starts a round.
 	suspectFailures = 2
@@ -162,8 +167,12 @@
 	suspectSince clock.Instant
 	rounds       int
 	nextRoundAt  clock.Instant
-	// isUnanswered is set if a probe of these rounds was not answered by an upstream that may be full.
+	// isUnanswered is set if a probe of these rounds was not answered by an upstream that may be full, and
+	// isRefused if one was refused or reset.
 	isUnanswered bool
+	isRefused    bool
+	// partitionedAt is when the VM became partitioned last.
+	partitionedAt clock.Instant
 
 	probes      probes
 	nextProbeAt clock.Instant
@@ -207,6 +216,18 @@
 	return changes
 }
 
+// SilentSince returns since when no byte comes from any upstream, on old connections neither. It returns false if
+// that is not so as far as is known: if new connections are refused or reset, old ones may live on.
+func (d *Detector) SilentSince(now clock.Instant) (since clock.Instant, ok bool) {
+	if d.state != Partitioned || d.isRefused || d.receivedAt.After(d.suspectSince) || len(d.returned) > 0 {
+		return 0, false
+	}
+	if d.isUnanswered && now.Sub(d.partitionedAt) < silenceConfirmTime {
+		return 0, false
+	}
+	return d.suspectSince, true
+}
+
 // Verdict returns what is known about a failure at an upstream at the given time.
 func (d *Detector) Verdict(failedAt clock.Instant) Verdict {
 	switch {
@@ -251,7 +272,7 @@
 func (d *Detector) enter(now clock.Instant, state State, reason Reason) {
 	if state == Suspect {
 		d.probes.cancel() // A round that ended early may have left some.
-		d.suspectSince, d.rounds, d.nextRoundAt, d.isUnanswered = now, 0, now, false
+		d.suspectSince, d.rounds, d.nextRoundAt, d.isUnanswered, d.isRefused = now, 0, now, false, false
 	}
 	change := Change{From: d.state, To: state, Reason: reason, Failures: len(d.failures), Failed: len(d.probes.failed), Answered: d.probes.answered}
 	if d.lastSuccess != 0 {
@@ -273,7 +294,7 @@
 		return
 	}
 	clear(d.failedAlone)
-	d.crashAt = 0
+	d.crashAt, d.partitionedAt = 0, now
 }
 
 // checkPause forgets what failed if the VM was paused, since its timers all fire at once afterwards.
--- a/pkg/partition/detector_test.go
+++ b/pkg/partition/detector_test.go
@@ -302,3 +302,54 @@
 		}
 	}
 }
+
+// TestSilentSince guards against old connections that are ended although they may live on: new ones are refused,
+// bytes come, or upstreams may be full.
+func TestSilentSince(t *testing.T) {
+	type end struct {
+		after      time.Duration
+		unanswered bool
+	}
+	for name, test := range map[string]struct {
+		end      end
+		received uint64
+		expected bool
+		// later is what is expected after silenceConfirmTime.
+		later bool
+	}{
+		"refused":                     {end: end{after: time.Millisecond}},
+		"hanging":                     {end: end{after: ProbeTimeout}, expected: true, later: true},
+		"hanging while bytes come":    {end: end{after: ProbeTimeout}, received: 1},
+		"unanswered":                  {end: end{after: ProbeTimeout, unanswered: true}, later: true},
+		"unanswered, then bytes come": {end: end{after: ProbeTimeout, unanswered: true}, received: 1},
+	} {
+		d, now := newTestDetector(12)
+		d.RecordFailed(now, d.upstreams[0].Address)
+		d.RecordFailed(now, d.upstreams[1].Address)
+		suspectSince := now
+		for d.State() != Partitioned {
+			probes := d.Tick(now, Traffic{})
+			for _, probe := range probes {
+				if test.end.unanswered {
+					d.RecordUnanswered(now.Add(test.end.after), probe.ID)
+				} else {
+					d.RecordProbe(now.Add(test.end.after), probe.ID, false)
+				}
+			}
+			now = now.Add(max(test.end.after, testTick))
+		}
+		if !test.end.unanswered {
+			d.Tick(now, Traffic{Received: test.received})
+		}
+		if since, ok := d.SilentSince(now); ok != test.expected || ok && since != suspectSince {
+			t.Errorf("%s: silent since %v: %v, expected %v", name, since, ok, test.expected)
+		}
+		for range silenceConfirmTime / testTick {
+			now = now.Add(testTick)
+			d.Tick(now, Traffic{Received: test.received})
+		}
+		if _, ok := d.SilentSince(now); ok != test.later {
+			t.Errorf("%s: silent later: %v, expected %v", name, ok, test.later)
+		}
+	}
+}
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -106,6 +106,9 @@
 	if !ok {
 		return
 	}
+	if d.state == Suspect && !answered && now.Sub(probe.started) < minHangTime {
+		d.isRefused = true
+	}
 	switch {
 	case d.state != Partitioned && answered:
 		d.recordSuccess(now, probe.address, probe.started)
