--- a/internal/edge/partitionmonitor.go
+++ b/internal/edge/partitionmonitor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
@@ -38,6 +39,8 @@
 	probes *outbound.Client
 	// onChange is called after the VM was partitioned or is no more.
 	onChange func(partitioned bool)
+	// onSilence is called once in each partition if no byte has come from any upstream for the given time.
+	onSilence func(silent time.Duration)
 
 	partitioned atomic.Bool
 	// changed wakes applyChanges.
@@ -49,12 +52,14 @@
 	targetsView *View
 	targetsAt   clock.Instant
 	suspected   []*suspectedFailure
+	// silenceReported is set if onSilence was called in this partition.
+	silenceReported bool
 }
 
 func newPartitionMonitor(s *Server) *partitionMonitor {
 	return &partitionMonitor{
 		now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain, dialect: s.dialect, view: s.view.Load, signals: s.signals,
-		traffic: s.client.Traffic, probes: outbound.NewClient(s.settings.IP), onChange: s.onPartitionChange,
+		traffic: s.client.Traffic, probes: outbound.NewClient(s.settings.IP), onChange: s.onPartitionChange, onSilence: s.endSilentExchanges,
 		changed: make(chan struct{}, 1), detector: partition.New(s.now(), rand.Uint64()),
 	}
 }
@@ -132,6 +137,8 @@
 	failures []*suspectedFailure
 	// isChange is set if this VM has become partitioned, or is no more.
 	isChange bool
+	// silent is how long no byte has come from any upstream, if onSilence is to be called; 0 otherwise.
+	silent time.Duration
 }
 
 // step records something and does what the detector then decides.
@@ -146,6 +153,9 @@
 		default: // applyChanges has not seen the previous change yet, and will apply the latest state.
 		}
 	}
+	if decided.silent > 0 {
+		go m.contain.run("end of silent exchanges", func() { m.onSilence(decided.silent) })
+	}
 	for _, failure := range decided.failures {
 		failure.end(failure.verdict)
 	}
@@ -163,9 +173,25 @@
 	decided := decisions{probes: m.detector.Tick(now, m.lastTraffic), changes: m.detector.TakeChanges(), failures: m.decidedFailures(now)}
 	partitioned := m.detector.State() == partition.Partitioned
 	decided.isChange = m.partitioned.Swap(partitioned) != partitioned
+	decided.silent = m.newSilence(now)
 	return decided
 }
 
+// newSilence returns how long no byte has come from any upstream, if that is to be reported; 0 otherwise. The caller
+// holds the lock.
+func (m *partitionMonitor) newSilence(now clock.Instant) time.Duration {
+	since, ok := m.detector.SilentSince(now)
+	if !ok {
+		m.silenceReported = m.silenceReported && m.isPartitioned()
+		return 0
+	}
+	if m.silenceReported {
+		return 0
+	}
+	m.silenceReported = true
+	return now.Sub(since)
+}
+
 // recordChange logs and counts a change of the state.
 func (m *partitionMonitor) recordChange(c partition.Change) {
 	m.metrics.partitionChanges.WithLabelValues(c.To.String()).Inc()
@@ -218,18 +244,36 @@
 	return out
 }
 
-// sendProbe sends a probe and records whether it was answered.
+// probeEnd is how a probe ended.
+type probeEnd uint8
+
+const (
+	// probeFailed means that the upstream could not be reached.
+	probeFailed probeEnd = iota
+	// probeUnanswered means that the connection opened, and that the upstream did not answer in time, maybe since
+	// the query waits for a slot.
+	probeUnanswered
+	// probeAnswered means that a response of any status came back.
+	probeAnswered
+)
+
+// String returns the name of the end for metrics.
+func (e probeEnd) String() string { return [...]string{"failed", "unanswered", "answered"}[e] }
+
+// sendProbe sends a probe and records how it ended.
 func (m *partitionMonitor) sendProbe(probe partition.Probe) {
-	answered := false
+	end := probeFailed
 	if entry := m.targetOf(probe); entry != nil {
-		answered = m.query(entry)
+		end = m.query(entry)
 	}
-	end := "failed"
-	if answered {
-		end = "answered"
-	}
-	m.metrics.partitionProbes.WithLabelValues(end).Inc()
-	m.step(func(d *partition.Detector, now clock.Instant) { d.RecordProbe(now, probe.ID, answered) })
+	m.metrics.partitionProbes.WithLabelValues(end.String()).Inc()
+	m.step(func(d *partition.Detector, now clock.Instant) {
+		if end == probeUnanswered {
+			d.RecordUnanswered(now, probe.ID)
+			return
+		}
+		d.RecordProbe(now, probe.ID, end == probeAnswered)
+	})
 }
 
 // targetOf returns the upstream to probe, or nil if it is gone or asks for no traffic.
@@ -241,23 +285,32 @@
 	return entry
 }
 
-// query sends a query that takes no slot of the upstream, and reports whether a response of any status came back.
-func (m *partitionMonitor) query(entry *registry.Entry) bool {
+// query sends a query and returns how it ended. A report of the load takes no slot of the upstream; a health query
+// may wait for one.
+func (m *partitionMonitor) query(entry *registry.Entry) probeEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), partition.ProbeTimeout)
 	defer cancel()
-	request := m.dialect.EncodeMemoryQuery(entry.Address)
-	if view := m.view(); view.Catalog != nil {
-		if pool := view.Catalog.Pools[entry.Pool]; pool != nil && pool.Engine == nil && pool.Batch == nil {
-			request = m.dialect.EncodeHealthQuery(entry.Address, entry.ID, pool.HealthPath)
-		}
-	}
+	request, mayWait := m.probeRequest(entry)
 	// The response does not say which query it belongs to.
 	request.SingleUse = true
 	exchange, err := m.probes.Start(ctx, entry.Address, request)
-	if err != nil {
-		m.logger.Debug("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
-		return false
+	if err == nil {
+		exchange.Close()
+		return probeAnswered
+	}
+	m.logger.Debug("probe of an upstream failed", zap.String("upstream", entry.ID), zap.String("address", entry.Address), obs.ErrorField(err))
+	if mayWait && ctx.Err() != nil && !errors.Is(err, outbound.ErrNotSent) {
+		return probeUnanswered
+	}
+	return probeFailed
+}
+
+// probeRequest returns the query of a probe, and whether it may wait for a slot of the upstream.
+func (m *partitionMonitor) probeRequest(entry *registry.Entry) (request *outbound.Request, mayWait bool) {
+	if view := m.view(); view.Catalog != nil {
+		if pool := view.Catalog.Pools[entry.Pool]; pool != nil && pool.Engine == nil && pool.Batch == nil {
+			return m.dialect.EncodeHealthQuery(entry.Address, entry.ID, pool.HealthPath), true
+		}
 	}
-	exchange.Close()
-	return true
+	return m.dialect.EncodeMemoryQuery(entry.Address), false
 }
--- a/pkg/partition/detector_test.go
+++ b/pkg/partition/detector_test.go
@@ -32,6 +32,19 @@
 	}
 }
 
+// failRounds ends all probes without an answer, and those of the next rounds until the detector has decided. It
+// returns the time of the decision.
+func failRounds(d *Detector, now clock.Instant, probes []Probe) clock.Instant {
+	for {
+		endProbes(d, now, probes, false)
+		if d.State() != Suspect {
+			return now
+		}
+		now = now.Add(testTick)
+		probes = d.Tick(now, Traffic{})
+	}
+}
+
 // TestSilenceIsEvidence guards against connections that hang without an error, so that nothing fails.
 func TestSilenceIsEvidence(t *testing.T) {
 	d, now := newTestDetector(12)
@@ -47,6 +60,10 @@
 		t.Fatalf("%d probes after a silence", len(probes))
 	}
 	endProbes(d, now, probes, false)
+	if d.State() != Suspect {
+		t.Errorf("the state is %v after one round", d.State())
+	}
+	failRounds(d, now, nil)
 	if d.State() != Partitioned {
 		t.Errorf("the state is %v after all probes failed", d.State())
 	}
@@ -93,7 +110,11 @@
 		if got := d.Verdict(failedAt); got != Unknown {
 			t.Fatalf("verdict %v during the round", got)
 		}
-		endProbes(d, now, probes, answered)
+		if answered {
+			endProbes(d, now, probes, true)
+		} else {
+			now = failRounds(d, now, probes)
+		}
 		if got := d.Verdict(failedAt); got != expected {
 			t.Errorf("verdict %v after probes that ended with %v, expected %v", got, answered, expected)
 		}
@@ -147,7 +168,7 @@
 	d, now := newTestDetector(12)
 	d.RecordFailed(now, d.upstreams[0].Address)
 	d.RecordFailed(now, d.upstreams[1].Address)
-	endProbes(d, now, d.Tick(now, Traffic{}), false)
+	now = failRounds(d, now, d.Tick(now, Traffic{}))
 	healed := now
 	for d.State() == Partitioned {
 		if now = now.Add(testTick); now.Sub(healed) > 4*time.Second {
@@ -176,7 +197,7 @@
 	d, now = newTestDetector(minUpstreams)
 	d.RecordFailed(now, d.upstreams[0].Address)
 	d.RecordFailed(now, d.upstreams[1].Address)
-	endProbes(d, now, d.Tick(now, Traffic{}), false)
+	now = failRounds(d, now, d.Tick(now, Traffic{}))
 	if d.State() != Partitioned {
 		t.Fatalf("the state is %v", d.State())
 	}
@@ -225,3 +246,110 @@
 		t.Errorf("verdict %v although probes were answered", got)
 	}
 }
+
+// TestUnansweredProbes guards against full upstreams, which answer no health query in time, that are taken for a
+// partition, and against a partition that is taken for full upstreams.
+func TestUnansweredProbes(t *testing.T) {
+	for _, areFull := range []bool{false, true} {
+		d, now := newTestDetector(12)
+		since := now
+		received := uint64(0)
+		for i := 0; d.State() != Partitioned && now.Sub(since) < 3*time.Second; i++ {
+			now = now.Add(testTick)
+			if areFull && i%12 == 11 {
+				received++
+			}
+			probes := d.Tick(now, Traffic{Received: received, Waiting: 4})
+			if len(probes) == 0 {
+				continue
+			}
+			for range ProbeTimeout / testTick {
+				now = now.Add(testTick)
+				if areFull {
+					received++
+				}
+				d.Tick(now, Traffic{Received: received, Waiting: 4})
+			}
+			for _, probe := range probes {
+				d.RecordUnanswered(now, probe.ID)
+			}
+		}
+		if isPartitioned := d.State() == Partitioned; isPartitioned == areFull {
+			t.Errorf("partitioned: %v although the upstreams are full: %v", isPartitioned, areFull)
+		}
+	}
+}
+
+// TestOneFailingUpstream guards against a partition that is detected late since old connections live on and all
+// new ones go to one upstream, and against endless rounds of probes since one upstream is down.
+func TestOneFailingUpstream(t *testing.T) {
+	for _, isCut := range []bool{false, true} {
+		d, now := newTestDetector(12)
+		d.RecordConnected(now, d.upstreams[1].Address)
+		since, sent := now, 0
+		for d.State() != Partitioned && now.Sub(since) < 9*time.Second {
+			now = now.Add(testTick)
+			d.RecordFailed(now, d.upstreams[0].Address)
+			probes := d.Tick(now, Traffic{Received: uint64(now), Waiting: 4})
+			sent += len(probes)
+			endProbes(d, now, probes, !isCut)
+		}
+		if took := now.Sub(since); isCut && took > successTimeout+roundInterval+3*testTick {
+			t.Errorf("the partition was detected after %v", took)
+		}
+		if !isCut && (d.State() == Partitioned || sent > roundProbes) {
+			t.Errorf("state %v after %d probes although only one upstream is down", d.State(), sent)
+		}
+	}
+}
+
+// TestSilentSince guards against old connections that are ended although they may live on: new ones are refused,
+// bytes come, or upstreams may be full.
+func TestSilentSince(t *testing.T) {
+	type end struct {
+		after      time.Duration
+		unanswered bool
+	}
+	for name, test := range map[string]struct {
+		end      end
+		received uint64
+		expected bool
+		// later is what is expected after silenceConfirmTime.
+		later bool
+	}{
+		"refused":                     {end: end{after: time.Millisecond}},
+		"hanging":                     {end: end{after: ProbeTimeout}, expected: true, later: true},
+		"hanging while bytes come":    {end: end{after: ProbeTimeout}, received: 1},
+		"unanswered":                  {end: end{after: ProbeTimeout, unanswered: true}, later: true},
+		"unanswered, then bytes come": {end: end{after: ProbeTimeout, unanswered: true}, received: 1},
+	} {
+		d, now := newTestDetector(12)
+		d.RecordFailed(now, d.upstreams[0].Address)
+		d.RecordFailed(now, d.upstreams[1].Address)
+		suspectSince := now
+		for d.State() != Partitioned {
+			probes := d.Tick(now, Traffic{})
+			for _, probe := range probes {
+				if test.end.unanswered {
+					d.RecordUnanswered(now.Add(test.end.after), probe.ID)
+				} else {
+					d.RecordProbe(now.Add(test.end.after), probe.ID, false)
+				}
+			}
+			now = now.Add(max(test.end.after, testTick))
+		}
+		if !test.end.unanswered {
+			d.Tick(now, Traffic{Received: test.received})
+		}
+		if since, ok := d.SilentSince(now); ok != test.expected || ok && since != suspectSince {
+			t.Errorf("%s: silent since %v: %v, expected %v", name, since, ok, test.expected)
+		}
+		for range silenceConfirmTime / testTick {
+			now = now.Add(testTick)
+			d.Tick(now, Traffic{Received: test.received})
+		}
+		if _, ok := d.SilentSince(now); ok != test.later {
+			t.Errorf("%s: silent later: %v, expected %v", name, ok, test.later)
+		}
+	}
+}
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -12,7 +12,7 @@
 // Reasons.
 const (
 	NoReason Reason = iota
-	// ConnectionsFailed means that new connections to several upstreams failed.
+	// ConnectionsFailed means that new connections to several upstreams failed, or to one while none succeeded.
 	ConnectionsFailed
 	// Silence means that no byte came although several upstreams were to send some.
 	Silence
@@ -20,6 +20,8 @@
 	CrashProbeFailed
 	// ProbesFailed means that all probes of a round failed.
 	ProbesFailed
+	// BytesReceived means that bytes came from upstreams although no probe was answered: they are full.
+	BytesReceived
 	// Connected means that new connections succeeded.
 	Connected
 	// Paused means that the VM was paused during a round.
@@ -30,7 +32,7 @@
 
 var reasonNames = [...]string{
 	NoReason: "", ConnectionsFailed: "connections failed", Silence: "silence", CrashProbeFailed: "crash probe failed", ProbesFailed: "probes failed",
-	Connected: "connected", Paused: "the VM was paused", TooFewUpstreams: "too few upstreams",
+	BytesReceived: "bytes received", Connected: "connected", Paused: "the VM was paused", TooFewUpstreams: "too few upstreams",
 }
 
 // String returns the reason for logs.
@@ -48,9 +50,12 @@
 // RecordFailed records a new connection that failed before a byte of a response came.
 func (d *Detector) RecordFailed(now clock.Instant, address string) {
 	d.checkPause(now)
-	if d.state == Partitioned || now.Before(d.settledAt) || d.isRefuted(address) || !d.isKnown(address) {
+	if d.state == Partitioned || now.Before(d.ignoreFailuresUntil) || d.hasFailedAlone(address) || !d.isKnown(address) {
 		return
 	}
+	if len(d.failures) == 0 {
+		d.failingSince = now
+	}
 	d.failures[address] = now
 }
 
@@ -63,28 +68,37 @@
 	}
 }
 
-// recordSuccess records that an upstream was reached by a connection that was opened at a time, which refutes
+// recordSuccess records that an upstream was reached by a connection that was opened at a time, which ends
 // a suspicion.
 func (d *Detector) recordSuccess(now clock.Instant, address string, opened clock.Instant) {
 	d.lastSuccess, d.reachedAt = now, max(d.reachedAt, opened)
 	if d.reachedAt >= d.crashAt {
 		d.crashAt = 0
 	}
-	delete(d.refuted, address)
+	delete(d.failedAlone, address)
 	if d.state != Suspect {
 		clear(d.failures)
 		return
 	}
 	for failed := range d.failures {
-		d.refuted[failed] = now
+		d.failedAlone[failed] = now
 	}
 	for _, failed := range d.probes.failed {
-		d.refuted[failed] = now
+		d.failedAlone[failed] = now
 	}
-	delete(d.refuted, address)
+	delete(d.failedAlone, address)
 	d.enter(now, Reachable, Connected)
 }
 
+// RecordUnanswered records the end of a probe whose connection opened, and which was not answered in time by an
+// upstream where it may wait for a slot.
+func (d *Detector) RecordUnanswered(now clock.Instant, id uint64) {
+	if d.probes.isRunning(id) {
+		d.isUnanswered = true
+	}
+	d.RecordProbe(now, id, false)
+}
+
 // RecordProbe records the end of a probe. An answer of any kind is a success.
 func (d *Detector) RecordProbe(now clock.Instant, id uint64, answered bool) {
 	d.checkPause(now)
@@ -92,17 +106,43 @@
 	if !ok {
 		return
 	}
+	if d.state == Suspect && !answered && now.Sub(probe.started) < minHangTime {
+		d.isRefused = true
+	}
 	switch {
 	case d.state != Partitioned && answered:
 		d.recordSuccess(now, probe.address, probe.started)
 	case d.state == Suspect && len(d.probes.running) == 0 && len(d.probes.failed) >= minUpstreams:
-		d.enter(now, Partitioned, ProbesFailed)
+		d.endRound(now)
 	case d.state == Partitioned && answered:
 		d.lastSuccess, d.reachedAt = now, probe.started
 		d.recordReturn(now, probe.address)
 	}
 }
 
+// endRound decides after a round of which all probes failed. Without a decision another one follows, at other
+// upstreams if there are any.
+func (d *Detector) endRound(now clock.Instant) {
+	d.rounds++
+	for _, failed := range d.probes.failed {
+		d.failures[failed] = now
+	}
+	switch {
+	case d.isUnanswered && d.receivedAt.After(d.suspectSince):
+		d.enter(now, Reachable, BytesReceived)
+	case d.rounds >= d.roundsNeeded():
+		d.enter(now, Partitioned, ProbesFailed)
+	}
+}
+
+// roundsNeeded returns the number of failed rounds that lead to a partition.
+func (d *Detector) roundsNeeded() int {
+	if d.isUnanswered {
+		return unansweredRounds
+	}
+	return failedRounds
+}
+
 // recordReturn records that an upstream answered a probe while partitioned.
 func (d *Detector) recordReturn(now clock.Instant, address string) {
 	maps.DeleteFunc(d.returned, func(_ string, at clock.Instant) bool { return now.Sub(at) > returnWindow })
@@ -115,33 +155,46 @@
 // suspicion returns why a round is to start, or NoReason.
 func (d *Detector) suspicion(now clock.Instant, isSilent bool) Reason {
 	maps.DeleteFunc(d.failures, func(_ string, at clock.Instant) bool { return now.Sub(at) > failureWindow })
-	maps.DeleteFunc(d.refuted, func(_ string, at clock.Instant) bool { return now.Sub(at) >= refutedTime })
-	sinceRefuted := now.Sub(d.lastRefuted)
-	if sinceRefuted > 2*maxSilenceInterval {
+	maps.DeleteFunc(d.failedAlone, func(_ string, at clock.Instant) bool { return now.Sub(at) >= failedAloneWindow })
+	sinceSuspicion := now.Sub(d.lastSuspicionEnd)
+	if sinceSuspicion > 2*maxSilenceInterval {
 		d.silenceInterval = minSuspicionInterval
 	}
 	switch {
-	case d.crashAt != 0 && sinceRefuted >= minCrashInterval:
+	case d.crashAt != 0 && now.Sub(d.crashAt) <= failureWindow && sinceSuspicion >= minCrashInterval:
 		return CrashProbeFailed
-	case len(d.failures) >= d.failuresNeeded() && sinceRefuted >= minSuspicionInterval:
+	case d.areConnectionsFailing(now) && sinceSuspicion >= minSuspicionInterval:
 		return ConnectionsFailed
-	case isSilent && sinceRefuted >= d.silenceInterval:
+	case isSilent && sinceSuspicion >= d.silenceInterval:
 		d.silenceInterval = min(2*d.silenceInterval, maxSilenceInterval)
 		return Silence
 	}
 	return NoReason
 }
 
+// areConnectionsFailing reports whether new connections to several upstreams failed, or to one without a success
+// for successTimeout.
+func (d *Detector) areConnectionsFailing(now clock.Instant) bool {
+	if len(d.failures) >= d.failuresNeeded() {
+		return true
+	}
+	return len(d.failures) > 0 && now.Sub(d.failingSince) >= successTimeout
+}
+
 // failuresNeeded returns the number of upstreams that must fail to start a round: fewer if the failures of
 // most upstreams do not count.
 func (d *Detector) failuresNeeded() int {
-	return max(1, min(suspectFailures, len(d.upstreams)-len(d.refuted)))
+	return max(1, min(suspectFailures, len(d.upstreams)-len(d.failedAlone)))
 }
 
-// isSilent reports whether no byte came for silenceTime although several upstreams were to send some.
-func (d *Detector) isSilent(now clock.Instant, traffic Traffic) bool {
-	if traffic.Received != d.received || traffic.Waiting < suspectFailures || now.Before(d.settledAt) {
-		d.received, d.quietSince = traffic.Received, now
+// recordTraffic records the bytes received, and since when none came although several upstreams were to send some.
+func (d *Detector) recordTraffic(now clock.Instant, traffic Traffic) {
+	isNew := traffic.Received > d.received
+	d.received = traffic.Received
+	if isNew {
+		d.receivedAt = now
+	}
+	if isNew || traffic.Waiting < suspectFailures || now.Before(d.ignoreFailuresUntil) {
+		d.quietSince = now
 	}
-	return now.Sub(d.quietSince) >= silenceTime
 }
--- a/pkg/partition/probes.go
+++ b/pkg/partition/probes.go
@@ -63,6 +63,12 @@
 	return out
 }
 
+// isRunning reports whether the end of a probe is awaited.
+func (p *probes) isRunning(id uint64) bool {
+	_, ok := p.running[id]
+	return ok
+}
+
 // end ends a probe and returns it. It returns false if the probe was cancelled.
 func (p *probes) end(id uint64, answered bool) (probe runningProbe, ok bool) {
 	probe, ok = p.running[id]
@@ -113,8 +119,8 @@
 	order.isLast = func(address string) bool { _, ok := d.returned[address]; return ok }
 	order.isAvoided = func(address string) bool {
 		_, failed := d.failures[address]
-		_, refuted := d.refuted[address]
-		return failed || refuted
+		_, failedAlone := d.failedAlone[address]
+		return failed || failedAlone
 	}
 	if d.state == Partitioned {
 		order.recent = d.probes.recent
