--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -13,8 +13,11 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 )
 
@@ -159,8 +162,11 @@
 			if err := breakOff(conn, far); err != nil {
 				t.Fatal(err)
 			}
-			if _, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) {
-				t.Errorf("error %v, expected a reset", err)
+			if _, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) || errors.Is(err, outbound.ErrPathFailed) {
+				t.Errorf("error %v, expected a reset by the upstream", err)
+			}
+			if _, err := conn.Write([]byte("x")); !errors.Is(err, syscall.EPIPE) || errors.Is(err, outbound.ErrPathFailed) {
+				t.Errorf("error %v of a write, expected one by the upstream", err)
 			}
 			if err := <-ended; err == nil {
 				t.Error("the carrying VM reports an orderly end")
@@ -169,6 +175,37 @@
 	}
 }
 
+// endingServer opens each tunnel and ends it, as a VM does that stops.
+type endingServer struct {
+	hoistv1.UnimplementedFleetServer
+}
+
+// Tunnel implements hoistv1.FleetServer.
+func (endingServer) Tunnel(stream hoistv1.Fleet_TunnelServer) error {
+	if err := stream.Send(&hoistv1.TunnelResponse{}); err != nil {
+		return err
+	}
+	return status.Error(codes.Unavailable, "the VM stops")
+}
+
+// TestLostCarrierIsNoFailureOfUpstream guards against an upstream that is blamed since its carrier was lost.
+func TestLostCarrierIsNoFailureOfUpstream(t *testing.T) {
+	conn, err := Open(t.Context(), newClient(t, endingServer{}), "u", "10.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = conn.Receive() }() // The test reads the end from the connection.
+	for err == nil {
+		_, err = conn.Write([]byte("x"))
+	}
+	if !errors.Is(err, syscall.EPIPE) || !errors.Is(err, outbound.ErrPathFailed) {
+		t.Errorf("error %v of a write", err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) || !errors.Is(err, outbound.ErrPathFailed) {
+		t.Errorf("error %v of a read", err)
+	}
+}
+
 // TestResetAfterOrderlyEnd guards against an answer that looks whole although its upstream died before it
 // had read the request: the kernel sends an orderly end first, and a reset once the bytes arrive.
 func TestResetAfterOrderlyEnd(t *testing.T) {
