Decide on a partition in one round if all upstreams have failed

What callers saw: a stage whose calls a partition broke failed with 503 shortly before its owner gave the pool up.

Cause: the second round of probes, 200 ms after the first, although no upstream was left that had not failed.

Change: one round suffices if new connections to all upstreams failed since the last success.

--- a/pkg/partition/detector.go
+++ b/pkg/partition/detector.go
@@ -8,7 +8,8 @@
 // A Detector is deterministic and not safe for concurrent use. Invariants:
 //   - it becomes Partitioned only after failedRounds rounds of which all probes failed, at upstreams of different
 //     pools and zones as far as there are any, and during which no new connection succeeded. Rounds are at least
-//     roundInterval apart, since refused probes end at once, and many upstreams may be down;
+//     roundInterval apart, since refused probes end at once, and many upstreams may be down. One round
+//     suffices if new connections to all upstreams failed since the last success;
 //   - a probe that may wait for a slot and was not answered proves nothing by itself, since its upstream may be
 //     full. It counts as failed only after unansweredRounds rounds during which no byte came from any upstream:
 //     in a cut in which connections open and stay silent none comes, while full upstreams end requests;
@@ -256,6 +257,9 @@
 			d.enter(now, Suspect, reason)
 		}
 	}
+	if d.state == Suspect && d.rounds > 0 && len(d.probes.running) == 0 {
+		d.decide(now) // Other connections may have failed since the round.
+	}
 	switch {
 	case d.state == Suspect && len(d.probes.running) == 0 && !now.Before(d.nextRoundAt):
 		d.nextRoundAt = now.Add(roundInterval)
--- a/pkg/partition/evidence.go
+++ b/pkg/partition/evidence.go
@@ -127,6 +127,11 @@
 	for _, failed := range d.probes.failed {
 		d.failures[failed] = now
 	}
+	d.decide(now)
+}
+
+// decide ends a suspicion if its rounds suffice.
+func (d *Detector) decide(now clock.Instant) {
 	switch {
 	case d.isUnanswered && d.receivedAt.After(d.suspectSince):
 		d.enter(now, Reachable, BytesReceived)
@@ -137,8 +142,11 @@
 
 // roundsNeeded returns the number of failed rounds that lead to a partition.
 func (d *Detector) roundsNeeded() int {
-	if d.isUnanswered {
+	switch {
+	case d.isUnanswered:
 		return unansweredRounds
+	case len(d.failures) >= len(d.upstreams):
+		return 1 // There is no other upstream to ask.
 	}
 	return failedRounds
 }
