Remove upstreams that stay missing when their grace ends

After an outage of the store, or its return from a copy, an upstream whose entry was missing stayed in service for up to 2.1 s, while one that has left serves for 2.0 s: the last calls failed.

Cause: the grace is 1.7 s, but expiries were looked at once in a round of 400 ms. Within a round the follower now also wakes when the next missing upstream is due, at most every 20 ms, since each expiry builds a view. The rounds of pulls and claims stay as they were.

--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -166,8 +166,7 @@
 // expired upstreams, divides the pools as the other VMs do, and claims and hands over shards.
 func (s *Server) refreshStaleTables(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerPullInterval)
-		s.follower.expire()
+		s.follower.expireFor(ctx, peerPullInterval)
 		s.follower.adoptShards()
 		s.updatePoolClaims()
 		if age, complete := s.follower.age(); complete && age < staleTablesAge {
