Log the release of withheld entries

Operators saw an upstream return to service 5 s after the store's return from a copy without a line that says why. Cause: the registry released withheld entries within Tick and reported only that something had changed. It returns them now, and each is a decision with a line of its own. TestRemovedUpstreamIsWithheldAfterDrill asks for the decision in addition to the change.

--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -96,6 +96,8 @@
 		message = "upstream entry ignored: it is older than the known one"
 	case published.WithheldEntry:
 		message = "upstream entry withheld: the upstream was removed"
+	case published.ReleasedEntry:
+		message = "upstream registered: its withheld entry has stayed in the store"
 	}
 	f.logger.Info(message, zap.String("upstream", value.ID), zap.String("pool", value.Pool),
 		zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining), at)
--- a/pkg/published/decision.go
+++ b/pkg/published/decision.go
@@ -23,6 +23,8 @@
 	StaleEntry
 	// WithheldEntry is an entry from a copy whose upstream is known as removed.
 	WithheldEntry
+	// ReleasedEntry is an entry that was withheld and has stayed in the store: its upstream is in service.
+	ReleasedEntry
 	// Kept items are in force although the store of this era has not written them: zones out of service that
 	// the copy does not list, and what a peer has kept.
 	Kept
--- a/pkg/published/era_test.go
+++ b/pkg/published/era_test.go
@@ -130,8 +130,9 @@
 	s.Watch(at(4400), []replica.Item{removed(upPrefix+"gone", 42)}, pos(2, 42), at(4400))
 	s.Tick(at(5400))
 	expectUpstreams(t, s, map[string]string{"new process": "ready", "written": "ready"})
-	if !s.Tick(at(5600)).HasChanges {
-		t.Error("no change when the entry had stayed long enough")
+	released := s.Tick(at(5600))
+	if !released.HasChanges || len(released.Decisions) != 1 || released.Decisions[0].Verdict != ReleasedEntry {
+		t.Errorf("update %+v when the entry had stayed long enough", released)
 	}
 	expectUpstreams(t, s, map[string]string{"new process": "ready", "written": "ready", "silent": "ready"})
 }
--- a/pkg/published/state.go
+++ b/pkg/published/state.go
@@ -131,6 +131,10 @@
 // Tick ends what was kept or withheld for a time.
 func (s *State) Tick(now clock.Instant) Update {
 	update := Update{HasChanges: s.registry.Tick(now)}
+	for _, upstream := range s.registry.ReleaseWithheld(now) {
+		update.HasChanges = true
+		update.add(Decision{Value: &upstream, Verdict: ReleasedEntry})
+	}
 	for _, zone := range s.zones.Tick(now) {
 		delete(s.keptZones, zone)
 		update.HasChanges = true
--- a/pkg/registry/era.go
+++ b/pkg/registry/era.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
@@ -96,14 +98,15 @@
 	}
 }
 
-// releaseWithheld registers the entries that were withheld long enough, and reports whether there were any.
-func (r *Registry) releaseWithheld(now clock.Instant) bool {
-	released := false
+// ReleaseWithheld registers the entries that were withheld long enough, and returns them, sorted by ID.
+func (r *Registry) ReleaseWithheld(now clock.Instant) []catalog.Upstream {
+	var released []catalog.Upstream
 	for _, w := range r.withheld {
 		if now.Sub(w.since) >= withholdTime {
 			r.Put(now, w.upstream)
-			released = true
+			released = append(released, w.upstream)
 		}
 	}
+	slices.SortFunc(released, func(a, b catalog.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return released
 }
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -115,10 +115,9 @@
 	return r.storeDown || (r.outageEndedAt != 0 && now.Sub(r.outageEndedAt) < postOutageWindow)
 }
 
-// Tick removes entries that were not registered again in time, and registers those that were withheld long
-// enough. It reports whether there were any.
+// Tick removes entries that were not registered again in time, and reports whether there were any.
 func (r *Registry) Tick(now clock.Instant) bool {
-	changed := r.releaseWithheld(now)
+	changed := false
 	for id, rec := range r.records {
 		if rec.removeAt != 0 && now >= rec.removeAt {
 			r.drop(now, id)
