A read that a peer's era overtook is no failed read of the store

Operators saw `store lost` at VMs that reach the store, and other VMs turned to other readers, when a peer's tables of a higher era arrived during a watch. Cause: the answer, which is of the era in which the read began, was compared with the era of the items at its end and counted as an error. It is discarded now and the next read follows the new position; a second answer of the earlier era is a failed read, as before. TestReadOvertakenByPeer fails for watch and listing if the answer counts as an error, and passes.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -99,6 +99,9 @@
 		// The read was given up, which says nothing of the store.
 		return false
 	}
+	if errors.Is(err, errOvertaken) {
+		return true
+	}
 	f.recordRead(err)
 	answered := err == nil || errors.Is(err, ErrHistoryGone)
 	if err == nil && f.hasChanges {
@@ -127,6 +130,7 @@
 }
 
 func (f *follower) list(ctx context.Context) error {
+	before := f.position()
 	sentAt := f.now()
 	items, at, err := f.source.List(ctx)
 	if err != nil {
@@ -134,7 +138,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.checkEra(at); err != nil {
+	if err := f.checkEra(before, at); err != nil {
 		return err
 	}
 	f.applyUpdate(f.state.List(f.now(), items, at, sentAt), fromStore)
@@ -151,7 +155,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.checkEra(at); err != nil {
+	if err := f.checkEra(after, at); err != nil {
 		return err
 	}
 	if at.Era > after.Era {
@@ -164,13 +168,21 @@
 	return nil
 }
 
+// errOvertaken reports an answer of the store that is of an earlier era than the items, since a peer sent those
+// of a higher one during the read. It is no failure of the store.
+var errOvertaken = errors.New("a peer sent items of a higher era during the read")
+
 // checkEra returns an error for an answer of the store that is of an earlier era than the items, or states
-// none: it is late, or malformed. The caller holds the lock.
-func (f *follower) checkEra(at replica.Position) error {
-	if known := f.state.Position(); at.Era < known.Era {
-		return errors.Newf("the store answered with era %d after era %d", at.Era, known.Era)
+// none: it is late, or malformed. The read began at the given position. The caller holds the lock.
+func (f *follower) checkEra(before, at replica.Position) error {
+	known := f.state.Position()
+	switch {
+	case at.Era >= known.Era:
+		return nil
+	case at.Era >= before.Era && before.Era < known.Era:
+		return errOvertaken
 	}
-	return nil
+	return errors.Newf("the store answered with era %d after era %d", at.Era, known.Era)
 }
 
 // startKeptPull reports whether a round of pulls for kept items is due, and counts it if there are peers.
--- a/internal/edge/keptitems_test.go
+++ b/internal/edge/keptitems_test.go
@@ -1,10 +1,13 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
 // maxRemovedKeyTime is how long a removed key may run.
@@ -84,3 +87,52 @@
 		t.Logf("%s after %v at %v", s.settings.VM, time.Since(start), s.follower.position())
 	}
 }
+
+// overtakenStore is a store whose answers arrive after another event.
+type overtakenStore struct {
+	*countedStore
+	beforeAnswer func()
+}
+
+// List implements Source.
+func (s *overtakenStore) List(ctx context.Context) ([]replica.Item, replica.Position, error) {
+	items, at, err := s.countedStore.List(ctx)
+	s.beforeAnswer()
+	return items, at, err
+}
+
+// Watch implements Source.
+func (s *overtakenStore) Watch(ctx context.Context, after replica.Position, wait time.Duration) ([]replica.Item, replica.Position, error) {
+	items, at, err := s.countedStore.Watch(ctx, after, wait)
+	s.beforeAnswer()
+	return items, at, err
+}
+
+// TestReadOvertakenByPeer guards against a VM that counts the store as lost, and so hands its work as a reader to
+// others, since a peer sent items of a higher era during a read.
+func TestReadOvertakenByPeer(t *testing.T) {
+	for name, mustList := range map[string]bool{"watch": false, "listing": true} {
+		t.Run(name, func(t *testing.T) {
+			store := &overtakenStore{countedStore: &countedStore{testStore: newTestStore()}, beforeAnswer: func() {}}
+			store.put("tables", catalogWithKeys(1))
+			f := newCountedFollower(store.countedStore)
+			f.source = store
+			f.readStore(t.Context(), watchTimeout)
+			f.mustList = mustList
+			higher := replica.Position{Era: 2, Revision: 1}
+			store.beforeAnswer = func() {
+				f.mergeChanges(replica.Position{}, peerChanges{complete: true, at: higher}, testNow())
+			}
+			if !f.readStore(t.Context(), watchTimeout) || f.failures != 0 || f.lossLogged {
+				t.Errorf("%d failed reads", f.failures)
+			}
+			if f.position() != higher {
+				t.Errorf("position %v", f.position())
+			}
+			// The store still answers with the earlier era.
+			if f.readStore(t.Context(), watchTimeout) || f.failures != 1 {
+				t.Errorf("%d failed reads after a second answer of the earlier era", f.failures)
+			}
+		})
+	}
+}
