--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -36,6 +36,9 @@
 	peerPullInterval = 400 * time.Millisecond
 	// peersPerPull is the number of peers in a round.
 	peersPerPull = 2
+	// keptPullRounds is the number of rounds of pulls from peers after the first tables and each change of the
+	// era. A first peer may itself have just started.
+	keptPullRounds = 5
 )
 
 // follower keeps a copy of the published items up to date, and builds views from it.
@@ -64,6 +67,9 @@
 	// view is the last one that was published.
 	view     *View
 	failures int
+	// keptPulls is the number of rounds of pulls that are left in which peers are asked for what outlives the
+	// era in which the store wrote it: a VM that reads the store asks no peer otherwise.
+	keptPulls int
 	// lossLogged is set after the loss of the store was logged, until its return.
 	lossLogged bool
 	// refreshed is closed when the items are next known to be current, and when a read fails.
@@ -73,7 +79,7 @@
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
 		source: source, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, onNewEra: func(*published.EraChange) {}, isClaimed: isClaimed,
-		state: published.New(decode), refreshed: make(chan struct{}),
+		state: published.New(decode), refreshed: make(chan struct{}), keptPulls: keptPullRounds,
 	}
 }
 
@@ -93,6 +99,9 @@
 		// The read was given up, which says nothing of the store.
 		return false
 	}
+	if errors.Is(err, errOvertaken) {
+		return true
+	}
 	f.recordRead(err)
 	answered := err == nil || errors.Is(err, ErrHistoryGone)
 	if err == nil && f.hasChanges {
@@ -121,6 +130,7 @@
 }
 
 func (f *follower) list(ctx context.Context) error {
+	before := f.position()
 	sentAt := f.now()
 	items, at, err := f.source.List(ctx)
 	if err != nil {
@@ -128,7 +138,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.checkEra(at); err != nil {
+	if err := f.checkEra(before, at); err != nil {
 		return err
 	}
 	f.applyUpdate(f.state.List(f.now(), items, at, sentAt), fromStore)
@@ -145,7 +155,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := f.checkEra(at); err != nil {
+	if err := f.checkEra(after, at); err != nil {
 		return err
 	}
 	if at.Era > after.Era {
@@ -158,13 +168,32 @@
 	return nil
 }
 
+// errOvertaken reports an answer of the store that is of an earlier era than the items, since a peer sent those
+// of a higher one during the read. It is no failure of the store.
+var errOvertaken = errors.New("a peer sent items of a higher era during the read")
+
 // checkEra returns an error for an answer of the store that is of an earlier era than the items, or states
-// none: it is late, or malformed. The caller holds the lock.
-func (f *follower) checkEra(at replica.Position) error {
-	if known := f.state.Position(); at.Era < known.Era {
-		return errors.Newf("the store answered with era %d after era %d", at.Era, known.Era)
+// none: it is late, or malformed. The read began at the given position. The caller holds the lock.
+func (f *follower) checkEra(before, at replica.Position) error {
+	known := f.state.Position()
+	switch {
+	case at.Era >= known.Era:
+		return nil
+	case at.Era >= before.Era && before.Era < known.Era:
+		return errOvertaken
 	}
-	return nil
+	return errors.Newf("the store answered with era %d after era %d", at.Era, known.Era)
+}
+
+// startKeptPull reports whether a round of pulls for kept items is due, and counts it if there are peers.
+func (f *follower) startKeptPull(peers int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.state.Complete() || f.keptPulls == 0 || peers == 0 {
+		return false
+	}
+	f.keptPulls--
+	return true
 }
 
 // applyUpdate logs an update of the state and publishes a new view if there are changes. The caller holds
@@ -175,6 +204,7 @@
 	}
 	f.logUpdate(update, from)
 	if update.NewEra != nil {
+		f.keptPulls = keptPullRounds
 		f.onNewEra(update.NewEra)
 	}
 	if update.HasChanges {
--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -78,7 +78,11 @@
 			zap.Int64("version", value.Version), zap.Int64("in_force", f.state.Configuration().Version), at)
 		return
 	}
-	f.logger.Info("configuration in force", zap.Int64("version", value.Version), at, zap.Int("routes", len(value.Routes)))
+	message := "configuration in force"
+	if verdict == published.Kept {
+		message = "configuration in force: a peer has kept it from an earlier era"
+	}
+	f.logger.Info(message, zap.Int64("version", value.Version), at, zap.Int("routes", len(value.Routes)))
 }
 
 func (f *follower) logUpstream(value *catalog.Upstream, verdict published.Verdict, at zap.Field) {
@@ -92,6 +96,8 @@
 		message = "upstream entry ignored: it is older than the known one"
 	case published.WithheldEntry:
 		message = "upstream entry withheld: the upstream was removed"
+	case published.ReleasedEntry:
+		message = "upstream registered: its withheld entry has stayed in the store"
 	}
 	f.logger.Info(message, zap.String("upstream", value.ID), zap.String("pool", value.Pool),
 		zap.String("address", value.Address), zap.Bool("draining", value.Draining), zap.Duration("cold_left", value.ColdRemaining), at)
