--- a/internal/edge/pathfailure_test.go
+++ b/internal/edge/pathfailure_test.go
@@ -48,6 +48,11 @@
 	hoistv1.UnimplementedFleetServer
 }
 
+// Ping implements hoistv1.FleetServer. A VM that does not answer pings counts as lost.
+func (chattyCarrier) Ping(context.Context, *hoistv1.PingRequest) (*hoistv1.PingResponse, error) {
+	return &hoistv1.PingResponse{}, nil
+}
+
 // Tunnel implements hoistv1.FleetServer.
 func (chattyCarrier) Tunnel(stream hoistv1.Fleet_TunnelServer) error {
 	for _, response := range []*hoistv1.TunnelResponse{{}, {Data: []byte("data")}} {
