--- a/internal/edge/cacheorigin.go
+++ b/internal/edge/cacheorigin.go
@@ -145,15 +145,15 @@
 // errMalformedPart refuses a question that no VM asks.
 var errMalformedPart = status.Error(codes.InvalidArgument, "malformed part of a prompt")
 
-// askCaches returns what the caches of the engines of a view say of the origin of the stream.
-func (t *transaction) askCaches(view *View) resume.Answer {
+// askCaches returns what the caches of the engines say of the origin of the stream.
+func (t *transaction) askCaches() resume.Answer {
 	parts := t.requestInfo.PromptPrefix
 	if len(parts) == 0 || !t.route.HasPromptPrefixes || len(parts[len(parts)-1].ID) > maxPartID {
 		return resume.Answer{}
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, cachesTimeout)
 	defer cancel()
-	shards := slices.DeleteFunc(slices.Clone(view.ShardsOf[t.pool]), func(shard *poolShard) bool {
+	shards := slices.DeleteFunc(slices.Clone(t.view.ShardsOf[t.pool]), func(shard *poolShard) bool {
 		return shard.engine == nil || len(shard.entries) == 0
 	})
 	answers := askAll(t.s.contain, "question for caches", shards, func(shard *poolShard) []string {
--- a/internal/edge/streambinding.go
+++ b/internal/edge/streambinding.go
@@ -41,7 +41,10 @@
 	question := originQuestion{
 		key: resume.KeyOf(t.workspaceName(), t.requestInfo.ResumedRequest), pool: t.pool, within: t.longestStream(),
 	}
-	answer := t.findOrigin(question)
+	answer := t.s.askOrigin(t.ctx, question)
+	if !answer.Known() {
+		answer = answer.Merge(t.askCaches())
+	}
 	t.s.metrics.resumedStreams.WithLabelValues(answer.Certainty.String()).Inc()
 	t.s.logger.Info("stream resumed by its caller", zap.String("request", t.requestInfo.ID), zap.String("resumes", t.requestInfo.ResumedRequest),
 		zap.String("certainty", answer.Certainty.String()), zap.String("pool", answer.Origin.Pool), zap.String("software", answer.Origin.Version))
@@ -55,32 +58,6 @@
 	return nil
 }
 
-// findOrigin returns what the VMs, and without them the caches of the engines, know of a stream that the caller
-// resumes.
-func (t *transaction) findOrigin(question originQuestion) resume.Answer {
-	now := t.s.now()
-	view := t.s.view.Load()
-	confirmation := resume.Confirmation{
-		ResumedAt: t.arrived, Lateness: answerLateness, AskedAt: now, Asked: view.versionsOf(t.pool),
-	}
-	answer := t.confirmOrigin(t.s.askOrigin(t.ctx, question), confirmation)
-	if answer.Known() {
-		return answer
-	}
-	return t.confirmOrigin(answer.Merge(t.askCaches(view)), confirmation)
-}
-
-// versionsOf returns the software versions of the upstreams of a pool.
-func (v *View) versionsOf(pool string) map[resume.Origin]bool {
-	versions := map[resume.Origin]bool{}
-	for _, entry := range v.ByID {
-		if entry.Pool == pool {
-			versions[originAt(entry)] = true
-		}
-	}
-	return versions
-}
-
 // longestStream returns how long ago a stream that is resumed now may have begun.
 func (t *transaction) longestStream() time.Duration {
 	if t.route.Timeout > 0 {
--- a/internal/edge/streamorigin.go
+++ b/internal/edge/streamorigin.go
@@ -73,19 +73,11 @@
 	o.history.Expire(before)
 }
 
-// find returns what this VM knows of a stream. All changes of the versions up to currentAt are observed.
-func (o *streamOrigins) find(now clock.Instant, question originQuestion, currentAt clock.Instant) resume.Answer {
+// find returns what this VM knows of a stream.
+func (o *streamOrigins) find(now clock.Instant, question originQuestion) resume.Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	versions := o.history.Find(question.pool, now.Add(-question.within), now.Add(-staleTablesAge), currentAt)
-	return o.records.Find(question.key).Merge(versions)
-}
-
-// confirm returns an answer as far as the versions of the pool up to currentAt confirm it.
-func (o *streamOrigins) confirm(answer resume.Answer, c resume.Confirmation, currentAt clock.Instant) resume.Answer {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.history.Confirm(answer, c, currentAt)
+	return o.records.Find(question.key).Merge(o.history.Find(now, question.pool, question.within))
 }
 
 // originQuestion asks for the origin of a stream.
@@ -97,10 +89,11 @@
 	within time.Duration
 }
 
-// findOrigin returns what this VM knows of a stream. The versions of the pool say nothing of the time since
-// staleTablesAge ago: the VM that resumes the stream confirms that none has joined.
+// findOrigin returns what this VM knows of a stream. Tables that are out of date say nothing.
 func (s *Server) findOrigin(question originQuestion) resume.Answer {
-	// The age comes first: the versions are then observed at least up to there.
-	currentAt := s.follower.freshAt()
-	return s.origins.find(s.now(), question, currentAt)
+	answer := s.origins.find(s.now(), question)
+	if age, _ := s.follower.age(); answer.Certainty == resume.Sole && age > staleTablesAge {
+		return resume.Answer{}
+	}
+	return answer
 }
