Follow the tables in a fleet of two versions

In a half-old fleet VMs of the new version served keys that had been removed, refused added ones with 401 and sent requests to workers that had left, for 5 s while the store answered few VMs, most of them old (CONFIG, DRAIN).

Cause: VMs of older versions state no era of the store, so that a VM that knows it ignores their tables. If the readers are older, it had no source but a read of its own every 1.6 s, and none if the store does not answer it. Entries of the directory that pass through older VMs also lose the fields that these do not know, and kept the whole entry out, since it has the same version number. The class of fault: an order that only one of two versions knows.

VMs of each version have readers of their own: entries state the format of the tables (table_format), and the ranking is taken among those alike. Entries are joined field by field, whatever their order. If only older VMs reach the store, what they know is ordered by its writers' counts: versions of the configuration, start and sequence of an upstream's entry. It restricts, and is never merged with the tables (published.OfferUnordered).

--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -96,6 +96,8 @@
 		message = "upstream entry ignored: it is older than the known one"
 	case published.WithheldEntry:
 		message = "upstream entry withheld: the upstream was removed"
+	case published.ReportedLeaving:
+		message = "upstream leaves, as a VM of an older version reports"
 	case published.ReleasedEntry:
 		message = "upstream registered: its withheld entry has stayed in the store"
 	}
--- a/internal/edge/peerchanges.go
+++ b/internal/edge/peerchanges.go
@@ -68,11 +68,16 @@
 }
 
 // mergeChanges applies the response to a pull that requested the changes after the given
-// position and was current at freshAt. It reports whether the response is of the era of the items.
+// position and was current at freshAt. It reports whether the response is of the era of the items. One of an older
+// version states none, and does not make the items current.
 func (f *follower) mergeChanges(requested replica.Position, changes peerChanges, freshAt clock.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.state.FreshAt()
+	if changes.at.Era == 0 && f.state.Position().Era > 0 {
+		f.applyUpdate(f.state.OfferUnordered(f.now(), changes.changes, freshAt), fromPeer)
+		return false
+	}
 	var update published.Update
 	if changes.unchanged {
 		update = f.state.Confirm(f.now(), requested, changes.at, freshAt)
--- a/internal/edge/storeaccess.go
+++ b/internal/edge/storeaccess.go
@@ -118,6 +118,6 @@
 	}
 	_, complete := s.follower.age()
 	// There are no sources while this VM leaves and reaches no other one.
-	sources := s.pullSources(ranking, readers, complete)
+	sources := s.pullSources(fleet.Alike(ranking), readers, complete)
 	return len(sources) > 0 && s.pullFrom(ctx, sources[rand.IntN(len(sources))], hold)
 }
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -94,10 +94,11 @@
 	if role := peers.Role(age, complete); role != fleet.TableFollower {
 		return nil, role
 	}
-	return s.pullSources(ranking, peers.Readers(), complete), fleet.TableFollower
+	return s.pullSources(fleet.Alike(ranking), peers.Readers(), complete), fleet.TableFollower
 }
 
-// pullSources returns the VMs from which this VM may pull the tables: the readers in a small fleet.
+// pullSources returns the VMs from which this VM may pull the tables: the readers in a small fleet. The ranking is
+// that of the VMs whose tables it can merge.
 func (s *Server) pullSources(ranking, readers []fleet.Entry, complete bool) []fleet.Entry {
 	if len(ranking) <= fleet.StoreReaderCount*(s.maxDirectFollowers+1) {
 		return readers
@@ -115,7 +116,7 @@
 			others = append(others, entry)
 		}
 	}
-	relays := s.gossip.rankingOf(fleet.Resource{Name: relayRankingKey + " " + s.settings.Zone, Zone: s.settings.Zone})
+	relays := fleet.Alike(s.gossip.rankingOf(fleet.Resource{Name: relayRankingKey + " " + s.settings.Zone, Zone: s.settings.Zone}))
 	relays = relays[:min(relaysPerZone, len(relays))]
 	switch {
 	case len(others) < relaysPerZone || s.indexOfSelf(relays) >= 0:
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -5,7 +5,8 @@
 //
 // A Directory is deterministic and not safe for concurrent use. Invariants:
 //   - of two entries for the same VM name the newer one is kept: that of the later
-//     process start, or the later version of the same start;
+//     process start, or the later version of the same start; what VMs of an older version
+//     do not pass on is kept from the latest entry that has it, whatever their order;
 //   - an entry that was unreachable for the whole retention time is deleted;
 //   - if two VMs that reach each other claim the same resource, both agree on which one
 //     releases its claim.
@@ -122,7 +123,8 @@
 			added = true
 			continue
 		}
-		if !entry.isNewer(&old.Entry) {
+		entry, isNews := entry.merged(&old.Entry)
+		if !isNews {
 			continue
 		}
 		if entry.Started != old.Started {
--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -25,6 +25,12 @@
 	Started uint64
 	// Version counts the changes of Leaving, Store, Partitioned and Claims since the process start.
 	Version uint64
+	// TableFormat is the version of the exchange of published items that the VM speaks; 0 for older versions.
+	TableFormat uint32
+	// IsPartial is set if this version of the entry came through a VM of a lower TableFormat, which does not
+	// pass on what it does not know. Store and Partitioned are then those of WholeVersion.
+	IsPartial    bool
+	WholeVersion uint64
 	// Leaving is set once the VM is shutting down.
 	Leaving bool
 	// Store says whether the VM reads the store for others.
@@ -40,12 +46,58 @@
 // Claimed reports whether the VM claims the key.
 func (e *Entry) Claimed(key Key) bool { return slices.Contains(e.Claims, key) }
 
-// isNewer reports whether the entry is a later state of the same VM than old.
-func (e *Entry) isNewer(old *Entry) bool {
-	if e.Started != old.Started {
-		return e.Started > old.Started
+// merged returns what is known from two entries of the same VM, in any order, and reports whether that is more than
+// the known one says. A VM does not change its format while it runs, so that an entry of the same start without
+// one came through an older VM.
+func (e Entry) merged(known *Entry) (Entry, bool) {
+	if e.Started != known.Started {
+		return e, e.Started > known.Started
 	}
-	return e.Version > old.Version
+	latest := e
+	if known.Version >= e.Version {
+		latest = *known
+	}
+	whole := latest
+	for _, candidate := range []*Entry{&e, known} {
+		if candidate.wholeVersion() > whole.wholeVersion() {
+			whole = *candidate
+		}
+	}
+	latest.TableFormat, latest.Store, latest.Partitioned = whole.TableFormat, whole.Store, whole.Partitioned
+	latest.IsPartial, latest.WholeVersion = false, 0
+	if from := whole.wholeVersion(); from >= 0 && from < int64(latest.Version) {
+		latest.IsPartial, latest.WholeVersion = true, uint64(from)
+	}
+	return latest, e.Version > known.Version || e.wholeVersion() > known.wholeVersion()
+}
+
+// wholeVersion returns the version from which Store and Partitioned come, or -1 if the VM is not known to state its
+// format.
+func (e *Entry) wholeVersion() int64 {
+	switch {
+	case e.IsPartial:
+		return int64(e.WholeVersion)
+	case e.TableFormat > 0:
+		return int64(e.Version)
+	}
+	return -1
+}
+
+// WholeFormat returns the table format whose fields this version of the entry has.
+func (e *Entry) WholeFormat() uint32 {
+	if e.IsPartial {
+		return 0
+	}
+	return e.TableFormat
+}
+
+// succeed returns the entry in the place of old, which is of the same VM. A VM does not change its format while it
+// runs, so that a lower one than before shows that the entry came through an older VM.
+func (e Entry) succeed(old *Entry) Entry {
+	if e.Started == old.Started && e.TableFormat < old.TableFormat {
+		e.TableFormat, e.Store, e.Partitioned, e.IsPartial = old.TableFormat, old.Store, old.Partitioned, true
+	}
+	return e
 }
 
 // startHash identifies the process start of the VM.
--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
+// TableFormat is the version of the exchange of published items that VMs of this software state in their
+// directory entries. Older versions state none, which is 0. What a VM of a lower format sends says nothing of
+// the era of the store, so that its revisions cannot be compared.
+const TableFormat = 1
+
 const (
-	// StoreReaderCount is the number of VMs that read the store in normal operation. The
+	// StoreReaderCount is the number of VMs of one table format that read the store in normal operation. The
 	// others pull the tables from these, since each read is charged and the rate limits of the store grow more
 	// slowly than the fleet.
 	StoreReaderCount = 3
@@ -39,44 +44,58 @@
 // TablePeers are the VMs among which one gets the tables, in order of preference as readers of the store.
 type TablePeers struct {
 	self string
-	all  []Entry
+	// all are those of all versions, and alike those whose tables this VM can merge.
+	all, alike []Entry
 }
 
 // NewTablePeers returns the VMs for the one with the name from a ranking of all reachable VMs. It must include
 // that one, unless it is leaving.
 func NewTablePeers(self string, ranking []Entry) TablePeers {
-	return TablePeers{self: self, all: ranking}
+	return TablePeers{self: self, all: ranking, alike: Alike(ranking)}
+}
+
+// Alike returns the VMs of a ranking whose tables a VM of this version can merge.
+func Alike(ranking []Entry) []Entry {
+	return slices.DeleteFunc(slices.Clone(ranking), func(e Entry) bool { return e.TableFormat < TableFormat })
 }
 
-// Role returns how the VM gets the tables, whose age is given; complete is set once it has any.
+// Role returns how the VM gets the tables, whose age is given; complete is set once it has any. Older VMs rely on
+// the first ones of all, and this VM on the first ones of those alike: in a half-old fleet both groups have readers.
 func (p TablePeers) Role(age time.Duration, complete bool) TableRole {
-	rank := rankOf(p.self, p.all)
-	if (rank >= 0 && rank < StoreReaderCount) || rankOf(p.self, KnownReaders(p.all, StoreReaderCount)) >= 0 {
+	rank := rankOf(p.self, p.alike)
+	isReader := func(rank int) bool { return rank >= 0 && rank < StoreReaderCount }
+	if isReader(rank) || isReader(rankOf(p.self, p.all)) || rankOf(p.self, KnownReaders(p.alike, StoreReaderCount)) >= 0 {
 		return StoreReader
 	}
 	maxAge := StaleTablesAge
-	if complete && AreReadersLost(p.all, StoreReaderCount) {
+	if complete && AreReadersLost(p.alike, StoreReaderCount) {
 		maxAge = lostReadersAge
 	}
-	step := min(readerAgeStep, maxReaderAge/time.Duration(max(len(p.all), 1)))
+	step := min(readerAgeStep, maxReaderAge/time.Duration(max(len(p.alike), 1)))
 	if age > maxAge+time.Duration(max(rank, 0))*step {
 		return SubstituteReader
 	}
 	return TableFollower
 }
 
-// Readers returns the VMs that read the store for this one.
+// Readers returns the VMs that read the store for this one. VMs of a lower format come after those alike that
+// are known to read it: what they send is no whole state.
 func (p TablePeers) Readers() []Entry {
 	if known := p.OtherReaders(); len(known) > 0 {
 		return known
 	}
-	return Readers(p.all, StoreReaderCount)
+	return Readers(p.alike, StoreReaderCount)
 }
 
 // OtherReaders returns the VMs other than this one that are known to read the store for it.
 func (p TablePeers) OtherReaders() []Entry {
-	others := slices.DeleteFunc(slices.Clone(p.all), func(e Entry) bool { return e.Name == p.self })
-	return KnownReaders(others, StoreReaderCount)
+	for _, ranking := range [][]Entry{p.alike, p.all} {
+		others := slices.DeleteFunc(slices.Clone(ranking), func(e Entry) bool { return e.Name == p.self })
+		if known := KnownReaders(others, StoreReaderCount); len(known) > 0 {
+			return known
+		}
+	}
+	return nil
 }
 
 func rankOf(name string, ranking []Entry) int {
--- a/pkg/published/decision.go
+++ b/pkg/published/decision.go
@@ -30,6 +30,8 @@
 	Kept
 	// Expired zones were kept and are in service again.
 	Expired
+	// ReportedLeaving is an upstream that a peer of an older version knows as draining or removed.
+	ReportedLeaving
 )
 
 // Decision is what became of a published item.
--- a/pkg/published/model_test.go
+++ b/pkg/published/model_test.go
@@ -190,20 +190,50 @@
 		kept = peer.state.Kept(versionOf(vm.state))
 	}
 	offerKept := func(vm *modelVM) { m.update(vm, vm.state.OfferKept(m.now, at, kept)) }
-	if !peer.state.HasChangesSince(requested) {
+	asked := peer.seen(requested)
+	if !peer.state.HasChangesSince(asked) {
 		vm.pending = append(vm.pending, func(vm *modelVM) {
 			m.update(vm, vm.state.Confirm(m.now, requested, at, freshAt))
 			offerKept(vm)
 		})
 		return
 	}
-	changes := peer.state.ChangesSince(requested, true)
+	changes := peer.state.ChangesSince(asked, true)
 	vm.pending = append(vm.pending, func(vm *modelVM) {
+		if at.Era == 0 && vm.state.Position().Era > 0 {
+			m.offerUnordered(vm, changes, freshAt)
+			return
+		}
 		m.update(vm, vm.state.Merge(m.now, requested, changes, at, freshAt))
 		offerKept(vm)
 	})
 }
 
+// offerUnordered applies what a VM of an older version has sent. It changes neither the position nor the items, and
+// brings no upstream into service.
+func (m *model) offerUnordered(vm *modelVM, changes replica.Changes, freshAt clock.Instant) {
+	before, position, at := inService(vm.state), vm.state.Position(), vm.state.FreshAt()
+	m.update(vm, vm.state.OfferUnordered(m.now, changes, freshAt))
+	if vm.state.Position() != position || vm.state.FreshAt() != at {
+		m.Fatalf("an older VM's items moved the position from %v to %v", position, vm.state.Position())
+	}
+	for id := range inService(vm.state) {
+		if !before[id] {
+			m.Fatalf("an older VM's items brought worker %s into service", id)
+		}
+	}
+}
+
+func inService(s *State) map[string]bool {
+	out := map[string]bool{}
+	for _, entry := range s.Upstreams() {
+		if !entry.Draining {
+			out[entry.ID] = true
+		}
+	}
+	return out
+}
+
 // deliver lets one of the pending answers arrive.
 func (m *model) deliver(vm *modelVM, i int) {
 	arrived := vm.pending[i]
--- a/pkg/published/state.go
+++ b/pkg/published/state.go
@@ -5,7 +5,8 @@
 // operators and upstreams have written again, its first tables are older than what a process knows. Invariants:
 //   - the position never decreases, nor does the version of the configuration in force;
 //   - an upstream that is known as draining or removed gets no work because a copy says otherwise, unless its
-//     entry stays there for longer than the store keeps that of a silent upstream.
+//     entry stays there for longer than the store keeps that of a silent upstream;
+//   - what peers of an older version say changes neither the position nor the items.
 //
 // A State is deterministic and not safe for concurrent use.
 package published
@@ -36,6 +37,8 @@
 	configuration configuration
 	// keptZones holds the keys of the items of the zones that are kept out of service, by zone.
 	keptZones map[string]string
+	// leaving holds what older peers report of upstreams, by ID.
+	leaving map[string]leavingReport
 	// mustPullAll is set if the last peer has tables of a higher era and sent only a part of them.
 	mustPullAll bool
 	// version counts the changes of the items.
@@ -44,7 +47,7 @@
 
 // New returns a state without items.
 func New(decode Decode) *State {
-	return &State{decode: decode, replica: replica.New(), registry: registry.New(), zones: registry.NewZonesOut(), keptZones: map[string]string{}}
+	return &State{decode: decode, replica: replica.New(), registry: registry.New(), zones: registry.NewZonesOut(), keptZones: map[string]string{}, leaving: map[string]leavingReport{}}
 }
 
 // Update is the result of a read of the store or of a peer's tables.
@@ -109,7 +112,7 @@
 			update.add(s.applyItem(now, item))
 		}
 	}
-	update.HasChanges = len(changed) > 0 || update.NewEra != nil
+	update.HasChanges = s.dropReports(now) || len(changed) > 0 || update.NewEra != nil
 	if update.HasChanges {
 		s.version++
 	}
@@ -131,6 +134,7 @@
 // Tick ends what was kept or withheld for a time.
 func (s *State) Tick(now clock.Instant) Update {
 	update := Update{HasChanges: s.registry.Tick(now)}
+	update.HasChanges = s.dropReports(now) || update.HasChanges
 	for _, upstream := range s.registry.ReleaseWithheld(now) {
 		update.HasChanges = true
 		update.add(Decision{Value: &upstream, Verdict: ReleasedEntry})
@@ -177,7 +181,7 @@
 func (s *State) Configuration() *catalog.Catalog { return s.configuration.catalog }
 
 // Upstreams returns the registered upstreams, sorted by ID. The caller must not change them.
-func (s *State) Upstreams() []*registry.Entry { return s.registry.Entries() }
+func (s *State) Upstreams() []*registry.Entry { return s.withReports(s.registry.Entries()) }
 
 // ZonesOut returns the zones out of service.
 func (s *State) ZonesOut() map[string]bool { return s.zones.Zones() }
--- a/pkg/registry/era.go
+++ b/pkg/registry/era.go
@@ -58,11 +58,11 @@
 // The copy may be older than what this registry knows: then the known state stays. An upstream that was
 // removed is withheld until its entry is written again or has stayed for withholdTime.
 func (r *Registry) PutFromCopy(now clock.Instant, upstream catalog.Upstream) CopyVerdict {
-	if known := r.records[upstream.ID]; known != nil && isOlder(upstream, known.entry.Upstream) {
+	if known := r.records[upstream.ID]; known != nil && IsOlder(upstream, known.entry.Upstream) {
 		known.removeAt = 0
 		return Stale
 	}
-	if removed, wasRemoved := r.removed[upstream.ID]; wasRemoved && r.records[upstream.ID] == nil && !isOlder(removed.last, upstream) {
+	if removed, wasRemoved := r.removed[upstream.ID]; wasRemoved && r.records[upstream.ID] == nil && !IsOlder(removed.last, upstream) {
 		r.withheld[upstream.ID] = withheld{upstream: upstream, since: now}
 		return Withheld
 	}
@@ -70,9 +70,9 @@
 	return Registered
 }
 
-// isOlder reports whether a is an older state of an upstream than b. Without a StartID the order is unknown,
+// IsOlder reports whether a is an older state of an upstream than b. Without a StartID the order is unknown,
 // since the Sequence starts anew with each process.
-func isOlder(a, b catalog.Upstream) bool {
+func IsOlder(a, b catalog.Upstream) bool {
 	if a.StartID == 0 || b.StartID == 0 {
 		return false
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -128,6 +128,14 @@
 	return changed
 }
 
+// Get returns the entry with the ID, or nil. The caller must not change it.
+func (r *Registry) Get(id string) *Entry {
+	if rec := r.records[id]; rec != nil {
+		return rec.entry
+	}
+	return nil
+}
+
 // Entries returns all entries, sorted by ID. The caller must not change them.
 func (r *Registry) Entries() []*Entry {
 	out := make([]*Entry, 0, len(r.ids))
