Check again at the send that the upstream still takes work

A request or a stage call went to the upstream that was chosen for it although the VM already had the tables in which it drains, is removed, or its zone is out of service: only signals in responses were looked at again while a connection was opened (up to 250 ms, 400 ms through other VMs), so that it could arrive after the drain time (DRAIN, EVAC).

What is withheld goes to another upstream, or is refused as a request that arrives now would be.

TestUpstreamLeavesBeforeSend failed before in its three cases, for requests and stage calls.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -194,11 +194,14 @@
 
 // beforeSend returns the check whether the request may still be sent to the chosen upstream.
 func (t *transaction) beforeSend(entry *registry.Entry) func() error {
-	checkSignals := t.s.signals.beforeSend(entry, "request_send")
+	checkSignals := t.s.signals.beforeSend(entry, requestSend)
 	return func() error {
 		if err := t.checkVersion(entry); err != nil {
 			return err
 		}
+		if err := t.s.signals.checkRegistration(t.s.view.Load(), entry, requestSend); err != nil {
+			return err
+		}
 		return checkSignals()
 	}
 }
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/outbound"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/stagepool"
 )
@@ -93,9 +94,7 @@
 	var results []stagepool.PieceResult
 	var info ResponseInfo
 	recordSignals := r.signalRecorder(address)
-	if entry := r.entryAt(address); entry != nil {
-		request.BeforeSend = r.signals.beforeSend(entry, "stage_call")
-	}
+	request.BeforeSend = r.beforeStageCall(call.Upstream, address)
 	request.MaxConnIdle = stageConnMaxIdle
 	request.Verify = func(response *outbound.Response) (err error) {
 		info = recordSignals(response)
@@ -131,6 +130,23 @@
 	return stagepool.CallAnswered, results, info.Load, nil
 }
 
+// beforeStageCall returns the check whether a stage call may still be sent to the upstream that was chosen at an
+// address.
+func (r *poolRunner) beforeStageCall(upstream, address string) func() error {
+	entry := r.entryAt(address)
+	if entry == nil || entry.ID != upstream {
+		// The tables have changed since the call was dispatched.
+		entry = &registry.Entry{Upstream: catalog.Upstream{ID: upstream, Address: address}}
+	}
+	checkSignals := r.signals.beforeSend(entry, stageCall)
+	return func() error {
+		if err := r.signals.checkRegistration(r.view(), entry, stageCall); err != nil {
+			return err
+		}
+		return checkSignals()
+	}
+}
+
 // verifyResponse decodes the response to a stage call. It also returns why the connection must not be
 // used again, or "". A response without a handle for each piece is accepted once: a second copy of it
 // would be accepted for the next call, and each later call would get the response to the call before it.
--- a/internal/edge/upstreamsignals.go
+++ b/internal/edge/upstreamsignals.go
@@ -241,7 +241,7 @@
 	return until, blocked
 }
 
-// errWithheld reports that nothing was sent to an upstream because of its signals.
+// errWithheld reports that nothing was sent to an upstream, since it takes no work any more.
 var errWithheld = errors.New("the upstream asks for no traffic or has left")
 
 // beforeSend returns a check for work that is about to be sent to an upstream. It returns errWithheld
