Ask for newer tables before requests are placed by old ones

A VM whose tables are older than 1.6 s, or than the drain time less 0.5 s, placed requests by them although other VMs were known to have newer ones. Now the first request that finds them so asks a reader, and the others wait for its answer, at most 0.1 s.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -134,6 +134,7 @@
 // acquireUpstream chooses an upstream. If all are at a limit, it waits for a short part of the
 // objective, since requests at the upstreams end all the time.
 func (t *transaction) acquireUpstream() (*lease, *errkind.Error) {
+	t.s.recentTables.await(t.ctx)
 	view := t.s.view.Load()
 	placementRequest := t.placementRequest(view)
 	giveUpAt := t.s.now().Add(min(t.route.Objective/busyWaitDivisor, t.remaining()))
--- a/internal/edge/poolcalls.go
+++ b/internal/edge/poolcalls.go
@@ -107,6 +107,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
 	defer cancel()
+	r.recentTables.await(ctx)
 	response, err := r.client.Do(ctx, address, request, maxStageResponseBytes)
 	if errors.Is(err, errWithheld) {
 		return stagepool.CallWithheld, nil, nil, err
--- a/internal/edge/poolrunner.go
+++ b/internal/edge/poolrunner.go
@@ -63,8 +63,9 @@
 	contain  *containment
 	handles  *recentHandles
 	signals  *upstreamSignals
-	// view returns the current view.
-	view func() *View
+	// view returns the current view, and recentTables makes calls wait for newer tables.
+	view         func() *View
+	recentTables *recentTables
 	// checkCrash checks whether an upstream crashed during a call with pieces of the requests.
 	checkCrash func(entry *registry.Entry, suspects []suspect)
 
@@ -85,7 +86,7 @@
 func newPoolRunner(pool string, s *Server) *poolRunner {
 	r := &poolRunner{
 		pool: pool, dialect: s.dialect, client: s.client, releases: s.releases, now: s.now, logger: s.logger, metrics: s.metrics, contain: s.contain,
-		handles: &s.recentHandles, signals: s.signals, view: s.view.Load,
+		handles: &s.recentHandles, signals: s.signals, view: s.view.Load, recentTables: s.recentTables,
 		scheduler: stagepool.New(s.now()), waiters: map[stagepool.JobID]*stageWaiter{},
 		addresses: map[string]string{}, pendingReleases: map[string][]string{},
 	}
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -69,6 +69,7 @@
 	s.inForce.Store(&current)
 	s.gossip.configure(&current)
 	s.signals.setDrain(current.DrainTime)
+	s.recentTables.setDrain(current.DrainTime)
 	s.updateShares()
 	return current, nil
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -49,7 +49,9 @@
 	}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: s.now(), tried: map[string]bool{}}
+	arrived := s.now()
+	s.recentTables.await(r.Context())
+	t := &transaction{s: s, w: w, r: r, view: s.view.Load(), arrived: arrived, tried: map[string]bool{}}
 	defer t.end()
 	t.limitWrites(defaultRequestTimeout)
 	failure := t.prepare()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -81,6 +81,7 @@
 	startedAt    clock.Instant
 	startup      *startup
 	packedTables packedTables
+	recentTables *recentTables
 	startupWait  time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
@@ -168,6 +169,7 @@
 	s.connectionDivisor.Store(int64(s.gossip.size().connections))
 	s.follower = newFollower(options.Source, s.contain.decode(options.Decode), options.Now, options.Logger, s.applyView, s.gossip.isClaimed)
 	s.follower.onGap = s.origins.interrupt
+	s.recentTables = newRecentTables(s)
 	s.observeEra()
 	return s, nil
 }
--- a/internal/edge/storeaccess.go
+++ b/internal/edge/storeaccess.go
@@ -110,14 +110,17 @@
 // pullFromReader pulls the tables for a VM that cannot read the store, if it knows of another one that can. That
 // one holds the pull for the given time if it has no changes. It reports whether this VM is then up to date.
 func (s *Server) pullFromReader(ctx context.Context, hold time.Duration) bool {
-	ranking := s.gossip.ranking(readerRankingKey)
-	peers := fleet.NewTablePeers(s.settings.VM, ranking)
-	readers := peers.OtherReaders()
+	readers := s.otherReaders()
 	if len(readers) == 0 {
 		return false
 	}
 	_, complete := s.follower.age()
 	// There are no sources while this VM leaves and reaches no other one.
-	sources := s.pullSources(fleet.Alike(ranking), readers, complete)
+	sources := s.pullSources(fleet.Alike(s.gossip.ranking(readerRankingKey)), readers, complete)
 	return len(sources) > 0 && s.pullFrom(ctx, sources[rand.IntN(len(sources))], hold)
 }
+
+// otherReaders returns the other VMs that are known to read the store.
+func (s *Server) otherReaders() []fleet.Entry {
+	return fleet.NewTablePeers(s.settings.VM, s.gossip.ranking(readerRankingKey)).OtherReaders()
+}
