--- a/internal/edge/storeaccess.go
+++ b/internal/edge/storeaccess.go
@@ -54,12 +54,17 @@
 	sleep(ctx, read.delay)
 }
 
-// pullWhileLost pulls the tables from VMs that read the store until the context ends.
+// pullWhileLost pulls the tables from VMs that read the store until the context ends. While none is known to, any
+// VM may have changes that another reader got last.
 func (s *Server) pullWhileLost(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !s.pullFromReader(ctx, pullHoldTime) {
-			sleep(ctx, pullRetryDelay)
+		if s.pullFromReader(ctx, pullHoldTime) {
+			continue
 		}
+		if reachable := s.gossip.reachable(); len(reachable) > 0 {
+			s.pullFrom(ctx, reachable[rand.IntN(len(reachable))], 0)
+		}
+		sleep(ctx, pullRetryDelay)
 	}
 }
 
