--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -165,7 +165,7 @@
 		response, err = client.Pull(ctx, request)
 		return err
 	})
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return false
 	}
 	if err != nil {
