--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -91,15 +91,6 @@
 	return e.TableFormat
 }
 
-// succeed returns the entry in the place of old, which is of the same VM. A VM does not change its format while it
-// runs, so that a lower one than before shows that the entry came through an older VM.
-func (e Entry) succeed(old *Entry) Entry {
-	if e.Started == old.Started && e.TableFormat < old.TableFormat {
-		e.TableFormat, e.Store, e.Partitioned, e.IsPartial = old.TableFormat, old.Store, old.Partitioned, true
-	}
-	return e
-}
-
 // startHash identifies the process start of the VM.
 func (e *Entry) startHash() uint64 {
 	return rendezvous.WeightOf(rendezvous.HashOf(e.Name), rendezvous.Hash(e.Started))
--- a/pkg/freshness/gate.go
+++ b/pkg/freshness/gate.go
@@ -57,7 +57,9 @@
 }
 
 // Configure changes the bounds.
-func (g *Gate) Configure(drain, maxCalmAge time.Duration) { g.maxAge = max(drain-sendMargin, maxCalmAge) }
+func (g *Gate) Configure(drain, maxCalmAge time.Duration) {
+	g.maxAge = max(drain-sendMargin, maxCalmAge)
+}
 
 // MaxAge returns the age up to which tables are recent.
 func (g *Gate) MaxAge() time.Duration { return g.maxAge }
