--- a/internal/edge/tables_test.go
+++ b/internal/edge/tables_test.go
@@ -156,3 +156,19 @@
 	}
 	t.Logf("longest time without a change: %v", longest)
 }
+
+// TestFollowerForgetsFailedRead guards against a VM that says it has lost the store long after it stood in for the
+// readers, so that those which pull from it turn away and ask again and again.
+func TestFollowerForgetsFailedRead(t *testing.T) {
+	f := startFleet(t, fleet.StoreReaderCount+1, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool()}, catalogUpstreams("p", u)...)
+	for _, s := range f.servers {
+		if _, role := s.tableSources(); role == fleet.TableFollower {
+			s.follower.setLost(true)
+			await(t, s.settings.VM+" is no longer lost", func() bool { return !s.follower.hasLostStore() })
+			return
+		}
+	}
+	t.Fatal("no VM follows another one")
+}
