--- a/pkg/freshness/gate.go
+++ b/pkg/freshness/gate.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/upstreamsignal"
 )
 
 const (
@@ -22,9 +23,6 @@
 	MaxWait = 100 * time.Millisecond
 	// RetryDelay is the time without questions after one that brought nothing newer.
 	RetryDelay = 400 * time.Millisecond
-	// sendMargin is the time from the choice of an upstream to the arrival of the request there, of which a new
-	// connection may take 250 ms.
-	sendMargin = 500 * time.Millisecond
 )
 
 // Verdict says what to do before a request is placed.
@@ -58,7 +56,7 @@
 
 // Configure changes the bounds.
 func (g *Gate) Configure(drain, maxCalmAge time.Duration) {
-	g.maxAge = max(drain-sendMargin, maxCalmAge)
+	g.maxAge = max(drain-upstreamsignal.MaxMargin, maxCalmAge)
 }
 
 // MaxAge returns the age up to which tables are recent.
--- a/pkg/published/unordered.go
+++ b/pkg/published/unordered.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -14,10 +13,6 @@
 // this VM. While this VM has no other source, the writers' own counts order them: the version of a configuration, and
 // the start and the sequence of an upstream's entry. What is taken over this way of upstreams only restricts.
 
-// reportRetention is how long an upstream that is listed here counts as removed because an older peer does not list
-// it. It is that of an entry which a copy of the store lists although it is known as removed.
-const reportRetention = 5 * time.Second
-
 // leavingReport says that an upstream is draining or removed, as an older peer knows it.
 type leavingReport struct {
 	// state is that in which it drains, or the last one that is known here of a removed one.
@@ -130,7 +125,7 @@
 		// The sequence says nothing without a start.
 		return !s.FreshAt().Before(report.freshAt)
 	case report.isRemoved:
-		return registry.IsOlder(report.state, known.Upstream) || now.Sub(report.receivedAt) >= reportRetention
+		return registry.IsOlder(report.state, known.Upstream) || now.Sub(report.receivedAt) >= registry.WithholdTime
 	}
 	return !registry.IsOlder(known.Upstream, report.state)
 }
--- a/pkg/published/unordered_test.go
+++ b/pkg/published/unordered_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/registry"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
@@ -74,6 +75,6 @@
 	s = newState(configItem(1, 1), upstreamItem("a", 1, 1, false, 2), upstreamItem("b", 1, 1, false, 3))
 	s.OfferUnordered(later, replica.Changes{Items: []replica.Item{configItem(1, 1)}, Keys: []string{configKey, upPrefix + "b"}}, later)
 	expectInService(t, s, "b")
-	s.Tick(later.Add(reportRetention))
+	s.Tick(later.Add(registry.WithholdTime))
 	expectInService(t, s, "a", "b")
 }
--- a/pkg/registry/era.go
+++ b/pkg/registry/era.go
@@ -15,9 +15,9 @@
 	removalMemory = 30 * time.Second
 	// maxRemovals bounds the memory for removed upstreams.
 	maxRemovals = 4096
-	// withholdTime is how long an entry from a copy is withheld if its upstream is known as removed. It is
+	// WithholdTime is how long an entry from a copy is withheld if its upstream is known as removed. It is
 	// longer than the three heartbeats after which the store removes the entry of a silent upstream.
-	withholdTime = 5 * time.Second
+	WithholdTime = 5 * time.Second
 )
 
 // CopyVerdict says what became of an entry from a copy of the store.
@@ -56,7 +56,7 @@
 
 // PutFromCopy adds or replaces an entry that the first tables after a return of the store from a copy hold.
 // The copy may be older than what this registry knows: then the known state stays. An upstream that was
-// removed is withheld until its entry is written again or has stayed for withholdTime.
+// removed is withheld until its entry is written again or has stayed for WithholdTime.
 func (r *Registry) PutFromCopy(now clock.Instant, upstream catalog.Upstream) CopyVerdict {
 	if known := r.records[upstream.ID]; known != nil && IsOlder(upstream, known.entry.Upstream) {
 		known.removeAt = 0
@@ -102,7 +102,7 @@
 func (r *Registry) ReleaseWithheld(now clock.Instant) []catalog.Upstream {
 	var released []catalog.Upstream
 	for _, w := range r.withheld {
-		if now.Sub(w.since) >= withholdTime {
+		if now.Sub(w.since) >= WithholdTime {
 			r.Put(now, w.upstream)
 			released = append(released, w.upstream)
 		}
--- a/pkg/upstreamsignal/table.go
+++ b/pkg/upstreamsignal/table.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// maxMargin and marginDivisor bound the time before the end of the drain time at which an
+	// MaxMargin and marginDivisor bound the time before the end of the drain time at which an
 	// upstream gets its last work. The margin covers the time from the choice of the upstream to
 	// the arrival of the request there, of which opening a connection may take 250 ms.
-	maxMargin     = 500 * time.Millisecond
+	MaxMargin     = 500 * time.Millisecond
 	marginDivisor = 4
 	// MaxPause is the longest pause that is accepted; a longer one is more likely a fault.
 	MaxPause = 24 * time.Hour
@@ -157,7 +157,7 @@
 }
 
 // lastWork is the time after its first signal at which a leaving upstream gets its last work.
-func (t *Table) lastWork() time.Duration { return t.drain - min(t.drain/marginDivisor, maxMargin) }
+func (t *Table) lastWork() time.Duration { return t.drain - min(t.drain/marginDivisor, MaxMargin) }
 
 // Retain drops the signals that cannot matter any more. isRegistered reports whether an instance is
 // registered.
