--- a/internal/edge/followlog.go
+++ b/internal/edge/followlog.go
@@ -58,7 +58,7 @@
 	}
 	switch value := d.Value.(type) {
 	case *catalog.Catalog:
-		f.logConfiguration(value, d.Verdict, at)
+		f.logConfiguration(value, d, at)
 	case *catalog.Upstream:
 		f.logUpstream(value, d.Verdict, at)
 	case catalog.ZoneOut:
@@ -72,17 +72,17 @@
 	published.Kept: "zone stays out of service", published.Expired: "zone back in service: the store has not listed it again",
 }
 
-func (f *follower) logConfiguration(value *catalog.Catalog, verdict published.Verdict, at zap.Field) {
-	if verdict == published.NotNewer {
+func (f *follower) logConfiguration(value *catalog.Catalog, d published.Decision, at zap.Field) {
+	if d.Verdict == published.NotNewer {
 		f.logger.Warn("configuration ignored: its version is not newer",
 			zap.Int64("version", value.Version), zap.Int64("in_force", f.state.Configuration().Version), at)
 		return
 	}
 	message := "configuration in force"
-	if verdict == published.Kept {
+	if d.Verdict == published.Kept {
 		message = "configuration in force: a peer has kept it from an earlier era"
 	}
-	f.logger.Info(message, zap.Int64("version", value.Version), at, zap.Int("routes", len(value.Routes)))
+	f.logger.Info(message, zap.Int64("version", value.Version), at, zap.Int("routes", len(value.Routes)), zap.Int("bytes", len(d.Item.Value)))
 }
 
 func (f *follower) logUpstream(value *catalog.Upstream, verdict published.Verdict, at zap.Field) {
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -169,7 +169,7 @@
 		return false
 	}
 	if err != nil {
-		s.logger.Info("tables not pulled", zap.String("peer", entry.Name), obs.ErrorField(err))
+		s.logger.Info("tables not pulled", zap.String("peer", entry.Name), zap.Duration("after", s.now().Sub(sentAt)), zap.Duration("age", s.now().Sub(s.follower.freshAt())), obs.ErrorField(err))
 		return false
 	}
 	if !response.GetComplete() {
