--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -163,11 +163,14 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *testStore) put(key string, value any) {
+func (s *testStore) put(key string, value any) { s.putPadded(key, value, "") }
+
+// putPadded puts a value that has the padding in the store, for values that are large there.
+func (s *testStore) putPadded(key string, value any, padding string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id := fmt.Sprint(key, "@", s.era, ".", s.revision)
+	id := fmt.Sprint(key, "@", s.era, ".", s.revision, padding)
 	s.values[id] = value
 	s.items[key] = replica.Item{Key: key, Value: []byte(id), Revision: s.revision, Deleted: value == nil}
 	close(s.changed)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -88,7 +88,9 @@
 	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
 	// relays.
 	maxDirectFollowers int
-	view               atomic.Pointer[View]
+	// wrapPeers wraps the listener for other VMs. Tests limit the bandwidth with it.
+	wrapPeers func(net.Listener) net.Listener
+	view      atomic.Pointer[View]
 	// viewMu is held while view and upstreams change. Upstreams that are in view can be chosen.
 	viewMu sync.Mutex
 	// unreachableZones holds the zones that this VM cannot reach by the membership protocol, and
@@ -140,7 +142,7 @@
 	s := &Server{
 		settings: options.Settings, dialect: options.Dialect, client: options.Client, releases: outbound.NewClient(options.Settings.IP), now: options.Now, logger: options.Logger, failures: options.Failures,
 		registry: options.Registry, metrics: newMetrics(options.Registry), poolRunners: map[string]*poolRunner{}, engineRunners: map[string]*engineRunner{}, maxDecidingAlone: smallFleetSize, stop: newPlannedStop(), maxDirectFollowers: maxDirectFollowers,
-		startup: newStartup(), startupWait: startupWait, origins: newStreamOrigins(),
+		startup: newStartup(), startupWait: startupWait, origins: newStreamOrigins(), wrapPeers: func(l net.Listener) net.Listener { return l },
 		peers: newPeers(peer.Transport{SourceIP: net.ParseIP(options.Settings.IP), PrivateNetwork: true}),
 	}
 	s.path, s.tunnels = newUpstreamPath(s, s.peers.transport), newTunnelServer(s)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peerListener = s.guards.peers.Listener(peerListener)
+	peerListener = s.guards.peers.Listener(s.wrapPeers(peerListener))
 	peerServer := grpc.NewServer(append(s.peers.transport.ServerOptions(), grpc.ChainUnaryInterceptor(ingress.InterceptCall, s.contain.interceptCall),
 		grpc.ChainStreamInterceptor(ingress.InterceptStream, s.contain.interceptStream), grpc.InitialWindowSize(tunnel.WindowBytes),
 		grpc.ConnectionTimeout(peerHandshakeTimeout), grpc.MaxHeaderListSize(maxPeerHeaderBytes), grpc.MaxConcurrentStreams(maxPeerCalls))...)
