Transfer large values apart from the changes, and only what differs

Cause: a pull carried the whole configuration of 279 KB, unpacked, for each change of it, and had a fixed deadline of 1.4 s. A relay with 25 Mbit/s that serves nine VMs needs 0.8 s for one change. Pulls that ran into the deadline were thrown away and begun again at the same relays (congestion collapse), and drains waited in the same answer.

Pulls now refer to values above 4 KB. The receiver applies the other changes at once and fetches the value on a stream of its own, encoded as the difference to the one that it has (140 bytes for a changed route), or else compressed. The configuration is decoded before the lock of the tables is taken. Requests with keys go by the age of the configuration, which is not current while its value is outstanding. Peers of older versions get whole values as before, but packed.

--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -94,7 +95,7 @@
 	received := f.s.now()
 	request := peerRequest{
 		after:   replica.Position{Era: r.GetEra(), Revision: r.GetRevision()},
-		asDelta: r.GetAcceptsRemovals(), takesKept: r.ConfigurationVersion != nil, version: r.GetConfigurationVersion(),
+		asDelta: r.GetAcceptsRemovals(), takesReferences: r.GetAcceptsReferences(), takesKept: r.ConfigurationVersion != nil, version: r.GetConfigurationVersion(),
 	}
 	changes := f.s.follower.changesAfter(ctx, request, min(time.Duration(r.GetWaitMs())*time.Millisecond, pullHoldTime))
 	response := &hoistv1.PullResponse{
@@ -103,10 +104,32 @@
 		Items: itemsToProto(changes.changes.Items), Kept: itemsToProto(changes.kept),
 	}
 	response.HasRemovals, response.Keys = changes.changes.IsDelta, changes.changes.Keys
-	if changes.changes.IsWhole() && r.GetAcceptsPacked() && len(response.GetItems()) >= minPackedItems {
-		if err := f.s.packedTables.pack(response, changes.version); err != nil {
+	if request.takesReferences {
+		referToLarge(response.GetItems())
+		referToLarge(response.GetKept())
+	}
+	if r.GetAcceptsPacked() && isWorthPacking(response.GetItems()) {
+		key := packedKey{version: changes.version, after: request.after, asDelta: request.asDelta, hasReferences: request.takesReferences}
+		if err := f.s.packedTables.pack(response, key); err != nil {
 			return nil, err
 		}
 	}
 	return response, nil
 }
+
+// FetchValue transfers a large value that Pull referred to.
+func (f fleetServer) FetchValue(r *hoistv1.FetchValueRequest, stream hoistv1.Fleet_FetchValueServer) error {
+	encoded, err := f.s.follower.awaitEncoded(stream.Context(), r.GetValueHash(), r.GetBaseHash())
+	if err != nil {
+		return err
+	}
+	if err := stream.Send(&hoistv1.FetchValueResponse{EncodedSize: uint32(len(encoded.Data)), IsDelta: encoded.IsDelta}); err != nil {
+		return err
+	}
+	for part := range slices.Chunk(encoded.Data, valuePartBytes) {
+		if err := stream.Send(&hoistv1.FetchValueResponse{Data: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -38,6 +38,7 @@
 // follower keeps a copy of the published items up to date, and builds views from it.
 type follower struct {
 	source Source
+	decode Decoder
 	now    func() clock.Instant
 	logger *zap.Logger
 	// onViewChange is called with each new view, and never concurrently.
@@ -67,14 +68,18 @@
 	keptPulls int
 	// lossLogged is set after the loss of the store was logged, until its return.
 	lossLogged bool
-	// refreshed is closed when the items are next known to be current, and when a read fails.
+	// refreshed is closed when the items are next known to be current or a value arrives, and when a read fails.
 	refreshed chan struct{}
+	// values keeps the large values for other VMs. It has its own lock, since to encode one takes milliseconds.
+	values largeValues
+	// valueWanted has an entry while values may be outstanding.
+	valueWanted chan struct{}
 }
 
 func newFollower(source Source, decode Decoder, now func() clock.Instant, logger *zap.Logger, onViewChange func(*View), isClaimed func(name string) bool) *follower {
 	return &follower{
 		source: source, now: now, logger: logger, onViewChange: onViewChange, onGap: func(clock.Instant) {}, onNewEra: func(*published.EraChange) {}, isClaimed: isClaimed,
-		state: published.New(decode), refreshed: make(chan struct{}), keptPulls: keptPullRounds,
+		state: published.New(decode), decode: decode, refreshed: make(chan struct{}), valueWanted: make(chan struct{}, 1), keptPulls: keptPullRounds,
 	}
 }
 
@@ -136,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	f.decodeLarge(items)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.checkEra(before, at); err != nil {
@@ -153,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	f.decodeLarge(items)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.checkEra(after, at); err != nil {
@@ -203,6 +210,9 @@
 		f.onGap(f.now())
 	}
 	f.logUpdate(update, from)
+	for _, d := range update.Decisions {
+		f.values.add(d.Item.Value)
+	}
 	if update.NewEra != nil {
 		f.keptPulls = keptPullRounds
 		f.onNewEra(update.NewEra)
@@ -316,8 +326,15 @@
 	return f.state.FreshAt()
 }
 
+// configurationAge returns the time since the configuration in force was last known to be the latest one.
+func (f *follower) configurationAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.state.ConfigurationFreshAt())
+}
+
 // age returns the time since the tables were last known to be current, and whether this VM has
-// complete tables.
+// complete tables. The value of a later configuration may not have arrived (see configurationAge).
 func (f *follower) age() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/packedtables.go
+++ b/internal/edge/packedtables.go
@@ -10,42 +10,76 @@
 	"google.golang.org/protobuf/proto"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
 const (
-	// minPackedItems is the number of items from which a response is packed. All items of a large
-	// deployment are above a megabyte, and all VMs pull them when all start at once.
+	// minPackedItems is the number of items, and minPackedBytes the size of their values, from which a response is
+	// packed. All items of a large deployment are above a megabyte, and all VMs pull them when all start at once.
 	minPackedItems = 100
+	minPackedBytes = 16 << 10
+	// maxPacked bounds the packed responses that are kept.
+	maxPacked = 4
 	// maxUnpackedBytes bounds the size of unpacked items, which a peer could otherwise make
 	// arbitrarily large.
 	maxUnpackedBytes = 64 << 20
 )
 
-// packedTables keeps the packed form of all items, so that a VM from which many others pull packs
-// each state of the items once.
+// isWorthPacking reports whether items take less of the link if they are packed.
+func isWorthPacking(items []*hoistv1.PublishedItem) bool {
+	size := 0
+	for _, item := range items {
+		size += len(item.GetValue())
+	}
+	return len(items) >= minPackedItems || size >= minPackedBytes
+}
+
+// packedKey identifies a response with items.
+type packedKey struct {
+	// version is that of the items.
+	version uint64
+	// after, asDelta and hasReferences are those of the request.
+	after                  replica.Position
+	asDelta, hasReferences bool
+}
+
+// packedTables keeps the packed form of the latest responses, so that a VM from which many others pull packs
+// each change of the items once.
 type packedTables struct {
 	mu sync.Mutex
-	// version is that of the packed items.
-	version uint64
-	packed  []byte
+	// keys holds the keys of packed, the latest last.
+	keys   []packedKey
+	packed map[packedKey][]byte
 }
 
-// pack replaces the items and keys of a response with all items by their packed form. The version
-// identifies the items.
-func (p *packedTables) pack(response *hoistv1.PullResponse, version uint64) error {
+// pack replaces the items and keys of a response by their packed form.
+func (p *packedTables) pack(response *hoistv1.PullResponse, key packedKey) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.packed == nil || p.version != version {
-		packed, err := packItems(response)
-		if err != nil {
+	packed, isKnown := p.packed[key]
+	if !isKnown {
+		var err error
+		if packed, err = packItems(response); err != nil {
 			return err
 		}
-		p.packed, p.version = packed, version
+		p.keep(key, packed)
 	}
-	response.Packed, response.Items, response.Keys = p.packed, nil, nil
+	response.Packed, response.Items, response.Keys = packed, nil, nil
 	return nil
 }
 
+func (p *packedTables) keep(key packedKey, packed []byte) {
+	if p.packed == nil {
+		p.packed = map[packedKey][]byte{}
+	}
+	if len(p.keys) == maxPacked {
+		delete(p.packed, p.keys[0])
+		p.keys = p.keys[1:]
+	}
+	p.keys = append(p.keys, key)
+	p.packed[key] = packed
+}
+
 func packItems(response *hoistv1.PullResponse) ([]byte, error) {
 	body, err := proto.Marshal(&hoistv1.PullResponse{Items: response.GetItems(), Keys: response.GetKeys()})
 	if err != nil {
--- a/internal/edge/packedtables_test.go
+++ b/internal/edge/packedtables_test.go
@@ -32,7 +32,7 @@
 	const maxBytes = 10_000_000 / 8 / 8
 	want, got := allItems(3000), allItems(3000)
 	var tables packedTables
-	if err := tables.pack(got, 1); err != nil {
+	if err := tables.pack(got, packedKey{version: 1}); err != nil {
 		t.Fatal(err)
 	}
 	if plain, size := proto.Size(want), proto.Size(got); size > maxBytes {
@@ -45,7 +45,7 @@
 		t.Error("the items differ after packing")
 	}
 	changed := allItems(200)
-	if err := tables.pack(changed, 2); err != nil {
+	if err := tables.pack(changed, packedKey{version: 2}); err != nil {
 		t.Fatal(err)
 	}
 	if err := unpackItems(changed); err != nil || len(changed.GetItems()) != 200 {
--- a/internal/edge/peerchanges.go
+++ b/internal/edge/peerchanges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -30,6 +31,8 @@
 	after replica.Position
 	// asDelta is set if the peer understands removed items.
 	asDelta bool
+	// takesReferences is set if the peer understands items whose values are referred to.
+	takesReferences bool
 	// takesKept is set if the peer understands kept items. It then has the version of the configuration.
 	takesKept bool
 	version   int64
@@ -41,7 +44,7 @@
 func (f *follower) changesAfter(ctx context.Context, request peerRequest, wait time.Duration) peerChanges {
 	requested := request.after
 	f.mu.Lock()
-	refreshed, isNews := f.refreshed, f.state.HasChangesSince(requested) || !f.state.Complete() || f.isLost
+	refreshed, isNews := f.refreshed, f.hasNewsFor(request) || !f.state.Complete() || f.isLost
 	f.mu.Unlock()
 	if wait > 0 && !isNews {
 		timer := time.NewTimer(wait)
@@ -61,12 +64,37 @@
 	if !changes.unchanged {
 		changes.changes = f.state.ChangesSince(requested, request.asDelta)
 	}
+	if !request.takesReferences && f.hasOutstandingAfter(requested) {
+		changes = f.withoutReferences(changes)
+	}
 	if request.takesKept {
 		changes.kept = f.state.Kept(request.version)
 	}
 	return changes
 }
 
+// hasNewsFor reports whether there are changes for a peer. One that takes no references waits for their values. The
+// caller holds the lock.
+func (f *follower) hasNewsFor(request peerRequest) bool {
+	return f.state.HasChangesSince(request.after) && (request.takesReferences || !f.hasOutstandingAfter(request.after))
+}
+
+// hasOutstandingAfter reports whether the value of an item that changed after the position has not arrived here. The
+// caller holds the lock.
+func (f *follower) hasOutstandingAfter(position replica.Position) bool {
+	changes := f.state.ChangesSince(position, false)
+	return slices.ContainsFunc(changes.Items, replica.Item.IsReference)
+}
+
+// withoutReferences returns changes for a peer that takes none. They are complete only up to the position at which
+// all values were here. The caller holds the lock.
+func (f *follower) withoutReferences(changes peerChanges) peerChanges {
+	changes.changes, changes.at = changes.changes.WithoutReferences(), f.state.WholePosition()
+	changes.age = f.now().Sub(f.state.ConfigurationFreshAt())
+	changes.complete = changes.complete && changes.at != replica.Position{}
+	return changes
+}
+
 // mergeChanges applies the response to a pull that requested the changes after the given
 // position and was current at freshAt. It reports whether the response is of the era of the items. One of an older
 // version states none, and does not make the items current.
@@ -89,6 +117,7 @@
 	if update.NewEra != nil || f.state.FreshAt() > before {
 		f.wakeWaiters()
 	}
+	f.requestValues()
 	return changes.at.Era == f.state.Position().Era
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -10,6 +10,7 @@
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/progress"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
 
@@ -111,6 +112,21 @@
 	return errors.Wrapf(err, "%s", entry.Name)
 }
 
+// callBounded runs a call that is bounded by its progress (see progress.WithBound).
+func (p *peers) callBounded(ctx context.Context, entry fleet.Entry, run func(context.Context, hoistv1.FleetClient) error) error {
+	c, err := p.conn(entry)
+	if err != nil {
+		return err
+	}
+	err = run(ctx, c.client)
+	if err != nil && errors.Is(context.Cause(ctx), progress.ErrStalled) {
+		// The connection may be broken without an error, which only a new one resolves.
+		p.discardConn(entry.Address, c)
+		return errors.Wrapf(progress.ErrStalled, "%s", entry.Name)
+	}
+	return errors.Wrapf(err, "%s", entry.Name)
+}
+
 // callBriefly runs a call whose context ends after a few tens of milliseconds. Unlike callWithoutPing it
 // keeps the connection then, since an owner that is only slow would lose all other calls on it.
 func (p *peers) callBriefly(ctx context.Context, entry fleet.Entry, run func(context.Context, hoistv1.FleetClient) error) error {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -132,7 +132,7 @@
 	if !config.NeedsKey(t.route) {
 		return nil
 	}
-	if age, _ := t.s.follower.age(); t.s.keysOutdated(age) {
+	if age := t.s.follower.configurationAge(); t.s.keysOutdated(age) {
 		return errkind.New(errkind.TablesOutdated, "the tables were last known to be current "+age.String()+" ago")
 	}
 	if t.workspace == nil {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -262,6 +262,7 @@
 	gossip.Go(func() { s.gossip.run(background) })
 	go s.partition.run(background)
 	go s.followTables(background)
+	go s.fetchValues(background)
 	go s.refreshStaleTables(background)
 	go s.sweepLoop(background)
 	s.logger.Info("started", zap.String("listen", s.settings.Listen), zap.String("peers", s.settings.PeerListen),
@@ -315,7 +316,7 @@
 	case view == nil || view.Catalog == nil:
 		return "no configuration"
 	}
-	if age, _ := s.follower.age(); s.keysOutdated(age) {
+	if s.keysOutdated(s.follower.configurationAge()) {
 		return "the tables are out of date"
 	}
 	return ""
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -198,7 +198,7 @@
 
 func newPullRequest(requested replica.Position, wait time.Duration, configurationVersion int64) *hoistv1.PullRequest {
 	return &hoistv1.PullRequest{
-		Era: requested.Era, Revision: requested.Revision, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true,
+		Era: requested.Era, Revision: requested.Revision, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true, AcceptsReferences: true,
 		ConfigurationVersion: &configurationVersion,
 	}
 }
@@ -206,7 +206,7 @@
 func itemsToProto(items []replica.Item) []*hoistv1.PublishedItem {
 	var out []*hoistv1.PublishedItem
 	for _, item := range items {
-		out = append(out, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted})
+		out = append(out, &hoistv1.PublishedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Deleted, ValueHash: item.Reference.Hash, ValueSize: uint32(item.Reference.Size)})
 	}
 	return out
 }
@@ -214,7 +214,8 @@
 func itemsFromProto(items []*hoistv1.PublishedItem) []replica.Item {
 	out := make([]replica.Item, 0, len(items))
 	for _, item := range items {
-		out = append(out, replica.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetRemoved()})
+		reference := replica.Reference{Hash: item.GetValueHash(), Size: int(item.GetValueSize())}
+		out = append(out, replica.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetRemoved(), Reference: reference})
 	}
 	return out
 }
--- a/pkg/published/kept.go
+++ b/pkg/published/kept.go
@@ -31,7 +31,11 @@
 	if !s.Complete() || at.Era != s.Position().Era {
 		return update
 	}
-	for _, item := range items {
+	for _, item := range s.withKnownValues(items) {
+		if item.IsReference() {
+			s.keptOutstanding[item.Key] = outstandingItem{item: item, era: at.Era}
+			continue
+		}
 		d := s.decodeItem(item)
 		if d.Verdict == Applied {
 			d.Verdict = s.applyKept(now, item, d.Value)
--- a/pkg/published/state.go
+++ b/pkg/published/state.go
@@ -41,13 +41,14 @@
 	leaving map[string]leavingReport
 	// mustPullAll is set if the last peer has tables of a higher era and sent only a part of them.
 	mustPullAll bool
-	// version counts the changes of the items.
-	version uint64
+	// keptOutstanding holds the items that peers have kept from an earlier era and whose values have not arrived, by
+	// key, with the era in which they were kept.
+	keptOutstanding map[string]outstandingItem
 }
 
 // New returns a state without items.
 func New(decode Decode) *State {
-	return &State{decode: decode, replica: replica.New(), registry: registry.New(), zones: registry.NewZonesOut(), keptZones: map[string]string{}, leaving: map[string]leavingReport{}}
+	return &State{decode: decode, replica: replica.New(), registry: registry.New(), zones: registry.NewZonesOut(), keptZones: map[string]string{}, leaving: map[string]leavingReport{}, keptOutstanding: map[string]outstandingItem{}}
 }
 
 // Update is the result of a read of the store or of a peer's tables.
@@ -82,6 +83,7 @@
 	if isPartial {
 		return Update{}
 	}
+	changes.Items = s.withKnownValues(changes.Items)
 	return s.apply(now, at, func() []replica.Item { return s.replica.Merge(changes, at, freshAt) })
 }
 
@@ -113,9 +115,6 @@
 		}
 	}
 	update.HasChanges = s.dropReports(now) || len(changed) > 0 || update.NewEra != nil
-	if update.HasChanges {
-		s.version++
-	}
 	return update
 }
 
@@ -164,6 +163,13 @@
 // FreshAt returns the latest time at which the items are known to have been complete.
 func (s *State) FreshAt() clock.Instant { return s.replica.FreshAt() }
 
+// ConfigurationFreshAt returns the latest time at which the configuration in force is known to have been the latest
+// one: it may be earlier than FreshAt while the value of a later one has not arrived.
+func (s *State) ConfigurationFreshAt() clock.Instant { return s.replica.WholeFreshAt() }
+
+// WholePosition returns the last position at which the values of all items were there (see replica.Replica).
+func (s *State) WholePosition() replica.Position { return s.replica.WholePosition() }
+
 // HasChangesSince reports whether an item changed or was removed after the position of a peer.
 func (s *State) HasChangesSince(position replica.Position) bool {
 	return s.replica.HasChangesSince(position)
@@ -175,7 +181,7 @@
 }
 
 // Version identifies the items. It is another one after each change.
-func (s *State) Version() uint64 { return s.version }
+func (s *State) Version() uint64 { return s.replica.Version() }
 
 // Configuration returns the configuration in force, or nil.
 func (s *State) Configuration() *catalog.Catalog { return s.configuration.catalog }
--- /dev/null
+++ b/pkg/replica/reference.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
+)
+
+// Reference identifies a value that is transferred apart from its item. The zero Reference refers to none.
+type Reference struct {
+	// Hash is the XXH64 of the value.
+	Hash uint64
+	// Size is the size of the value in bytes, at least 1.
+	Size int
+}
+
+// ReferenceTo returns the reference to a value.
+func ReferenceTo(value []byte) Reference {
+	if len(value) == 0 {
+		return Reference{}
+	}
+	return Reference{Hash: xxhash.Sum64(value), Size: len(value)}
+}
+
+// IsReference reports whether the value of the item is transferred separately.
+func (i Item) IsReference() bool { return i.Reference != Reference{} }
+
+// WithReference returns the item with a reference in place of a value of more than maxInline bytes.
+func (i Item) WithReference(maxInline int) Item {
+	if len(i.Value) > maxInline {
+		i.Reference, i.Value = ReferenceTo(i.Value), nil
+	}
+	return i
+}
+
+// WithoutReferences returns the changes without the items whose values are referred to.
+func (c Changes) WithoutReferences() Changes {
+	out := Changes{IsDelta: c.IsDelta}
+	missing := map[string]bool{}
+	for _, item := range c.Items {
+		if item.IsReference() {
+			missing[item.Key] = true
+			continue
+		}
+		out.Items = append(out.Items, item)
+	}
+	for _, key := range c.Keys {
+		if !missing[key] {
+			out.Keys = append(out.Keys, key)
+		}
+	}
+	return out
+}
+
+// Outstanding returns the items whose values have not arrived, sorted by key.
+func (r *Replica) Outstanding() []Item {
+	items := slices.Collect(maps.Values(r.outstanding))
+	slices.SortFunc(items, func(a, b Item) int { return compareKeys(a.Key, b.Key) })
+	return items
+}
+
+// WholePosition returns the last position at which no value was outstanding. It is the zero Position if there was
+// none in the current era.
+func (r *Replica) WholePosition() Position { return r.wholePosition }
+
+// WholeFreshAt returns the latest time at which the copy is known to have been complete with all values.
+func (r *Replica) WholeFreshAt() clock.Instant { return r.wholeFreshAt }
+
+// Version identifies the content of the copy. It is another one after each change.
+func (r *Replica) Version() uint64 { return r.version }
+
+// Supply completes an item with its value, which has arrived; the item was outstanding in the given era. The value
+// may have been overtaken by a later one that is still outstanding. It returns the item if the copy changed.
+func (r *Replica) Supply(era uint64, item Item) []Item {
+	latest, isOutstanding := r.outstanding[item.Key]
+	switch {
+	case isOutstanding && latest.Reference == item.Reference:
+		item.Revision = latest.Revision
+	case era != r.position.Era:
+		return nil
+	}
+	item.Reference = Reference{}
+	changed := r.put(item)
+	r.recordWhole()
+	return changed
+}
+
+// putOutstanding records an item whose value has not arrived. Peers that ask for changes learn of it at once.
+func (r *Replica) putOutstanding(item Item) {
+	if item.Revision <= r.outstanding[item.Key].Revision {
+		return
+	}
+	r.version++
+	r.outstanding[item.Key] = item
+	r.lastChangeRevision = max(r.lastChangeRevision, item.Revision)
+}
+
+// recordWhole records that the copy has all values if it does.
+func (r *Replica) recordWhole() {
+	if len(r.outstanding) == 0 {
+		r.wholePosition, r.wholeFreshAt = r.position, max(r.wholeFreshAt, r.freshAt)
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -6,9 +6,16 @@
 //   - the copy holds items of one era;
 //   - FreshAt is never later than the time of the request whose response proved that
 //     the copy was complete.
+//
+// The values of large items are transferred apart from the others: a peer sends a Reference in place of such a
+// value, so that the other changes do not wait for it. Until the value has arrived, the copy keeps the value that it
+// has, and knows that it is outdated. Invariants:
+//   - WholePosition is never above the revision of an item whose value has not arrived;
+//   - WholeFreshAt is never later than the time at which all values of the copy were those of the store.
 package replica
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -20,12 +27,22 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	// Reference identifies the value if it is transferred separately; Value is then nil.
+	Reference Reference
 }
 
 // Replica is a copy of the published items.
 type Replica struct {
 	items    map[string]Item
 	position Position
+	// outstanding holds the items whose values have not arrived, by key. Their revisions are above those of items.
+	outstanding map[string]Item
+	// wholePosition is the last position at which no value was outstanding, and wholeFreshAt the latest time at
+	// which the copy is known to have been complete with all values.
+	wholePosition Position
+	wholeFreshAt  clock.Instant
+	// version counts the changes of items and outstanding.
+	version uint64
 	// lastChangeRevision is the revision of the copy after the last change or removal
 	// of an item, in the era of the position.
 	lastChangeRevision uint64
@@ -50,7 +67,7 @@
 
 // New returns an empty copy that is not complete.
 func New() *Replica {
-	return &Replica{items: map[string]Item{}, tombstones: map[string]uint64{}}
+	return &Replica{items: map[string]Item{}, outstanding: map[string]Item{}, tombstones: map[string]uint64{}}
 }
 
 // Complete reports whether the copy has ever been complete.
@@ -114,7 +131,7 @@
 
 func (r *Replica) changesAfter(revision uint64, asDelta bool) Changes {
 	changes := Changes{IsDelta: asDelta && r.complete && revision > 0 && revision >= r.removalsSince}
-	for _, item := range r.items {
+	add := func(item Item) {
 		if item.Revision > revision {
 			changes.Items = append(changes.Items, item)
 		}
@@ -122,6 +139,14 @@
 			changes.Keys = append(changes.Keys, item.Key)
 		}
 	}
+	for _, item := range r.items {
+		if _, isOutdated := r.outstanding[item.Key]; !isOutdated {
+			add(item)
+		}
+	}
+	for _, item := range r.outstanding {
+		add(item)
+	}
 	if changes.IsDelta {
 		for key, removed := range r.tombstones {
 			if removed > revision {
@@ -142,9 +167,7 @@
 	}
 	var changed []Item
 	for _, item := range changes {
-		if r.put(item) {
-			changed = append(changed, item)
-		}
+		changed = append(changed, r.put(item)...)
 	}
 	r.advance(at.Revision, sentAt, changed)
 	return changed
@@ -165,9 +188,7 @@
 	var changed []Item
 	for _, item := range listed {
 		keys[item.Key] = true
-		if r.put(item) {
-			changed = append(changed, item)
-		}
+		changed = append(changed, r.put(item)...)
 	}
 	changed = append(changed, r.prune(keys, at.Revision)...)
 	r.forgetRemovalsBefore(at.Revision)
@@ -195,9 +216,7 @@
 	}
 	var changed []Item
 	for _, item := range changes.Items {
-		if r.put(item) {
-			changed = append(changed, item)
-		}
+		changed = append(changed, r.put(item)...)
 	}
 	if !changes.IsDelta && (at.Revision > r.position.Revision || !r.complete) {
 		present := make(map[string]bool, len(changes.Keys))
@@ -222,17 +241,29 @@
 
 func (r *Replica) prune(present map[string]bool, revision uint64) []Item {
 	var removed []Item
-	for _, item := range r.Items() {
-		if present[item.Key] || item.Revision > revision {
+	for _, key := range r.keys() {
+		if present[key] || max(r.items[key].Revision, r.outstanding[key].Revision) > revision {
 			continue
 		}
-		tombstone := Item{Key: item.Key, Revision: revision, Deleted: true}
+		tombstone := Item{Key: key, Revision: revision, Deleted: true}
 		r.put(tombstone)
 		removed = append(removed, tombstone)
 	}
 	return removed
 }
 
+// keys returns the keys of all items, sorted.
+func (r *Replica) keys() []string {
+	keys := slices.Collect(maps.Keys(r.items))
+	for key := range r.outstanding {
+		if _, exists := r.items[key]; !exists {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // forgetRemovalsBefore records that removals up to the revision of a state may be unknown: items that were
 // created and removed after the revision of this copy are not in it.
 func (r *Replica) forgetRemovalsBefore(revision uint64) {
@@ -241,21 +272,36 @@
 	}
 }
 
-// put applies an item if it is newer than the known state of its key, and reports
-// whether the copy changed.
-func (r *Replica) put(item Item) bool {
+// put applies an item if it is newer than the known state of its key, and returns it if the copy changed. An item
+// whose value is referred to changes the copy once the value has arrived.
+func (r *Replica) put(item Item) []Item {
 	if item.Revision <= r.items[item.Key].Revision || item.Revision <= r.tombstones[item.Key] {
-		return false
+		return nil
+	}
+	if item.IsReference() {
+		known, exists := r.items[item.Key]
+		if !exists || ReferenceTo(known.Value) != item.Reference {
+			r.putOutstanding(item)
+			return nil
+		}
+		item.Value, item.Reference = known.Value, Reference{}
+	}
+	r.version++
+	if item.Revision >= r.outstanding[item.Key].Revision {
+		delete(r.outstanding, item.Key)
 	}
 	if item.Deleted {
 		_, existed := r.items[item.Key]
 		delete(r.items, item.Key)
 		r.tombstones[item.Key] = item.Revision
-		return existed
+		if !existed {
+			return nil
+		}
+		return []Item{item}
 	}
 	delete(r.tombstones, item.Key)
 	r.items[item.Key] = item
-	return true
+	return []Item{item}
 }
 
 func (r *Replica) advance(revision uint64, freshAt clock.Instant, changed []Item) {
@@ -263,6 +309,7 @@
 		r.freshAt = freshAt
 	}
 	r.position.Revision = max(r.position.Revision, revision)
+	r.recordWhole()
 	if !r.complete {
 		r.complete, r.removalsSince = true, r.position.Revision
 	}
