Bound reads of the store by their progress

The largest value allowed takes 1.1 s on a link of 10 Mbit/s, so a reader with such a link cut its answer off, counted the store as lost and asked for all of it again.

An answer now has to begin in time and then to make progress. While a large one arrives, the reader pulls the other changes from other readers and does not say that the store is lost.

--- a/internal/edge/storeaccess.go
+++ b/internal/edge/storeaccess.go
@@ -14,22 +14,23 @@
 // few milliseconds; a slow one that answers later costs reads by other VMs.
 const overdueMargin = 200 * time.Millisecond
 
-// readForOthers reads the store once as one of its readers. While the store does not answer, this VM pulls the tables
-// from others that it answers.
+// readForOthers reads the store once as one of its readers. While the store does not answer, and while a large answer
+// arrives, this VM pulls the tables from others that it answers.
 func (s *Server) readForOthers(ctx context.Context) {
-	reads := make(chan storeRead, 1)
-	go func() { reads <- s.follower.readStore(ctx, watchTimeout) }()
-	overdue := time.NewTimer(watchTimeout + overdueMargin)
-	defer overdue.Stop()
+	reads, parts := make(chan storeRead, 1), make(chan struct{}, 1)
+	readCtx := WithReadProgress(ctx, func() {
+		select {
+		case parts <- struct{}{}:
+		default: // A part has arrived since the last check.
+		}
+	})
+	go func() { reads <- s.follower.readStore(readCtx, watchTimeout) }()
 	if !s.follower.hasLostStore() {
 		select {
 		case read := <-reads:
 			s.endRead(ctx, read)
 			return
-		case <-overdue.C:
-			s.logger.Info("answer of the store overdue", zap.Duration("after", watchTimeout+overdueMargin))
-			s.follower.setLost(true)
-			s.gossip.setStoreAccess(fleet.LostStore)
+		case <-time.After(watchTimeout + overdueMargin):
 		}
 	}
 	pullCtx, stop := context.WithCancel(ctx)
@@ -38,11 +39,38 @@
 		defer close(pulls)
 		s.pullWhileLost(pullCtx)
 	}()
-	s.endRead(ctx, <-reads)
+	s.endRead(ctx, s.awaitOverdueRead(reads, parts))
 	stop()
 	<-pulls
 }
 
+// awaitOverdueRead waits for a read that has lasted longer than a watch, and says that the store is lost when no part
+// of the answer arrives any more.
+func (s *Server) awaitOverdueRead(reads <-chan storeRead, parts <-chan struct{}) storeRead {
+	for {
+		select {
+		case <-parts:
+		default:
+			s.reportOverdue()
+		}
+		select {
+		case read := <-reads:
+			return read
+		case <-time.After(overdueMargin):
+		}
+	}
+}
+
+// reportOverdue says that the store does not answer this reader, if it has not said so yet.
+func (s *Server) reportOverdue() {
+	if s.follower.hasLostStore() {
+		return
+	}
+	s.logger.Info("answer of the store overdue", zap.Duration("after", watchTimeout+overdueMargin))
+	s.follower.setLost(true)
+	s.gossip.setStoreAccess(fleet.LostStore)
+}
+
 // endRead tells the other VMs whether the store has answered this reader, and waits before the next read.
 func (s *Server) endRead(ctx context.Context, read storeRead) {
 	access := fleet.LostStore
