Model-checked sequences for values that arrive late

Copies that take references and copies that take none follow a store in any order of changes, pulls and arrivals. The model found a removal that peers did not learn of: an item whose value was still outstanding was removed, the copy counted that as no change, and a peer that had learnt of the value from it would have put it in force. Also for peers of older versions: they got no earlier value of an item whose latest one was outstanding. What such peers get is decided in pkg/replica now.

--- a/internal/edge/peerchanges.go
+++ b/internal/edge/peerchanges.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -61,11 +60,12 @@
 		complete: f.state.Complete(), at: f.state.Position(), age: f.now().Sub(f.state.FreshAt()),
 		unchanged: !f.state.HasChangesSince(requested), storeLost: f.isLost, version: f.state.Version(),
 	}
-	if !changes.unchanged {
+	switch {
+	case changes.unchanged:
+	case request.takesReferences:
 		changes.changes = f.state.ChangesSince(requested, request.asDelta)
-	}
-	if !request.takesReferences && f.hasOutstandingAfter(requested) {
-		changes = f.withoutReferences(changes)
+	default:
+		f.addChangesWithValues(&changes, request)
 	}
 	if request.takesKept {
 		changes.kept = f.state.Kept(request.version)
@@ -76,23 +76,17 @@
 // hasNewsFor reports whether there are changes for a peer. One that takes no references waits for their values. The
 // caller holds the lock.
 func (f *follower) hasNewsFor(request peerRequest) bool {
-	return f.state.HasChangesSince(request.after) && (request.takesReferences || !f.hasOutstandingAfter(request.after))
-}
-
-// hasOutstandingAfter reports whether the value of an item that changed after the position has not arrived here. The
-// caller holds the lock.
-func (f *follower) hasOutstandingAfter(position replica.Position) bool {
-	changes := f.state.ChangesSince(position, false)
-	return slices.ContainsFunc(changes.Items, replica.Item.IsReference)
+	return f.state.HasChangesSince(request.after) && (request.takesReferences || f.state.HasValuesAfter(request.after))
 }
 
-// withoutReferences returns changes for a peer that takes none. They are complete only up to the position at which
-// all values were here. The caller holds the lock.
-func (f *follower) withoutReferences(changes peerChanges) peerChanges {
-	changes.changes, changes.at = changes.changes.WithoutReferences(), f.state.WholePosition()
-	changes.age = f.now().Sub(f.state.ConfigurationFreshAt())
-	changes.complete = changes.complete && changes.at != replica.Position{}
-	return changes
+// addChangesWithValues adds the changes for a peer that takes no references. The caller holds the lock.
+func (f *follower) addChangesWithValues(to *peerChanges, request peerRequest) {
+	to.changes, to.at = f.state.ChangesWithValues(request.after, request.asDelta)
+	if f.state.HasValuesAfter(request.after) {
+		return
+	}
+	to.age = f.now().Sub(f.state.ConfigurationFreshAt())
+	to.complete = to.complete && to.at != replica.Position{}
 }
 
 // mergeChanges applies the response to a pull that requested the changes after the given
--- a/pkg/published/modelkept_test.go
+++ b/pkg/published/modelkept_test.go
@@ -9,6 +9,9 @@
 	}
 	started := New(decodeTest)
 	pull(m.now, vm.state, started)
+	if !started.Complete() {
+		return // The values of the era have not arrived at the VM itself.
+	}
 	if versionOf(started) != versionOf(vm.state) {
 		m.Fatalf("version %d is handed on, %d is in force", versionOf(started), versionOf(vm.state))
 	}
--- a/pkg/published/state.go
+++ b/pkg/published/state.go
@@ -167,9 +167,6 @@
 // one: it may be earlier than FreshAt while the value of a later one has not arrived.
 func (s *State) ConfigurationFreshAt() clock.Instant { return s.replica.WholeFreshAt() }
 
-// WholePosition returns the last position at which the values of all items were there (see replica.Replica).
-func (s *State) WholePosition() replica.Position { return s.replica.WholePosition() }
-
 // HasChangesSince reports whether an item changed or was removed after the position of a peer.
 func (s *State) HasChangesSince(position replica.Position) bool {
 	return s.replica.HasChangesSince(position)
@@ -180,6 +177,17 @@
 	return s.replica.ChangesSince(position, asDelta)
 }
 
+// HasValuesAfter reports whether the values of all items that changed after the position are here.
+func (s *State) HasValuesAfter(position replica.Position) bool {
+	return s.replica.HasValuesAfter(position)
+}
+
+// ChangesWithValues returns the changes after the position of a peer that takes no references, and the position up to
+// which they are complete (see replica.Replica.ChangesWithValues).
+func (s *State) ChangesWithValues(position replica.Position, asDelta bool) (replica.Changes, replica.Position) {
+	return s.replica.ChangesWithValues(position, asDelta)
+}
+
 // Version identifies the items. It is another one after each change.
 func (s *State) Version() uint64 { return s.replica.Version() }
 
--- a/pkg/replica/reference.go
+++ b/pkg/replica/reference.go
@@ -28,31 +28,34 @@
 // IsReference reports whether the value of the item is transferred separately.
 func (i Item) IsReference() bool { return i.Reference != Reference{} }
 
-// WithReference returns the item with a reference in place of a value of more than maxInline bytes.
-func (i Item) WithReference(maxInline int) Item {
-	if len(i.Value) > maxInline {
-		i.Reference, i.Value = ReferenceTo(i.Value), nil
+// HasValuesAfter reports whether the values of all items that changed after the position are here.
+func (r *Replica) HasValuesAfter(position Position) bool {
+	for _, item := range r.outstanding {
+		if item.Revision > r.comparableRevision(position) {
+			return false
+		}
 	}
-	return i
+	return true
 }
 
-// WithoutReferences returns the changes without the items whose values are referred to.
-func (c Changes) WithoutReferences() Changes {
-	out := Changes{IsDelta: c.IsDelta}
-	missing := map[string]bool{}
-	for _, item := range c.Items {
-		if item.IsReference() {
-			missing[item.Key] = true
-			continue
-		}
-		out.Items = append(out.Items, item)
+// ChangesWithValues returns the changes after the position for a peer that takes no references, and the position up to
+// which they are complete. That is WholePosition, and the changes are without those whose values have not arrived,
+// unless HasValuesAfter holds.
+func (r *Replica) ChangesWithValues(position Position, asDelta bool) (Changes, Position) {
+	if r.HasValuesAfter(position) {
+		return r.ChangesSince(position, asDelta), r.position
 	}
-	for _, key := range c.Keys {
-		if !missing[key] {
-			out.Keys = append(out.Keys, key)
-		}
+	return r.changesAfter(position, asDelta, r.items), r.wholePosition
+}
+
+// withOutstanding returns the items, those whose values have not arrived as references.
+func (r *Replica) withOutstanding() map[string]Item {
+	if len(r.outstanding) == 0 {
+		return r.items
 	}
-	return out
+	items := maps.Clone(r.items)
+	maps.Copy(items, r.outstanding)
+	return items
 }
 
 // Outstanding returns the items whose values have not arrived, sorted by key.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -122,16 +122,24 @@
 // all removals after the position are known. If the position is of another era, or the zero Position, these
 // are all items. One whose era is unknown is compared by its revision.
 func (r *Replica) ChangesSince(position Position, asDelta bool) Changes {
-	revision := position.Revision
+	return r.changesAfter(position, asDelta, r.withOutstanding())
+}
+
+// comparableRevision returns the revision of a position in the era of the copy, or 0 if it is of another era. One whose
+// era is unknown is compared by its revision.
+func (r *Replica) comparableRevision(position Position) uint64 {
 	if position.Era != r.position.Era && position.Era != 0 {
-		revision, asDelta = 0, false
+		return 0
 	}
-	return r.changesAfter(revision, asDelta)
+	return position.Revision
 }
 
-func (r *Replica) changesAfter(revision uint64, asDelta bool) Changes {
+// changesAfter returns those of the given items, by key, that changed after the position.
+func (r *Replica) changesAfter(position Position, asDelta bool, items map[string]Item) Changes {
+	revision := r.comparableRevision(position)
+	asDelta = asDelta && revision == position.Revision
 	changes := Changes{IsDelta: asDelta && r.complete && revision > 0 && revision >= r.removalsSince}
-	add := func(item Item) {
+	for _, item := range items {
 		if item.Revision > revision {
 			changes.Items = append(changes.Items, item)
 		}
@@ -139,14 +147,6 @@
 			changes.Keys = append(changes.Keys, item.Key)
 		}
 	}
-	for _, item := range r.items {
-		if _, isOutdated := r.outstanding[item.Key]; !isOutdated {
-			add(item)
-		}
-	}
-	for _, item := range r.outstanding {
-		add(item)
-	}
 	if changes.IsDelta {
 		for key, removed := range r.tombstones {
 			if removed > revision {
@@ -287,8 +287,10 @@
 		item.Value, item.Reference = known.Value, Reference{}
 	}
 	r.version++
-	if item.Revision >= r.outstanding[item.Key].Revision {
+	if outdated, exists := r.outstanding[item.Key]; exists && item.Revision >= outdated.Revision {
 		delete(r.outstanding, item.Key)
+		// Peers that learnt of the outstanding value here must learn of this change.
+		r.lastChangeRevision = max(r.lastChangeRevision, item.Revision)
 	}
 	if item.Deleted {
 		_, existed := r.items[item.Key]
