--- a/internal/edge/fetchvalues.go
+++ b/internal/edge/fetchvalues.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -24,59 +25,101 @@
 		case <-s.follower.valueWanted:
 		case <-ctx.Done():
 		}
-		for attempt := 0; ctx.Err() == nil; attempt++ {
+		for round := 0; ctx.Err() == nil; round++ {
 			outstanding := s.follower.outstanding()
 			if len(outstanding) == 0 {
 				break
 			}
-			if !s.fetchValue(ctx, outstanding[attempt%len(outstanding)], attempt) {
+			if !s.fetchValue(ctx, outstanding[round%len(outstanding)]) {
 				sleep(ctx, pullRetryDelay)
 			}
 		}
 	}
 }
 
-// fetchValue gets one value and puts its item in force. It reports whether the transfer succeeded.
-func (s *Server) fetchValue(ctx context.Context, wanted published.Outstanding, attempt int) bool {
-	sources := s.valueSources()
-	if len(sources) == 0 {
-		return false
+// fetchAttempt is the end of a transfer from one VM.
+type fetchAttempt struct {
+	source      fleet.Entry
+	value       []byte
+	encoded     transfer.Encoded
+	hasReceived bool
+	err         error
+}
+
+// fetchValue gets one value from any of its sources and puts its item in force. It reports whether one had it.
+func (s *Server) fetchValue(ctx context.Context, wanted published.Outstanding) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sources, begin, base := s.valueSources(), s.now(), s.follower.base()
+	ended, received := make(chan fetchAttempt, len(sources)), make(chan struct{}, len(sources))
+	var attempts transfer.Attempts
+	for {
+		if now := s.now(); len(sources) > 0 && attempts.MayStart(now) {
+			attempts.Start(now)
+			go s.attemptFetch(ctx, sources[0], wanted.Item.Reference, base, received, ended)
+			sources = sources[1:]
+		}
+		if attempts.UnderWay() == 0 {
+			return false
+		}
+		select {
+		case <-received:
+			attempts.Receive()
+		case <-time.After(transfer.HedgeDelay):
+		case attempt := <-ended:
+			s.logFetch(wanted.Item, attempt, s.now().Sub(begin))
+			if attempt.err == nil {
+				wanted.Item.Value = attempt.value
+				s.follower.supply(wanted.Era, wanted.Item)
+				return true
+			}
+			attempts.Fail(attempt.hasReceived)
+		}
 	}
-	source := sources[(attempt+s.readerOffset)%len(sources)]
-	begin, base := s.now(), s.follower.base()
-	encoded, err := s.fetchEncoded(ctx, source, wanted.Item.Reference, base)
-	if err == nil {
-		wanted.Item.Value, err = transfer.Decode(encoded, base, wanted.Item.Reference)
+}
+
+// attemptFetch transfers a value from one VM. It reports the first part and the end.
+func (s *Server) attemptFetch(ctx context.Context, source fleet.Entry, reference replica.Reference, base []byte, received chan<- struct{}, ended chan<- fetchAttempt) {
+	attempt := fetchAttempt{source: source}
+	attempt.encoded, attempt.err = s.fetchEncoded(ctx, source, reference, base, func() {
+		attempt.hasReceived = true
+		received <- struct{}{}
+	})
+	if attempt.err == nil {
+		attempt.value, attempt.err = transfer.Decode(attempt.encoded, base, reference)
 	}
+	ended <- attempt
+}
+
+func (s *Server) logFetch(item replica.Item, attempt fetchAttempt, elapsed time.Duration) {
 	detail := []zap.Field{
-		zap.String("key", wanted.Item.Key), zap.String("peer", source.Name), zap.Int("bytes", wanted.Item.Reference.Size),
-		zap.Int("encoded_bytes", len(encoded.Data)), zap.Bool("difference", encoded.IsDelta), zap.Duration("after", s.now().Sub(begin)),
+		zap.String("key", item.Key), zap.String("peer", attempt.source.Name), zap.Int("bytes", item.Reference.Size),
+		zap.Int("encoded_bytes", len(attempt.encoded.Data)), zap.Bool("difference", attempt.encoded.IsDelta), zap.Duration("after", elapsed),
 	}
-	if err != nil {
-		s.logger.Info("value not fetched", append(detail, obs.ErrorField(err))...)
-		return false
+	if attempt.err != nil {
+		s.logger.Info("value not fetched", append(detail, obs.ErrorField(attempt.err))...)
+		return
 	}
 	s.logger.Info("value fetched", detail...)
-	s.follower.supply(wanted.Era, wanted.Item)
-	return true
 }
 
-// valueSources returns the VMs from which this VM may fetch values: those from which it pulls, or the other readers of
-// the store. If there are none, it is any VM that is reachable.
+// valueSources returns the VMs from which this VM may fetch values: those that answered its latest pulls, and those
+// from which it pulls. If there are none, these are all that are reachable.
 func (s *Server) valueSources() []fleet.Entry {
 	sources, role := s.tableSources()
 	if role != fleet.TableFollower {
 		sources = s.otherReaders()
 	}
-	sources = slices.DeleteFunc(slices.Clone(sources), func(e fleet.Entry) bool { return e.Name == s.settings.VM })
+	sources = mergeByName(s.recentPeers.list(), sources)
+	sources = slices.DeleteFunc(sources, func(e fleet.Entry) bool { return e.Name == s.settings.VM })
 	if len(sources) == 0 {
 		return s.gossip.reachable()
 	}
 	return sources
 }
 
-// fetchEncoded transfers the encoded form of a value from a peer.
-func (s *Server) fetchEncoded(ctx context.Context, source fleet.Entry, reference replica.Reference, base []byte) (transfer.Encoded, error) {
+// fetchEncoded transfers the encoded form of a value from a peer. It calls onFirst when the first part arrives.
+func (s *Server) fetchEncoded(ctx context.Context, source fleet.Entry, reference replica.Reference, base []byte, onFirst func()) (transfer.Encoded, error) {
 	ctx, bound := progress.WithBound(ctx, pullHoldTime+pullTimeoutMargin)
 	defer bound.Stop()
 	var encoded transfer.Encoded
@@ -86,18 +129,20 @@
 		if err != nil {
 			return err
 		}
-		encoded, err = receiveEncoded(stream, bound)
+		encoded, err = receiveEncoded(stream, bound, onFirst)
 		return err
 	})
 	return encoded, err
 }
 
 // receiveEncoded receives the parts of an encoded value.
-func receiveEncoded(stream hoistv1.Fleet_FetchValueClient, bound *progress.Bound) (transfer.Encoded, error) {
+func receiveEncoded(stream hoistv1.Fleet_FetchValueClient, bound *progress.Bound, onFirst func()) (transfer.Encoded, error) {
 	head, err := stream.Recv()
 	if err != nil {
 		return transfer.Encoded{}, err
 	}
+	bound.Receive(0)
+	onFirst()
 	size := int(head.GetEncodedSize())
 	if size > transfer.MaxValueBytes {
 		return transfer.Encoded{}, errors.Newf("the encoded value has %d bytes, at most %d are allowed", size, transfer.MaxValueBytes)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -82,6 +82,7 @@
 	startup      *startup
 	packedTables packedTables
 	recentTables *recentTables
+	recentPeers  recentPeers
 	startupWait  time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -189,6 +189,7 @@
 		changes: replica.Changes{Items: itemsFromProto(response.GetItems()), IsDelta: response.GetHasRemovals(), Keys: response.GetKeys()},
 		kept:    itemsFromProto(response.GetKept()),
 	}
+	s.recentPeers.add(entry)
 	// The peer read its items after it had held the call for the stated time, so their age
 	// counts from then.
 	freshAt := sentAt.Add(time.Duration(response.GetHeldMs())*time.Millisecond - changes.age)
--- a/pkg/transfer/transfer_test.go
+++ b/pkg/transfer/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -132,3 +133,37 @@
 		}
 	})
 }
+
+// TestAttempts checks for random sequences that no further VM is asked while a transfer makes progress, that one is
+// asked in time otherwise, and that the number of attempts is bounded.
+func TestAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Instant(time.Hour)
+		var a Attempts
+		var received []bool // of the attempts under way
+		startedAt := now
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			isReceiving := slices.Contains(received, true)
+			isDue := len(received) == 0 || (!isReceiving && len(received) < maxAttempts && now.Sub(startedAt) >= HedgeDelay)
+			if a.MayStart(now) != isDue || a.UnderWay() != len(received) {
+				t.Fatalf("a further attempt is due: %v, expected %v, with %v under way", a.MayStart(now), isDue, received)
+			}
+			i := 0
+			if len(received) > 0 {
+				i = rapid.IntRange(0, len(received)-1).Draw(t, "attempt")
+			}
+			switch action := rapid.IntRange(0, 2).Draw(t, "action"); {
+			case isDue:
+				a.Start(now)
+				received, startedAt = append(received, false), now
+			case action == 0 && !received[i]:
+				a.Receive()
+				received[i] = true
+			case action == 1:
+				a.Fail(received[i])
+				received = slices.Delete(received, i, i+1)
+			}
+		}
+	})
+}
