Whole tables are transferred like large values

The same cause in the message that a VM gets when it starts: all items, packed, in an answer with a deadline of 0.4 or 1.4 s. With 3,000 upstreams and 0.3 Mbit/s left a VM never got them. Two more faults kept it from getting them: a pull that ran into its deadline closed the connection on which a transfer made progress, and random peers were asked for all items every 0.4 s while one sent them.

Packed items above 16 KB are referred to and fetched with the bound of large values. A connection on which parts arrive is kept, and no further peer is asked for tables that are on the way.

--- a/internal/edge/fetchvalues.go
+++ b/internal/edge/fetchvalues.go
@@ -123,25 +123,28 @@
 	ctx, bound := progress.WithBound(ctx, pullHoldTime+pullTimeoutMargin)
 	defer bound.Stop()
 	var encoded transfer.Encoded
-	err := s.peers.callBounded(ctx, source, func(ctx context.Context, client hoistv1.FleetClient) error {
+	err := s.peers.callBounded(ctx, source, func(ctx context.Context, client hoistv1.FleetClient, received func()) error {
 		request := &hoistv1.FetchValueRequest{ValueHash: reference.Hash, BaseHash: replica.ReferenceTo(base).Hash}
 		stream, err := client.FetchValue(ctx, request)
 		if err != nil {
 			return err
 		}
-		encoded, err = receiveEncoded(stream, bound, onFirst)
+		encoded, err = receiveEncoded(stream, onFirst, func(n int) {
+			bound.Receive(n)
+			received()
+		})
 		return err
 	})
 	return encoded, err
 }
 
-// receiveEncoded receives the parts of an encoded value.
-func receiveEncoded(stream hoistv1.Fleet_FetchValueClient, bound *progress.Bound, onFirst func()) (transfer.Encoded, error) {
+// receiveEncoded receives the parts of an encoded value. It calls received with the number of bytes of each.
+func receiveEncoded(stream hoistv1.Fleet_FetchValueClient, onFirst func(), received func(n int)) (transfer.Encoded, error) {
 	head, err := stream.Recv()
 	if err != nil {
 		return transfer.Encoded{}, err
 	}
-	bound.Receive(0)
+	received(0)
 	onFirst()
 	size := int(head.GetEncodedSize())
 	if size > transfer.MaxValueBytes {
@@ -156,7 +159,7 @@
 		if len(part.GetData()) == 0 {
 			return transfer.Encoded{}, errors.New("a part of the value is empty")
 		}
-		bound.Receive(len(part.GetData()))
+		received(len(part.GetData()))
 		encoded.Data = append(encoded.Data, part.GetData()...)
 	}
 	return encoded, nil
--- a/internal/edge/fleetserver.go
+++ b/internal/edge/fleetserver.go
@@ -119,7 +119,10 @@
 
 // FetchValue transfers a large value that Pull referred to.
 func (f fleetServer) FetchValue(r *hoistv1.FetchValueRequest, stream hoistv1.Fleet_FetchValueServer) error {
-	encoded, err := f.s.follower.awaitEncoded(stream.Context(), r.GetValueHash(), r.GetBaseHash())
+	encoded, isPacked, err := f.s.packedTables.large.encoded(r.GetValueHash(), 0)
+	if err == nil && !isPacked {
+		encoded, err = f.s.follower.awaitEncoded(stream.Context(), r.GetValueHash(), r.GetBaseHash())
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -413,6 +413,8 @@
 	stops   []context.CancelFunc
 	done    []chan struct{}
 	prepare func(*Server)
+	// lateIP is an IP of the fleet that no VM has.
+	lateIP string
 }
 
 // Ports of the VMs. They are below the kernel's range of ephemeral ports, so that no outgoing
@@ -454,8 +456,8 @@
 // startFleetWith is startFleet with a function that changes each server before it runs.
 func startFleetWith(t *testing.T, n int, change func(*Settings), prepare func(*Server)) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, store: newTestStore(), prepare: prepare}
 	subnet := reserveSubnet(t)
+	f := &testFleet{t: t, store: newTestStore(), prepare: prepare, lateIP: fmt.Sprint(subnet, n+2)}
 	for i := range n {
 		ip := fmt.Sprint(subnet, i+2)
 		settings := Settings{
--- a/internal/edge/largeconfig_test.go
+++ b/internal/edge/largeconfig_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
 
 // publishedRoutes returns n routes as the store has them, with names and prefixes by the seed.
@@ -69,3 +70,38 @@
 	awaitOnAll("the drain on all VMs", func(v *View) bool { return v.ByID[drain.ID].Draining })
 	awaitOnAll("the configuration on all VMs", func(v *View) bool { return v.Catalog == large })
 }
+
+// TestWholeTablesOnSlowLink starts a VM in a deployment of 3,000 upstreams whose VMs have links of 0.3 Mbit/s left. It guards
+// against whole tables that are cut off by the timeout of a pull, so that a VM which starts never gets any.
+func TestWholeTablesOnSlowLink(t *testing.T) {
+	const (
+		upstreams          = 3000
+		linkBytesPerSecond = 0.3e6 / 8
+	)
+	f := startFleetWith(t, fleet.StoreReaderCount, nil, func(s *Server) {
+		link := &slowLink{bytesPerSecond: linkBytesPerSecond}
+		s.wrapPeers = func(l net.Listener) net.Listener { return link.listener(l) }
+	})
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Idempotent, nil)}}, catalogUpstreams("p", u)...)
+	random := rand.New(rand.NewPCG(1, 0))
+	for i := range upstreams {
+		f.store.putPadded(fmt.Sprint("u/idle-", i), &catalog.Upstream{ID: fmt.Sprint("idle-", i), Pool: "p", Address: "127.0.0.1:1", Zone: "zone-a"}, fmt.Sprintf(" %016x%016x", random.Uint64(), random.Uint64()))
+	}
+	awaitAll := func(s *Server) {
+		await(t, "all upstreams at "+s.settings.VM, func() bool {
+			view := s.view.Load()
+			return view != nil && len(view.ByID) == upstreams+1
+		})
+	}
+	for _, s := range f.servers {
+		awaitAll(s)
+	}
+	settings := f.servers[0].settings
+	settings.VM, settings.IP = "vm-late", f.lateIP
+	settings.PeerListen, settings.Listen, settings.ReadyListen = joinHostPort(f.lateIP, testPeerPort), joinHostPort(f.lateIP, testCallerPort), joinHostPort(f.lateIP, testReadyPort)
+	f.start(settings)
+	late := f.servers[len(f.servers)-1]
+	f.sources[len(f.sources)-1].rejected.Store(true)
+	awaitAll(late)
+}
--- a/internal/edge/packedtables.go
+++ b/internal/edge/packedtables.go
@@ -20,6 +20,9 @@
 	minPackedBytes = 16 << 10
 	// maxPacked bounds the packed responses that are kept.
 	maxPacked = 4
+	// maxInlinePackedBytes is the size up to which packed items are part of a response. Larger ones are transferred as
+	// large values are, since the time that they take depends on the size of the deployment.
+	maxInlinePackedBytes = 16 << 10
 	// maxUnpackedBytes bounds the size of unpacked items, which a peer could otherwise make
 	// arbitrarily large.
 	maxUnpackedBytes = 64 << 20
@@ -50,6 +53,8 @@
 	// keys holds the keys of packed, the latest last.
 	keys   []packedKey
 	packed map[packedKey][]byte
+	// large keeps the packed responses that are referred to.
+	large largeValues
 }
 
 // pack replaces the items and keys of a response by their packed form.
@@ -65,6 +70,11 @@
 		p.keep(key, packed)
 	}
 	response.Packed, response.Items, response.Keys = packed, nil, nil
+	if key.hasReferences && len(packed) > maxInlinePackedBytes {
+		p.large.add(packed)
+		reference := replica.ReferenceTo(packed)
+		response.Packed, response.PackedHash, response.PackedSize = nil, reference.Hash, uint32(reference.Size)
+	}
 	return nil
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
 	hoistv1 "github.com/hornbeamhoist/hornbeamhoist/api/hoist/v1"
+	"github.com/hornbeamhoist/hornbeamhoist/internal/bootclock"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/peer"
 	"github.com/hornbeamhoist/hornbeamhoist/internal/progress"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 )
 
@@ -43,6 +46,9 @@
 	conn   *grpc.ClientConn
 	client hoistv1.FleetClient
 
+	// receivedAt is when a part of an answer last arrived.
+	receivedAt atomic.Int64
+
 	mu      sync.Mutex
 	pending int
 	// responsive is cancelled when a ping fails.
@@ -104,21 +110,27 @@
 	if err != nil {
 		return err
 	}
+	begin := bootclock.Now()
 	err = run(ctx, c.client)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		// The connection may be broken without an error, which only a new one resolves.
+	if err == nil {
+		c.receive()
+	}
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && !c.hasReceivedSince(begin) {
+		// The connection may be broken without an error, which only a new one resolves. If parts of a large value
+		// arrive on it, the answer waited behind them.
 		p.discardConn(entry.Address, c)
 	}
 	return errors.Wrapf(err, "%s", entry.Name)
 }
 
-// callBounded runs a call that is bounded by its progress (see progress.WithBound).
-func (p *peers) callBounded(ctx context.Context, entry fleet.Entry, run func(context.Context, hoistv1.FleetClient) error) error {
+// callBounded runs a call that is bounded by its progress (see progress.WithBound). run calls received with each part
+// of the answer.
+func (p *peers) callBounded(ctx context.Context, entry fleet.Entry, run func(ctx context.Context, client hoistv1.FleetClient, received func()) error) error {
 	c, err := p.conn(entry)
 	if err != nil {
 		return err
 	}
-	err = run(ctx, c.client)
+	err = run(ctx, c.client, c.receive)
 	if err != nil && errors.Is(context.Cause(ctx), progress.ErrStalled) {
 		// The connection may be broken without an error, which only a new one resolves.
 		p.discardConn(entry.Address, c)
@@ -137,6 +149,14 @@
 	return errors.Wrapf(run(ctx, c.client), "%s", entry.Name)
 }
 
+// receive records that a part of an answer has arrived.
+func (c *peerConn) receive() { c.receivedAt.Store(int64(bootclock.Now())) }
+
+// hasReceivedSince reports whether a part of an answer has arrived since a time.
+func (c *peerConn) hasReceivedSince(begin clock.Instant) bool {
+	return clock.Instant(c.receivedAt.Load()) > begin
+}
+
 // beginCall counts a pending call, and returns a context that is cancelled when a ping fails.
 func (c *peerConn) beginCall() context.Context {
 	c.mu.Lock()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -83,7 +83,9 @@
 	packedTables packedTables
 	recentTables *recentTables
 	recentPeers  recentPeers
-	startupWait  time.Duration
+	// tableTransfers is the number of transfers of packed tables to this VM.
+	tableTransfers atomic.Int64
+	startupWait    time.Duration
 	// readerOffset spreads the pulls of the VMs over those VMs that read the store.
 	readerOffset int
 	// maxDirectFollowers is the number of VMs that pull from one reader up to which there are no
--- a/internal/edge/tables.go
+++ b/internal/edge/tables.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamhoist/hornbeamhoist/internal/obs"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/transfer"
 )
 
 const (
@@ -148,6 +149,9 @@
 		if age, complete := s.follower.age(); complete && age < fleet.StaleTablesAge && !wantsKept {
 			continue
 		}
+		if s.tableTransfers.Load() > 0 {
+			continue // Tables are on the way. Further transfers would only slow them down.
+		}
 		for range min(peersPerPull, len(reachable)) {
 			i := rand.IntN(len(reachable))
 			entry := reachable[i]
@@ -159,15 +163,8 @@
 
 // pullFrom pulls published items from one peer and reports whether this VM is now up to date.
 func (s *Server) pullFrom(ctx context.Context, entry fleet.Entry, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait+pullTimeoutMargin)
-	defer cancel()
 	sentAt, requested := s.now(), s.follower.pullPosition()
-	request := newPullRequest(requested, wait, s.follower.configurationVersion())
-	var response *hoistv1.PullResponse
-	err := s.peers.callWithoutPing(ctx, entry, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
-		response, err = client.Pull(ctx, request)
-		return err
-	})
+	response, err := s.callPull(ctx, entry, newPullRequest(requested, wait, s.follower.configurationVersion()), wait)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return false
 	}
@@ -200,6 +197,29 @@
 	return !response.GetLost() && changes.age < staleReaderAge
 }
 
+// callPull pulls published items from one peer, which holds the call for the wait time at most. Packed items that the
+// answer only refers to are transferred after it; how long that takes depends on their size (see transfer.Bound).
+func (s *Server) callPull(ctx context.Context, entry fleet.Entry, request *hoistv1.PullRequest, wait time.Duration) (*hoistv1.PullResponse, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+pullTimeoutMargin)
+	defer cancel()
+	var response *hoistv1.PullResponse
+	err := s.peers.callWithoutPing(callCtx, entry, func(ctx context.Context, client hoistv1.FleetClient) (err error) {
+		response, err = client.Pull(ctx, request)
+		return err
+	})
+	if err != nil || response.GetPackedSize() == 0 {
+		return response, err
+	}
+	reference := replica.Reference{Hash: response.GetPackedHash(), Size: int(response.GetPackedSize())}
+	s.tableTransfers.Add(1)
+	defer s.tableTransfers.Add(-1)
+	encoded, err := s.fetchEncoded(ctx, entry, reference, nil, func() {})
+	if err == nil {
+		response.Packed, err = transfer.Decode(encoded, nil, reference)
+	}
+	return response, err
+}
+
 func newPullRequest(requested replica.Position, wait time.Duration, configurationVersion int64) *hoistv1.PullRequest {
 	return &hoistv1.PullRequest{
 		Era: requested.Era, Revision: requested.Revision, WaitMs: uint32(wait.Milliseconds()), AcceptsRemovals: true, AcceptsPacked: true, AcceptsReferences: true,
