--- a/internal/edge/helpers_test.go
+++ b/internal/edge/helpers_test.go
@@ -227,8 +227,13 @@
 	*testStore
 	rejected atomic.Bool
 	silent   atomic.Bool
+	// answerParts is the number of parts in which changes arrive, answerPartTime apart.
+	answerParts atomic.Int64
 }
 
+// answerPartTime is far below the time after which an answer without progress is overdue.
+const answerPartTime = 50 * time.Millisecond
+
 // silentReadTime is how long a read without an answer takes beyond the wait time of a watch.
 const silentReadTime = 600 * time.Millisecond
 
@@ -255,6 +260,10 @@
 		return nil, replica.Position{}, io.ErrUnexpectedEOF
 	}
 	items, at, err := s.testStore.Watch(ctx, after, wait)
+	for range s.answerParts.Load() * int64(min(len(items), 1)) {
+		sleep(ctx, answerPartTime)
+		ReportReadProgress(ctx)
+	}
 	if s.rejected.Load() {
 		return nil, replica.Position{}, io.ErrUnexpectedEOF
 	}
--- a/internal/edge/largeconfig_test.go
+++ b/internal/edge/largeconfig_test.go
@@ -105,3 +105,35 @@
 	f.sources[len(f.sources)-1].rejected.Store(true)
 	awaitAll(late)
 }
+
+// TestReaderOfLargeAnswer lets a change arrive at one of two VMs in parts that take longer than a watch. It guards
+// against a reader that counts the store as lost since an answer is large for its link, and against a change that waits
+// behind it although another reader has it.
+func TestReaderOfLargeAnswer(t *testing.T) {
+	const parts = 60 // 3 s
+	f := startFleet(t, 2, nil)
+	u, leaving := newTestUpstream(t, "u", nil), newTestUpstream(t, "leaving", nil)
+	upstreams := catalogUpstreams("p", u, leaving)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Idempotent, nil)}}, upstreams...)
+	slow := f.servers[0]
+	await(t, "the end of the first pulls from peers", func() bool {
+		slow.follower.mu.Lock()
+		defer slow.follower.mu.Unlock()
+		return slow.follower.keptPulls == 0
+	})
+	f.sources[0].answerParts.Store(parts)
+	begin := time.Now()
+	f.store.put("out/zone-x", "")
+	drain := upstreams[1]
+	drain.Draining = true
+	f.store.put("u/"+drain.ID, &drain)
+	await(t, "the drain at the reader", func() bool {
+		if slow.follower.hasLostStore() {
+			t.Fatal("the reader counts the store as lost while its answer arrives")
+		}
+		return slow.view.Load().ByID[drain.ID].Draining
+	})
+	if elapsed := time.Since(begin); elapsed > parts*answerPartTime*2/3 {
+		t.Errorf("the drain took %v, as long as the large answer", elapsed)
+	}
+}
