Values of unknown items, and kept values that no VM sends

Found in reading the change: a large item whose key has no meaning here was referred to, but its value was not among those that a VM sends to others. Values are looked up among all items now. TestLargeUnknownItem times out without the change.

--- a/internal/edge/fetchvalues.go
+++ b/internal/edge/fetchvalues.go
@@ -30,7 +30,9 @@
 			if len(outstanding) == 0 {
 				break
 			}
-			if !s.fetchValue(ctx, outstanding[round%len(outstanding)]) {
+			wanted := outstanding[round%len(outstanding)]
+			if !s.fetchValue(ctx, wanted) {
+				s.follower.forget(wanted)
 				sleep(ctx, pullRetryDelay)
 			}
 		}
--- a/internal/edge/largeconfig_test.go
+++ b/internal/edge/largeconfig_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/catalog"
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/fleet"
+	"github.com/hornbeamhoist/hornbeamhoist/pkg/replica"
 )
 
 // publishedRoutes returns n routes as the store has them, with names and prefixes by the seed.
@@ -137,3 +138,21 @@
 		t.Errorf("the drain took %v, as long as the large answer", elapsed)
 	}
 }
+
+// TestLargeUnknownItem publishes a large item whose key has no meaning here. It guards against requests with keys that
+// are refused since the value of such an item never arrives, so that the configuration counts as outdated.
+func TestLargeUnknownItem(t *testing.T) {
+	f := startFleet(t, fleet.StoreReaderCount+2, nil)
+	u := newTestUpstream(t, "u", nil)
+	f.publish(&catalog.Catalog{Version: 1, Pools: singlePool(), Routes: []catalog.Route{testRoute("/x/", catalog.Idempotent, nil)}}, catalogUpstreams("p", u)...)
+	f.store.mu.Lock()
+	f.store.revision++
+	f.store.items["other"] = replica.Item{Key: "other", Value: []byte(publishedRoutes(100, 2)), Revision: f.store.revision}
+	f.store.mu.Unlock()
+	f.store.put("u/later", &catalog.Upstream{ID: "later", Pool: "p", Address: "127.0.0.1:1", Zone: "zone-a"})
+	for _, s := range f.servers {
+		await(t, "the value at "+s.settings.VM, func() bool {
+			return s.view.Load().ByID["later"] != nil && len(s.follower.outstanding()) == 0 && s.follower.configurationAge() < fleet.StaleTablesAge
+		})
+	}
+}
--- a/internal/edge/largevalues.go
+++ b/internal/edge/largevalues.go
@@ -76,7 +76,7 @@
 		f.mu.Lock()
 		refreshed := f.refreshed
 		f.mu.Unlock()
-		encoded, isKnown, err := f.values.encoded(hash, base)
+		encoded, isKnown, err := f.encoded(hash, base)
 		if err != nil || isKnown {
 			return encoded, err
 		}
@@ -90,6 +90,27 @@
 	}
 }
 
+// encoded returns the encoded form of a value, and whether it is known here: one of the latest values, or that of any
+// item.
+func (f *follower) encoded(hash, base uint64) (transfer.Encoded, bool, error) {
+	encoded, isKnown, err := f.values.encoded(hash, base)
+	if err != nil || isKnown {
+		return encoded, isKnown, err
+	}
+	f.mu.Lock()
+	value := f.state.ValueByHash(hash)
+	f.mu.Unlock()
+	f.values.add(value)
+	return f.values.encoded(hash, base)
+}
+
+// forget drops an outstanding value that no VM has sent, unless it is of the store.
+func (f *follower) forget(wanted published.Outstanding) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Forget(wanted)
+}
+
 // outstanding returns the items whose values have to be fetched.
 func (f *follower) outstanding() []published.Outstanding {
 	f.mu.Lock()
--- a/pkg/published/outstanding.go
+++ b/pkg/published/outstanding.go
@@ -1,6 +1,7 @@
 package published
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
@@ -26,14 +27,22 @@
 	for _, item := range s.replica.Outstanding() {
 		out = append(out, Outstanding{Item: item, Era: s.Position().Era})
 	}
-	for _, kept := range s.keptOutstanding {
-		if kept.era == s.Position().Era {
+	for _, key := range slices.Sorted(maps.Keys(s.keptOutstanding)) {
+		if kept := s.keptOutstanding[key]; kept.era == s.Position().Era {
 			out = append(out, Outstanding{Item: kept.item, Era: kept.era})
 		}
 	}
 	return out
 }
 
+// Forget drops an item that a peer has kept and whose value no VM has sent. Peers refer to it again while they keep it.
+// An item of the store stays outstanding.
+func (s *State) Forget(wanted Outstanding) {
+	if kept, ok := s.keptOutstanding[wanted.Item.Key]; ok && kept.item.Reference == wanted.Item.Reference {
+		delete(s.keptOutstanding, wanted.Item.Key)
+	}
+}
+
 // Supply puts an item in force whose value has arrived. The value may have been overtaken meanwhile by a later one
 // that is still outstanding.
 func (s *State) Supply(now clock.Instant, era uint64, item replica.Item) Update {
@@ -57,19 +66,22 @@
 // Base returns the value of the configuration in force, or nil. It is the base of differences to later values.
 func (s *State) Base() []byte { return s.configuration.item.Value }
 
-// ValueOf returns the value that a reference identifies if it is known here.
-func (s *State) ValueOf(reference replica.Reference) ([]byte, bool) {
-	if item := s.configuration.item; reference != (replica.Reference{}) && replica.ReferenceTo(item.Value) == reference {
-		return item.Value, true
+// ValueByHash returns the value of an item that is known here, or nil.
+func (s *State) ValueByHash(hash uint64) []byte {
+	if value := s.configuration.item.Value; replica.ReferenceTo(value).Hash == hash {
+		return value
 	}
-	return nil, false
+	return s.replica.ValueByHash(hash)
 }
 
 // withKnownValues returns the items with the values that are known here in place of references to them.
 func (s *State) withKnownValues(items []replica.Item) []replica.Item {
 	out := slices.Clone(items)
 	for i := range out {
-		if value, ok := s.ValueOf(out[i].Reference); ok {
+		if !out[i].IsReference() {
+			continue
+		}
+		if value := s.ValueByHash(out[i].Reference.Hash); replica.ReferenceTo(value) == out[i].Reference {
 			out[i].Value, out[i].Reference = value, replica.Reference{}
 		}
 	}
--- a/pkg/replica/reference.go
+++ b/pkg/replica/reference.go
@@ -58,6 +58,16 @@
 	return items
 }
 
+// ValueByHash returns the value of an item by its hash, or nil.
+func (r *Replica) ValueByHash(hash uint64) []byte {
+	for _, item := range r.items {
+		if ReferenceTo(item.Value).Hash == hash {
+			return item.Value
+		}
+	}
+	return nil
+}
+
 // Outstanding returns the items whose values have not arrived, sorted by key.
 func (r *Replica) Outstanding() []Item {
 	items := slices.Collect(maps.Values(r.outstanding))
