Peers that take no references wait for values; items above the position

Model checking with other seeds found that a VM of an older version does not hand on an item whose revision is above its position, as the answers to it had while a value was outstanding. It gets no such answers any more: the call is held until the value is here, and after a second it turns to another VM. The copy needs no second position for it.

The same happened without large values: an item on a later page of a listing may have changed after the position of the listing, and the watch brings it again without a change. Copies now hand it on (TestItemAboveListingIsHandedOn fails without the change).

The age of the configuration depends on its own value only.

--- a/internal/edge/peerchanges.go
+++ b/internal/edge/peerchanges.go
@@ -60,12 +60,10 @@
 		complete: f.state.Complete(), at: f.state.Position(), age: f.now().Sub(f.state.FreshAt()),
 		unchanged: !f.state.HasChangesSince(requested), storeLost: f.isLost, version: f.state.Version(),
 	}
-	switch {
-	case changes.unchanged:
-	case request.takesReferences:
+	if !changes.unchanged {
 		changes.changes = f.state.ChangesSince(requested, request.asDelta)
-	default:
-		f.addChangesWithValues(&changes, request)
+		// A peer that takes no references turns to another VM if their values have not arrived.
+		changes.complete = changes.complete && f.canAnswer(request)
 	}
 	if request.takesKept {
 		changes.kept = f.state.Kept(request.version)
@@ -73,20 +71,15 @@
 	return changes
 }
 
-// hasNewsFor reports whether there are changes for a peer. One that takes no references waits for their values. The
-// caller holds the lock.
+// hasNewsFor reports whether there are changes for a peer, and they can be sent. The caller holds the lock.
 func (f *follower) hasNewsFor(request peerRequest) bool {
-	return f.state.HasChangesSince(request.after) && (request.takesReferences || f.state.HasValuesAfter(request.after))
+	return f.state.HasChangesSince(request.after) && f.canAnswer(request)
 }
 
-// addChangesWithValues adds the changes for a peer that takes no references. The caller holds the lock.
-func (f *follower) addChangesWithValues(to *peerChanges, request peerRequest) {
-	to.changes, to.at = f.state.ChangesWithValues(request.after, request.asDelta)
-	if f.state.HasValuesAfter(request.after) {
-		return
-	}
-	to.age = f.now().Sub(f.state.ConfigurationFreshAt())
-	to.complete = to.complete && to.at != replica.Position{}
+// canAnswer reports whether the changes for a peer can be sent: it takes references, or there are none among them. The
+// caller holds the lock.
+func (f *follower) canAnswer(request peerRequest) bool {
+	return request.takesReferences || f.state.HasValuesAfter(request.after)
 }
 
 // mergeChanges applies the response to a pull that requested the changes after the given
--- a/pkg/published/outstanding.go
+++ b/pkg/published/outstanding.go
@@ -60,6 +60,7 @@
 		update.HasChanges = true
 	}
 	s.releaseIfListed()
+	s.recordConfigurationAge()
 	return update
 }
 
--- a/pkg/published/outstanding_test.go
+++ b/pkg/published/outstanding_test.go
@@ -46,6 +46,8 @@
 	if s.FreshAt() != at(900) || s.ConfigurationFreshAt() != at(500) {
 		t.Errorf("items fresh at %v, configuration at %v", s.FreshAt(), s.ConfigurationFreshAt())
 	}
+	// The value of an item that has nothing to do with the configuration may never arrive.
+	s.Merge(at(920), pos(2, 41), replica.Changes{IsDelta: true, Items: []replica.Item{referTo(replica.Item{Key: "other", Value: []byte("x"), Revision: 42})}}, pos(2, 42), at(900))
 	wanted := s.Outstanding()[0]
 	wanted.Item.Value = next.Value
 	if s.Supply(at(950), wanted.Era, wanted.Item); s.ConfigurationFreshAt() != at(900) {
--- a/pkg/published/state.go
+++ b/pkg/published/state.go
@@ -41,6 +41,8 @@
 	leaving map[string]leavingReport
 	// mustPullAll is set if the last peer has tables of a higher era and sent only a part of them.
 	mustPullAll bool
+	// configurationFreshAt is the latest time at which the configuration in force is known to have been the latest.
+	configurationFreshAt clock.Instant
 	// keptOutstanding holds the items that peers have kept from an earlier era and whose values have not arrived, by
 	// key, with the era in which they were kept.
 	keptOutstanding map[string]outstandingItem
@@ -114,6 +116,7 @@
 			update.add(s.applyItem(now, item))
 		}
 	}
+	s.recordConfigurationAge()
 	update.HasChanges = s.dropReports(now) || len(changed) > 0 || update.NewEra != nil
 	return update
 }
@@ -165,7 +168,15 @@
 
 // ConfigurationFreshAt returns the latest time at which the configuration in force is known to have been the latest
 // one: it may be earlier than FreshAt while the value of a later one has not arrived.
-func (s *State) ConfigurationFreshAt() clock.Instant { return s.replica.WholeFreshAt() }
+func (s *State) ConfigurationFreshAt() clock.Instant { return s.configurationFreshAt }
+
+// recordConfigurationAge records that the configuration in force is as current as the items, unless the value of a
+// later one has not arrived. Outstanding values of other items say nothing about it.
+func (s *State) recordConfigurationAge() {
+	if !s.replica.IsOutstanding(s.configuration.item.Key) {
+		s.configurationFreshAt = max(s.configurationFreshAt, s.FreshAt())
+	}
+}
 
 // HasChangesSince reports whether an item changed or was removed after the position of a peer.
 func (s *State) HasChangesSince(position replica.Position) bool {
@@ -182,12 +193,6 @@
 	return s.replica.HasValuesAfter(position)
 }
 
-// ChangesWithValues returns the changes after the position of a peer that takes no references, and the position up to
-// which they are complete (see replica.Replica.ChangesWithValues).
-func (s *State) ChangesWithValues(position replica.Position, asDelta bool) (replica.Changes, replica.Position) {
-	return s.replica.ChangesWithValues(position, asDelta)
-}
-
 // Version identifies the items. It is another one after each change.
 func (s *State) Version() uint64 { return s.replica.Version() }
 
--- a/pkg/replica/era.go
+++ b/pkg/replica/era.go
@@ -12,7 +12,6 @@
 func (r *Replica) adoptEra(items []Item, at Position, freshAt clock.Instant) []Item {
 	before := r.items
 	r.items, r.tombstones, r.outstanding = make(map[string]Item, len(items)), map[string]uint64{}, map[string]Item{}
-	r.wholePosition = Position{}
 	r.version++
 	var changed []Item
 	for _, item := range items {
@@ -39,7 +38,6 @@
 	}
 	r.position, r.freshAt, r.complete = at, freshAt, true
 	r.lastChangeRevision, r.removalsSince = at.Revision, at.Revision
-	r.recordWhole()
 	slices.SortFunc(changed, func(a, b Item) int { return compareKeys(a.Key, b.Key) })
 	return changed
 }
--- a/pkg/replica/reference.go
+++ b/pkg/replica/reference.go
@@ -5,8 +5,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/hornbeamhoist/hornbeamhoist/pkg/clock"
 )
 
 // Reference identifies a value that is transferred apart from its item. The zero Reference refers to none.
@@ -28,7 +26,8 @@
 // IsReference reports whether the value of the item is transferred separately.
 func (i Item) IsReference() bool { return i.Reference != Reference{} }
 
-// HasValuesAfter reports whether the values of all items that changed after the position are here.
+// HasValuesAfter reports whether the values of all items that changed after the position are here. Until then, there is
+// no answer for a peer that takes no references: it could hold no position between the changes that are here.
 func (r *Replica) HasValuesAfter(position Position) bool {
 	for _, item := range r.outstanding {
 		if item.Revision > r.comparableRevision(position) {
@@ -38,16 +37,6 @@
 	return true
 }
 
-// ChangesWithValues returns the changes after the position for a peer that takes no references, and the position up to
-// which they are complete. That is WholePosition, and the changes are without those whose values have not arrived,
-// unless HasValuesAfter holds.
-func (r *Replica) ChangesWithValues(position Position, asDelta bool) (Changes, Position) {
-	if r.HasValuesAfter(position) {
-		return r.ChangesSince(position, asDelta), r.position
-	}
-	return r.changesAfter(position, asDelta, r.items), r.wholePosition
-}
-
 // withOutstanding returns the items, those whose values have not arrived as references.
 func (r *Replica) withOutstanding() map[string]Item {
 	if len(r.outstanding) == 0 {
@@ -75,12 +64,11 @@
 	return items
 }
 
-// WholePosition returns the last position at which no value was outstanding. It is the zero Position if there was
-// none in the current era.
-func (r *Replica) WholePosition() Position { return r.wholePosition }
-
-// WholeFreshAt returns the latest time at which the copy is known to have been complete with all values.
-func (r *Replica) WholeFreshAt() clock.Instant { return r.wholeFreshAt }
+// IsOutstanding reports whether the value of the item with the key has not arrived.
+func (r *Replica) IsOutstanding(key string) bool {
+	_, isOutstanding := r.outstanding[key]
+	return isOutstanding
+}
 
 // Version identifies the content of the copy. It is another one after each change.
 func (r *Replica) Version() uint64 { return r.version }
@@ -96,9 +84,7 @@
 		return nil
 	}
 	item.Reference = Reference{}
-	changed := r.put(item)
-	r.recordWhole()
-	return changed
+	return r.put(item)
 }
 
 // putOutstanding records an item whose value has not arrived. Peers that ask for changes learn of it at once.
@@ -110,10 +96,3 @@
 	r.outstanding[item.Key] = item
 	r.lastChangeRevision = max(r.lastChangeRevision, item.Revision)
 }
-
-// recordWhole records that the copy has all values if it does.
-func (r *Replica) recordWhole() {
-	if len(r.outstanding) == 0 {
-		r.wholePosition, r.wholeFreshAt = r.position, max(r.wholeFreshAt, r.freshAt)
-	}
-}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -9,9 +9,7 @@
 //
 // The values of large items are transferred apart from the others: a peer sends a Reference in place of such a
 // value, so that the other changes do not wait for it. Until the value has arrived, the copy keeps the value that it
-// has, and knows that it is outdated. Invariants:
-//   - WholePosition is never above the revision of an item whose value has not arrived;
-//   - WholeFreshAt is never later than the time at which all values of the copy were those of the store.
+// has, and knows that it is outdated.
 package replica
 
 import (
@@ -37,10 +35,6 @@
 	position Position
 	// outstanding holds the items whose values have not arrived, by key. Their revisions are above those of items.
 	outstanding map[string]Item
-	// wholePosition is the last position at which no value was outstanding, and wholeFreshAt the latest time at
-	// which the copy is known to have been complete with all values.
-	wholePosition Position
-	wholeFreshAt  clock.Instant
 	// version counts the changes of items and outstanding.
 	version uint64
 	// lastChangeRevision is the revision of the copy after the last change or removal
@@ -311,13 +305,16 @@
 		r.freshAt = freshAt
 	}
 	r.position.Revision = max(r.position.Revision, revision)
-	r.recordWhole()
 	if !r.complete {
 		r.complete, r.removalsSince = true, r.position.Revision
 	}
 	if len(changed) > 0 {
 		r.lastChangeRevision = r.position.Revision
 	}
+	for _, item := range changed {
+		// Pages of a listing may have items that changed after its position.
+		r.lastChangeRevision = max(r.lastChangeRevision, item.Revision)
+	}
 	if len(r.tombstones) > maxTombstones {
 		// Items deleted long ago cannot reappear in a delayed response.
 		clear(r.tombstones)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -150,3 +150,20 @@
 		t.Errorf("items %v at %v, expected none", keys, follower.Position())
 	}
 }
+
+// TestItemAboveListingIsHandedOn guards against a change that peers never get: it was on a later page of a listing, and
+// the watch after the listing brings it again, which changes nothing here.
+func TestItemAboveListingIsHandedOn(t *testing.T) {
+	reader, follower := New(), New()
+	follower.Replace([]Item{item("a", 1)}, rev(5), 10)
+	reader.Replace([]Item{item("a", 1), item("b", 7)}, rev(5), 20)
+	reader.Apply([]Item{item("b", 7)}, rev(8), 30)
+	requested := follower.Position()
+	if !reader.HasChangesSince(requested) {
+		t.Fatal("there are no changes for a peer at the position of the listing")
+	}
+	follower.Merge(reader.ChangesSince(requested, true), reader.Position(), reader.FreshAt())
+	if diff := cmp.Diff(reader.Items(), follower.Items()); diff != "" {
+		t.Error(diff)
+	}
+}
